--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# `make test` runs every test; `make help` lists the rest.
+GO ?= go
+LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+BUF = $(GO) tool -modfile=tools/go.mod buf
+BIN ?= bin
+
+.PHONY: help build test generate generated-check format-check lint fuzz-seeds
+
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+build: ## build every binary into bin/
+	$(GO) build -o $(BIN)/ ./cmd/... ./test/knownred
+
+test: ## run all tests with the race detector; only tests in KNOWN-RED.txt may fail
+	$(GO) test -race -json -timeout 10m ./... | $(GO) run ./test/knownred -list KNOWN-RED.txt
+
+generate: ## regenerate api/gen from the schema files
+	$(BUF) generate
+
+generated-check: generate ## fail when committed generated code is not up to date
+	git diff --exit-code --stat -- api/gen
+
+format-check: ## fail when a file is not formatted
+	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
+
+lint: ## run the linters
+	$(LINT) run ./...
+	$(BUF) lint
--- /dev/null
+++ b/internal/prefix/prefix_test.go
@@ -0,0 +1,61 @@
+package prefix_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/jayproxy/jayproxy/internal/prefix"
+)
+
+func TestPromptsShareExactlyTheirCommonPoints(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := prefix.Seed{Workspace: "w", Model: "m"}
+		shared := strings.Repeat("a", rapid.IntRange(0, 70000).Draw(t, "shared"))
+		one := prefix.Chain(seed, []string{shared + "x" + strings.Repeat("y", 3000)})
+		two := prefix.Chain(seed, []string{shared + "z" + strings.Repeat("y", 9000)})
+		for i := range min(len(one.Points), len(two.Points)) {
+			same := one.Points[i].Hash == two.Points[i].Hash
+			inShared := int(one.Points[i].Bytes) <= len(shared) && one.Points[i].Bytes == two.Points[i].Bytes
+			assert.Equal(t, inShared, same)
+		}
+	})
+}
+
+func TestEverySeedFieldSeparates(t *testing.T) {
+	parts := []string{"the same text"}
+	seen := map[uint64]bool{}
+	for _, seed := range []prefix.Seed{
+		{Workspace: "a"}, {Workspace: "b"}, {Model: "a"}, {VersionDigest: "a"}, {Adapter: "a"},
+		{Workspace: "ab", Model: "c"}, {Workspace: "a", Model: "bc"},
+	} {
+		chain := prefix.Chain(seed, parts)
+		require.Len(t, chain.Points, 1)
+		assert.False(t, seen[chain.Points[0].Hash])
+		seen[chain.Points[0].Hash] = true
+	}
+}
+
+func TestBoundariesAreLevelsAndChainsStayShort(t *testing.T) {
+	chain := prefix.Chain(prefix.Seed{}, []string{strings.Repeat("i", 1024), "short", strings.Repeat("d", 8<<20)})
+	require.Len(t, chain.Levels, 3)
+	assert.Equal(t, uint32(1024), chain.Points[chain.Levels[0]].Bytes)
+	assert.Equal(t, uint32(1029), chain.Points[chain.Levels[1]].Bytes)
+	assert.Equal(t, len(chain.Points)-1, chain.Levels[2])
+	assert.LessOrEqual(t, len(chain.Points), prefix.MaxPoints)
+}
+
+func FuzzRender(f *testing.F) {
+	f.Add([]byte(`{"messages":[{"role":"user","content":"hi"}]}`))
+	f.Add([]byte(`{"prompt":["a","b"]}`))
+	f.Add([]byte(`{"messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`))
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		parts, err := prefix.Render(body)
+		if err == nil {
+			prefix.Chain(prefix.Seed{}, parts)
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,58 @@
+package settings_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jayproxy/jayproxy/internal/findings"
+	"github.com/jayproxy/jayproxy/internal/settings"
+)
+
+type sample struct {
+	Listen string `toml:"listen" validate:"required"`
+	Limits struct {
+		Body int `toml:"body_bytes" validate:"min=1"`
+	} `toml:"limits"`
+}
+
+func TestParseReportsAllFindingsWithTheirLines(t *testing.T) {
+	var target sample
+	err := settings.Parse("a.toml", []byte("listen = \"\"\n[limits]\nbody_bytes = 0\n"), &target)
+	var fault *findings.Error
+	require.True(t, errors.As(err, &fault))
+	require.Len(t, fault.Findings, 2)
+	assert.Equal(t, "a.toml:1: listen: value  breaks the rule required", fault.Findings[0].String())
+	assert.Equal(t, "a.toml:3: limits.body_bytes: value 0 breaks the rule min=1", fault.Findings[1].String())
+}
+
+func TestParseNamesUnknownKeys(t *testing.T) {
+	var target sample
+	err := settings.Parse("a.toml", []byte("listen = \"x\"\nlisten_on = 1\n[limits]\nbody = 3\n"), &target)
+	var fault *findings.Error
+	require.True(t, errors.As(err, &fault))
+	require.Len(t, fault.Findings, 2)
+	assert.Equal(t, 2, fault.Findings[0].Line)
+	assert.Equal(t, "limits.body", fault.Findings[1].Path)
+}
+
+func TestLinesCountsArraysOfTables(t *testing.T) {
+	lines := settings.Lines([]byte("[[pool]]\nname = \"a\"\n[[pool.versions]]\nname = \"v1\"\n[[pool]]\nname = \"b\"\n"))
+	assert.Equal(t, 2, lines["pool[0].name"])
+	assert.Equal(t, 4, lines["pool[0].versions[0].name"])
+	assert.Equal(t, 6, lines["pool[1].name"])
+}
+
+func FuzzLines(f *testing.F) {
+	f.Add([]byte("[a]\nb = 1\n[[c.d]]\ne = [1, 2]\n"))
+	f.Add([]byte("= broken"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		for key, line := range settings.Lines(text) {
+			if line < 0 {
+				t.Fatalf("key %q has line %d", key, line)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/node.go
@@ -0,0 +1,356 @@
+// Package transport carries typed messages between the system's own processes
+// over QUIC with mutual TLS. It opens connections on use, closes idle ones and
+// knows who the peer is; it never retries and decides nothing.
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/jayproxy/jayproxy/internal/keys"
+)
+
+// ErrNoConnection means that no connection to the named peer is open.
+var ErrNoConnection = errors.New("no connection to the peer")
+
+// Options of a node. Zero values take the defaults.
+type Options struct {
+	// Address to listen on, IP:port; one UDP socket serves both directions.
+	Address string
+	// DialTimeout bounds the handshake with a peer that may be gone.
+	DialTimeout time.Duration
+	// LinkTimeout without any packet means that the link is lost.
+	LinkTimeout time.Duration
+	// IdleClose: an outgoing connection without streams for this long is closed.
+	IdleClose time.Duration
+	// MaxStreams that a peer may have open at once on a connection.
+	MaxStreams int64
+}
+
+const (
+	defaultDialTimeout = 2 * time.Second
+	defaultLinkTimeout = 6 * time.Second
+	defaultIdleClose   = 60 * time.Second
+	defaultMaxStreams  = 10000
+	// keepAliveShare: a packet every third of the link timeout, so that two
+	// lost packets do not look like a lost link.
+	keepAliveShare = 3
+)
+
+func (o Options) withDefaults() Options {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = defaultDialTimeout
+	}
+	if o.LinkTimeout == 0 {
+		o.LinkTimeout = defaultLinkTimeout
+	}
+	if o.IdleClose == 0 {
+		o.IdleClose = defaultIdleClose
+	}
+	if o.MaxStreams == 0 {
+		o.MaxStreams = defaultMaxStreams
+	}
+	return o
+}
+
+// Handler serves one incoming stream. The stream is ended when it returns.
+type Handler func(ctx context.Context, peer keys.Identity, stream *Stream)
+
+// Node is a process's end of all its links: one UDP socket, a listener and the
+// connections it dialled. Streams that peers open arrive at the handler,
+// whoever dialled the connection.
+type Node struct {
+	options Options
+	creds   *Credentials
+	handler Handler
+	socket  *net.UDPConn
+	quic    *quic.Transport
+	listen  *quic.Listener
+	ctx     context.Context
+	cancel  context.CancelFunc
+	dialing singleflight.Group
+	// Stats of all streams of the node.
+	Stats Stats
+
+	mu     sync.Mutex
+	dialed map[string]*link        // by address
+	peers  map[keys.Identity]*link // latest connection of each peer
+	wg     sync.WaitGroup
+}
+
+type link struct {
+	conn    *quic.Conn
+	peer    keys.Identity
+	mu      sync.Mutex
+	streams int
+	idleAt  time.Time
+}
+
+// Listen opens the node's socket and starts to accept. Peers need a
+// certificate of the authority with role entry or agent.
+func Listen(options Options, creds *Credentials, handler Handler) (*Node, error) {
+	options = options.withDefaults()
+	address, err := net.ResolveUDPAddr("udp", options.Address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen address %q", options.Address)
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", options.Address)
+	}
+	n := &Node{
+		options: options, creds: creds, handler: handler, socket: socket,
+		quic:   &quic.Transport{Conn: socket},
+		dialed: map[string]*link{}, peers: map[keys.Identity]*link{},
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	serverTLS := creds.ServerTLS([]string{nextProto}, keys.RoleEntry, keys.RoleAgent)
+	n.listen, err = n.quic.Listen(serverTLS, n.quicConfig())
+	if err != nil {
+		return nil, eris.Wrap(err, "start QUIC listener")
+	}
+	n.wg.Add(2)
+	go n.acceptLoop()
+	go n.closeIdleLoop()
+	return n, nil
+}
+
+func (n *Node) quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: n.options.DialTimeout,
+		MaxIdleTimeout:       n.options.LinkTimeout,
+		KeepAlivePeriod:      n.options.LinkTimeout / keepAliveShare,
+		MaxIncomingStreams:   n.options.MaxStreams,
+		// 0-RTT data can be replayed by the network.
+		Allow0RTT: false,
+	}
+}
+
+// Address is the socket's own address.
+func (n *Node) Address() string { return n.socket.LocalAddr().String() }
+
+// Open opens a stream to the process at the address, which must show one of the roles.
+func (n *Node) Open(ctx context.Context, address string, roles ...keys.Role) (*Stream, error) {
+	l, err := n.dial(ctx, address, roles)
+	if err != nil {
+		return nil, err
+	}
+	return n.openOn(ctx, l)
+}
+
+// OpenPeer opens a stream on the open connection of a peer, whoever dialled it.
+func (n *Node) OpenPeer(ctx context.Context, peer keys.Identity) (*Stream, error) {
+	n.mu.Lock()
+	l := n.peers[peer]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, ErrNoConnection
+	}
+	return n.openOn(ctx, l)
+}
+
+// Peers lists the identities with an open connection.
+func (n *Node) Peers() []keys.Identity {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	peers := make([]keys.Identity, 0, len(n.peers))
+	for peer := range n.peers {
+		peers = append(peers, peer)
+	}
+	return peers
+}
+
+// Close cuts all connections and waits for the handlers.
+func (n *Node) Close() error {
+	n.cancel()
+	n.mu.Lock()
+	for _, l := range n.dialed {
+		_ = l.conn.CloseWithError(0, "closing")
+	}
+	for _, l := range n.peers {
+		_ = l.conn.CloseWithError(0, "closing")
+	}
+	n.mu.Unlock()
+	_ = n.listen.Close()
+	err := n.quic.Close()
+	_ = n.socket.Close()
+	n.wg.Wait()
+	return err
+}
+
+func (n *Node) openOn(ctx context.Context, l *link) (*Stream, error) {
+	s, err := l.conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, eris.Wrapf(err, "open stream to %s", l.peer)
+	}
+	l.enter()
+	context.AfterFunc(s.Context(), l.leave)
+	return newStream(s, &n.Stats), nil
+}
+
+func (n *Node) dial(ctx context.Context, address string, roles []keys.Role) (*link, error) {
+	n.mu.Lock()
+	l := n.dialed[address]
+	n.mu.Unlock()
+	if l != nil && l.conn.Context().Err() == nil {
+		return l, checkRole(l, roles)
+	}
+	// Callers that come together share one handshake, bounded by its own
+	// timeout: the first caller giving up must not fail the others.
+	done := n.dialing.DoChan(address, func() (any, error) { return n.handshake(address, roles) })
+	select {
+	case <-ctx.Done():
+		return nil, eris.Wrapf(ctx.Err(), "dial %s", address)
+	case result := <-done:
+		if result.Err != nil {
+			return nil, result.Err
+		}
+		l = result.Val.(*link)
+		return l, checkRole(l, roles)
+	}
+}
+
+func (n *Node) handshake(address string, roles []keys.Role) (*link, error) {
+	remote, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "address %q", address)
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, n.options.DialTimeout)
+	defer cancel()
+	conn, err := n.quic.Dial(ctx, remote, n.creds.ClientTLS([]string{nextProto}, roles...), n.quicConfig())
+	if err != nil {
+		return nil, eris.Wrapf(err, "dial %s", address)
+	}
+	l, err := n.adopt(conn)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	n.dialed[address] = l
+	n.mu.Unlock()
+	context.AfterFunc(conn.Context(), func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.dialed[address] == l {
+			delete(n.dialed, address)
+		}
+	})
+	return l, nil
+}
+
+func checkRole(l *link, roles []keys.Role) error {
+	for _, role := range roles {
+		if l.peer.Role == role {
+			return nil
+		}
+	}
+	return eris.Errorf("%s has the wrong role, want one of %v", l.peer, roles)
+}
+
+func (n *Node) acceptLoop() {
+	defer n.wg.Done()
+	for {
+		conn, err := n.listen.Accept(n.ctx)
+		if err != nil {
+			return
+		}
+		if _, err := n.adopt(conn); err != nil {
+			_ = conn.CloseWithError(1, "no identity")
+		}
+	}
+}
+
+// adopt registers a connection and serves the streams that its peer opens.
+func (n *Node) adopt(conn *quic.Conn) (*link, error) {
+	peer, err := keys.IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err != nil {
+		return nil, err
+	}
+	l := &link{conn: conn, peer: peer, idleAt: time.Now()}
+	n.mu.Lock()
+	n.peers[peer] = l
+	n.mu.Unlock()
+	context.AfterFunc(conn.Context(), func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.peers[peer] == l {
+			delete(n.peers, peer)
+		}
+	})
+	n.wg.Add(1)
+	go n.serveLink(l)
+	return l, nil
+}
+
+func (n *Node) serveLink(l *link) {
+	defer n.wg.Done()
+	for {
+		s, err := l.conn.AcceptStream(n.ctx)
+		if err != nil {
+			return
+		}
+		l.enter()
+		n.wg.Add(1)
+		go func() {
+			defer n.wg.Done()
+			defer l.leave()
+			n.handler(s.Context(), l.peer, newStream(s, &n.Stats))
+			_ = s.Close()
+		}()
+	}
+}
+
+func (n *Node) closeIdleLoop() {
+	defer n.wg.Done()
+	ticker := time.NewTicker(n.options.IdleClose / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+			n.closeIdle(time.Now())
+		}
+	}
+}
+
+func (n *Node) closeIdle(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, l := range n.dialed {
+		if l.idleSince(now) >= n.options.IdleClose {
+			delete(n.dialed, address)
+			_ = l.conn.CloseWithError(0, "idle")
+		}
+	}
+}
+
+func (l *link) enter() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.streams++
+}
+
+func (l *link) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.streams--
+	l.idleAt = time.Now()
+}
+
+// idleSince is how long the link has had no stream; 0 while it has one.
+func (l *link) idleSince(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.streams > 0 {
+		return 0
+	}
+	return now.Sub(l.idleAt)
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,118 @@
+package transport_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+func credentials(t *testing.T, authority *keys.Authority, role keys.Role, name string) *transport.Credentials {
+	t.Helper()
+	dir := t.TempDir()
+	cert, err := authority.Issue(keys.Identity{Role: role, Name: name}, time.Hour)
+	require.NoError(t, err)
+	require.NoError(t, cert.Save(dir))
+	creds, err := transport.LoadCredentials(dir)
+	require.NoError(t, err)
+	return creds
+}
+
+func authority(t *testing.T) *keys.Authority {
+	t.Helper()
+	a, err := keys.NewAuthority(time.Hour)
+	require.NoError(t, err)
+	return a
+}
+
+func listen(t *testing.T, creds *transport.Credentials, handler transport.Handler) *transport.Node {
+	t.Helper()
+	node, err := transport.Listen(transport.Options{Address: "127.0.0.1:0"}, creds, handler)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = node.Close() })
+	return node
+}
+
+func echo(_ context.Context, peer keys.Identity, s *transport.Stream) {
+	var in jayv1.ClientFrame
+	for s.Receive(&in) == nil {
+		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Chunk{Chunk: &jayv1.Chunk{
+			Seq: 1, Data: append([]byte(peer.Name+":"), in.GetBody().GetData()...),
+		}}})
+	}
+}
+
+func body(text string) *jayv1.ClientFrame {
+	return &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Body{Body: &jayv1.Data{Data: []byte(text)}}}
+}
+
+func TestStreamsGoBothWaysOnOneConnection(t *testing.T) {
+	a := authority(t)
+	server := listen(t, credentials(t, a, keys.RoleAgent, "b1"), echo)
+	client := listen(t, credentials(t, a, keys.RoleEntry, "e1"), echo)
+
+	s, err := client.Open(t.Context(), server.Address(), keys.RoleAgent)
+	require.NoError(t, err)
+	require.NoError(t, s.Send(body("hello")))
+	var out jayv1.ServerFrame
+	require.NoError(t, s.Receive(&out))
+	assert.Equal(t, "e1:hello", string(out.GetChunk().GetData()))
+	require.NoError(t, s.CloseSend())
+	require.ErrorIs(t, s.Receive(&out), io.EOF)
+
+	back, err := server.OpenPeer(t.Context(), keys.Identity{Role: keys.RoleEntry, Name: "e1"})
+	require.NoError(t, err)
+	require.NoError(t, back.Send(body("pull")))
+	require.NoError(t, back.Receive(&out))
+	assert.Equal(t, "b1:pull", string(out.GetChunk().GetData()))
+}
+
+func TestWrongRoleOrAuthorityGetsInNowhere(t *testing.T) {
+	a := authority(t)
+	server := listen(t, credentials(t, a, keys.RoleAgent, "b1"), echo)
+	tests := map[string]*transport.Credentials{
+		"operator on the data path": credentials(t, a, keys.RoleOperator, "ana"),
+		"viewer on the data path":   credentials(t, a, keys.RoleViewer, "ivo"),
+		"another authority":         credentials(t, authority(t), keys.RoleEntry, "e1"),
+	}
+	for name, creds := range tests {
+		t.Run(name, func(t *testing.T) {
+			client := listen(t, creds, echo)
+			s, err := client.Open(t.Context(), server.Address(), keys.RoleAgent)
+			if err == nil { // The client's handshake ends before the server has judged it.
+				_ = s.Send(body("x"))
+				var out jayv1.ServerFrame
+				err = s.Receive(&out)
+			}
+			require.Error(t, err)
+			assert.False(t, errors.Is(err, io.EOF))
+		})
+	}
+	client := listen(t, credentials(t, a, keys.RoleEntry, "e1"), echo)
+	_, err := client.Open(t.Context(), server.Address(), keys.RoleEntry)
+	require.Error(t, err, "an agent must not pass for an entry")
+}
+
+func TestReloadTakesANewKeyWithoutARestart(t *testing.T) {
+	a := authority(t)
+	dir := t.TempDir()
+	save := func(name string) {
+		cert, err := a.Issue(keys.Identity{Role: keys.RoleEntry, Name: name}, time.Hour)
+		require.NoError(t, err)
+		require.NoError(t, cert.Save(dir))
+	}
+	save("old")
+	creds, err := transport.LoadCredentials(dir)
+	require.NoError(t, err)
+	save("new")
+	require.NoError(t, creds.Reload())
+	assert.Equal(t, "new", creds.Self().Name)
+}
--- /dev/null
+++ b/test/knownred/main.go
@@ -0,0 +1,163 @@
+// Command knownred reads the output of `go test -json`, prints failures and a
+// summary, and passes over just the failing tests that KNOWN-RED.txt lists.
+// A listed test that passes is a failure too: its line must go.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+)
+
+const (
+	maxListed    = 3
+	maxLineBytes = 16 << 20
+)
+
+type event struct {
+	Action  string
+	Package string
+	Test    string
+	Output  string
+}
+
+// run is what one reading of the test output found.
+type run struct {
+	output  map[string][]string
+	failed  map[string]bool
+	passed  map[string]bool
+	skipped int
+}
+
+func main() {
+	list := flag.String("list", "KNOWN-RED.txt", "file with the tests that are known to fail")
+	flag.Parse()
+	known, err := readList(*list)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if !report(readEvents(os.Stdin), known) {
+		os.Exit(1)
+	}
+}
+
+// readList returns the listed tests as package.Test, each with its whole line.
+func readList(file string) (map[string]string, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	known := map[string]string{}
+	for _, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, _, _ := strings.Cut(line, "|")
+		known[strings.TrimSpace(name)] = line
+	}
+	if len(known) > maxListed {
+		return nil, fmt.Errorf("%s lists %d tests, %d at most", file, len(known), maxListed)
+	}
+	return known, nil
+}
+
+func readEvents(in io.Reader) run {
+	r := run{output: map[string][]string{}, failed: map[string]bool{}, passed: map[string]bool{}}
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		var e event
+		if json.Unmarshal(scanner.Bytes(), &e) != nil {
+			fmt.Println(scanner.Text())
+			continue
+		}
+		r.add(e)
+	}
+	return r
+}
+
+func (r *run) add(e event) {
+	name := e.Package
+	if e.Test != "" {
+		name += "." + e.Test
+	}
+	switch e.Action {
+	case "output", "build-output":
+		r.output[name] = append(r.output[name], e.Output)
+	case "fail":
+		r.failed[name] = true
+	case "skip":
+		if e.Test != "" {
+			r.skipped++
+		}
+	case "pass":
+		if e.Test != "" {
+			r.passed[name] = true
+		} else {
+			fmt.Printf("ok   %s\n", e.Package)
+		}
+	}
+}
+
+// report prints the verdict and tells whether it is green.
+func report(r run, known map[string]string) bool {
+	green := true
+	failedTests := 0
+	for _, name := range sorted(r.failed) {
+		if excused(name, r, known) {
+			continue
+		}
+		green = false
+		if strings.Contains(name[strings.LastIndex(name, "/")+1:], ".") {
+			failedTests++
+		}
+		fmt.Printf("--- FAIL %s\n%s", name, strings.Join(r.output[name], ""))
+	}
+	for name, line := range known {
+		switch {
+		case r.failed[name]:
+			fmt.Printf("known red: %s\n", line)
+		case r.passed[name]:
+			green = false
+			fmt.Printf("%s passes: remove its line from the list\n", name)
+		}
+	}
+	fmt.Printf("%d passed, %d failed, %d skipped\n", len(r.passed), failedTests, r.skipped)
+	return green && len(r.passed) > 0
+}
+
+// excused: the test is listed, or it is the package or parent of listed tests
+// and of no other failing test.
+func excused(name string, r run, known map[string]string) bool {
+	if _, ok := known[name]; ok {
+		return true
+	}
+	below := 0
+	for other := range r.failed {
+		inside := strings.HasPrefix(other, name+".") || strings.HasPrefix(other, name+"/")
+		if other == name || !inside {
+			continue
+		}
+		if _, ok := known[other]; !ok {
+			return false
+		}
+		below++
+	}
+	return below > 0
+}
+
+func sorted(set map[string]bool) []string {
+	names := make([]string, 0, len(set))
+	for name := range set {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
