Beat on open streams, keep idle connections silent

Cause: QUIC keep-alive works per connection. At 318 agents a data centre an entry would send and get a packet every 2 s on each idle connection, some 10 KB/s against a budget of 2 KB/s; without it a receiver that has nothing to send never notices a dead peer. Ruled out: long keep-alive (a lost link shows too late), ping of each agent (the same cost), closing idle connections at once (a handshake a request). Change: each open stream sends a frame of no bytes after a third of the link timeout; Receive fails with ErrLinkLost when neither frame nor heartbeat came. Idle connections send nothing and are dropped by both ends after 30 s. Tests: a peer that vanishes mid-stream (fails first: without heartbeats the receive waits for ever), a slow peer that keeps its stream.

--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -26,9 +26,11 @@
 	Address string
 	// DialTimeout bounds the handshake with a peer that may be gone.
 	DialTimeout time.Duration
-	// LinkTimeout without any packet means that the link is lost.
+	// LinkTimeout without a frame or heartbeat on an open stream means that the
+	// link is lost.
 	LinkTimeout time.Duration
-	// IdleClose: an outgoing connection without streams for this long is closed.
+	// IdleClose: a connection without any packet for this long is dropped by
+	// both ends, which costs no packet.
 	IdleClose time.Duration
 	// MaxStreams that a peer may have open at once on a connection.
 	MaxStreams int64
@@ -37,11 +39,8 @@
 const (
 	defaultDialTimeout = 2 * time.Second
 	defaultLinkTimeout = 6 * time.Second
-	defaultIdleClose   = 60 * time.Second
+	defaultIdleClose   = 30 * time.Second
 	defaultMaxStreams  = 10000
-	// keepAliveShare: a packet every third of the link timeout, so that two
-	// lost packets do not look like a lost link.
-	keepAliveShare = 3
 )
 
 func (o Options) withDefaults() Options {
@@ -86,11 +85,8 @@
 }
 
 type link struct {
-	conn    *quic.Conn
-	peer    keys.Identity
-	mu      sync.Mutex
-	streams int
-	idleAt  time.Time
+	conn *quic.Conn
+	peer keys.Identity
 }
 
 // Listen opens the node's socket and starts to accept. Peers need a
@@ -116,17 +112,15 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "start QUIC listener")
 	}
-	n.wg.Add(2)
+	n.wg.Add(1)
 	go n.acceptLoop()
-	go n.closeIdleLoop()
 	return n, nil
 }
 
 func (n *Node) quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: n.options.DialTimeout,
-		MaxIdleTimeout:       n.options.LinkTimeout,
-		KeepAlivePeriod:      n.options.LinkTimeout / keepAliveShare,
+		MaxIdleTimeout:       n.options.IdleClose,
 		MaxIncomingStreams:   n.options.MaxStreams,
 		// 0-RTT data can be replayed by the network.
 		Allow0RTT: false,
@@ -190,9 +184,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "open stream to %s", l.peer)
 	}
-	l.enter()
-	context.AfterFunc(s.Context(), l.leave)
-	return newStream(s, &n.Stats), nil
+	return newStream(s, &n.Stats, n.options.LinkTimeout), nil
 }
 
 func (n *Node) dial(ctx context.Context, address string, roles []keys.Role) (*link, error) {
@@ -273,7 +265,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{conn: conn, peer: peer, idleAt: time.Now()}
+	l := &link{conn: conn, peer: peer}
 	n.mu.Lock()
 	n.peers[peer] = l
 	n.mu.Unlock()
@@ -296,61 +288,12 @@
 		if err != nil {
 			return
 		}
-		l.enter()
 		n.wg.Add(1)
 		go func() {
 			defer n.wg.Done()
-			defer l.leave()
-			n.handler(s.Context(), l.peer, newStream(s, &n.Stats))
-			_ = s.Close()
+			stream := newStream(s, &n.Stats, n.options.LinkTimeout)
+			n.handler(s.Context(), l.peer, stream)
+			stream.finish()
 		}()
 	}
 }
-
-func (n *Node) closeIdleLoop() {
-	defer n.wg.Done()
-	ticker := time.NewTicker(n.options.IdleClose / 4)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-ticker.C:
-			n.closeIdle(time.Now())
-		}
-	}
-}
-
-func (n *Node) closeIdle(now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for address, l := range n.dialed {
-		if l.idleSince(now) >= n.options.IdleClose {
-			delete(n.dialed, address)
-			_ = l.conn.CloseWithError(0, "idle")
-		}
-	}
-}
-
-func (l *link) enter() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.streams++
-}
-
-func (l *link) leave() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.streams--
-	l.idleAt = time.Now()
-}
-
-// idleSince is how long the link has had no stream; 0 while it has one.
-func (l *link) idleSince(now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.streams > 0 {
-		return 0
-	}
-	return now.Sub(l.idleAt)
-}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +21,19 @@
 // ErrFrameTooLong means that a peer announced a frame above MaxFrame.
 var ErrFrameTooLong = errors.New("frame too long")
 
+// ErrLinkLost means that nothing came from the peer for the link timeout, not
+// even a heartbeat: it is dead, frozen or cut off.
+var ErrLinkLost = errors.New("link lost")
+
+// heartbeat is a frame of no bytes. Each side sends one when it has sent
+// nothing else for a third of the link timeout, so that two lost ones do not
+// look like a lost link. Only open streams have them: an idle connection costs
+// nothing, which a packet every two seconds to each of some hundred agents would.
+const (
+	heartbeat      = 0
+	heartbeatShare = 3
+)
+
 // abortCode tells the peer that a stream was given up, not ended.
 const abortCode quic.StreamErrorCode = 1
 
@@ -31,19 +46,36 @@
 // Stream carries typed messages both ways, each with its length in front.
 // One goroutine may send while another receives.
 type Stream struct {
-	quic   *quic.Stream
-	reader *bufio.Reader
-	stats  *Stats
-	buffer []byte
+	quic    *quic.Stream
+	reader  *bufio.Reader
+	stats   *Stats
+	timeout time.Duration
+
+	sendMu   sync.Mutex
+	buffer   []byte
+	sendDone bool
+	beat     *time.Timer
+
+	deadlineMu   sync.Mutex
+	readDeadline time.Time
 }
 
-func newStream(s *quic.Stream, stats *Stats) *Stream {
-	return &Stream{quic: s, reader: bufio.NewReader(s), stats: stats}
+func newStream(s *quic.Stream, stats *Stats, linkTimeout time.Duration) *Stream {
+	stream := &Stream{quic: s, reader: bufio.NewReader(s), stats: stats, timeout: linkTimeout}
+	stream.sendMu.Lock()
+	defer stream.sendMu.Unlock()
+	stream.beat = time.AfterFunc(linkTimeout/heartbeatShare, stream.sendHeartbeat)
+	return stream
 }
 
 // Send writes one message.
 func (s *Stream) Send(message proto.Message) error {
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
 	size := proto.Size(message)
+	if size == heartbeat {
+		return eris.New("an empty message would read as a heartbeat")
+	}
 	s.buffer = binary.AppendUvarint(s.buffer[:0], uint64(size))
 	var err error
 	s.buffer, err = proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(s.buffer, message)
@@ -55,24 +87,43 @@
 	}
 	s.stats.FramesSent.Add(1)
 	s.stats.BytesSent.Add(uint64(len(s.buffer)))
+	s.beat.Reset(s.timeout / heartbeatShare)
 	return nil
 }
 
-// Receive reads one message into the given one. io.EOF: the peer ended its side.
+// sendHeartbeat runs on the timer. A stream whose peer no longer reads stops
+// beating at the first failed write.
+func (s *Stream) sendHeartbeat() {
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	if s.sendDone {
+		return
+	}
+	if _, err := s.quic.Write([]byte{heartbeat}); err != nil {
+		return
+	}
+	s.beat.Reset(s.timeout / heartbeatShare)
+}
+
+// Receive reads one message into the given one. io.EOF: the peer ended its
+// side. ErrLinkLost: nothing came for the link timeout.
 func (s *Stream) Receive(message proto.Message) error {
-	size, err := binary.ReadUvarint(s.reader)
-	if err != nil {
-		if errors.Is(err, io.EOF) {
-			return io.EOF
+	size := uint64(heartbeat)
+	for size == heartbeat {
+		if err := s.awaitFrame(); err != nil {
+			return err
+		}
+		var err error
+		if size, err = binary.ReadUvarint(s.reader); err != nil {
+			return s.readFault(err)
 		}
-		return eris.Wrap(err, "receive frame length")
 	}
 	if size > MaxFrame {
 		return ErrFrameTooLong
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(s.reader, body); err != nil {
-		return eris.Wrap(err, "receive frame")
+		return s.readFault(err)
 	}
 	s.stats.FramesReceived.Add(1)
 	s.stats.BytesReceived.Add(size)
@@ -82,17 +133,78 @@
 	return nil
 }
 
+// awaitFrame bounds the wait for the next frame by the link timeout and by the
+// caller's own deadline, whichever comes first.
+func (s *Stream) awaitFrame() error {
+	s.deadlineMu.Lock()
+	defer s.deadlineMu.Unlock()
+	limit := time.Now().Add(s.timeout)
+	if own := s.readDeadline; !own.IsZero() && own.Before(limit) {
+		limit = own
+	}
+	return eris.Wrap(s.quic.SetReadDeadline(limit), "set read deadline")
+}
+
+// readFault tells a lost link from the caller's own deadline and other faults.
+func (s *Stream) readFault(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.EOF
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return eris.Wrap(err, "receive frame")
+	}
+	s.deadlineMu.Lock()
+	defer s.deadlineMu.Unlock()
+	if own := s.readDeadline; !own.IsZero() && !time.Now().Before(own) {
+		return eris.Wrap(err, "receive frame")
+	}
+	return ErrLinkLost
+}
+
 // CloseSend ends the sending side; the peer reads io.EOF.
-func (s *Stream) CloseSend() error { return s.quic.Close() }
+func (s *Stream) CloseSend() error {
+	s.stopHeartbeat()
+	return s.quic.Close()
+}
 
 // Abort gives the stream up in both directions; the peer's calls fail.
 func (s *Stream) Abort() {
 	s.quic.CancelRead(abortCode)
 	s.quic.CancelWrite(abortCode)
+	s.stopHeartbeat()
+}
+
+// finish ends both sides after a handler: what the peer still sends is not
+// read by anyone, and a stream that is half open would count against the
+// connection's limit for as long as the connection lasts.
+func (s *Stream) finish() {
+	_ = s.CloseSend()
+	s.quic.CancelRead(abortCode)
+}
+
+func (s *Stream) stopHeartbeat() {
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	s.sendDone = true
+	s.beat.Stop()
 }
 
 // SetDeadline bounds all pending and later calls; zero removes the bound.
-func (s *Stream) SetDeadline(t time.Time) error { return s.quic.SetDeadline(t) }
+func (s *Stream) SetDeadline(t time.Time) error {
+	if err := s.quic.SetWriteDeadline(t); err != nil {
+		return eris.Wrap(err, "set write deadline")
+	}
+	return s.SetReadDeadline(t)
+}
 
-// SetReadDeadline bounds pending and later Receive calls.
-func (s *Stream) SetReadDeadline(t time.Time) error { return s.quic.SetReadDeadline(t) }
+// SetReadDeadline bounds pending and later Receive calls; zero leaves only the
+// link timeout.
+func (s *Stream) SetReadDeadline(t time.Time) error {
+	s.deadlineMu.Lock()
+	defer s.deadlineMu.Unlock()
+	s.readDeadline = t
+	if t.IsZero() {
+		return nil
+	}
+	return eris.Wrap(s.quic.SetReadDeadline(t), "set read deadline")
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"testing"
 	"time"
 
@@ -116,3 +117,64 @@
 	require.NoError(t, creds.Reload())
 	assert.Equal(t, "new", creds.Self().Name)
 }
+
+// A caller's answer stands still for ever. The agent's VM is gone without a
+// word in mid-stream; the entry waits for a chunk and has nothing to send that
+// would go unacknowledged. Without heartbeats on open streams no one notices.
+func TestSilentPeerIsALostLinkAndABusyOneIsNot(t *testing.T) {
+	a := authority(t)
+	const linkTimeout = 300 * time.Millisecond
+	options := transport.Options{Address: "127.0.0.1:0", LinkTimeout: linkTimeout}
+	release := make(chan struct{})
+	quiet := func(_ context.Context, _ keys.Identity, s *transport.Stream) {
+		<-release // Says nothing itself; its heartbeats go on.
+		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_End{End: &jayv1.End{Count: 7}}})
+	}
+	server, err := transport.Listen(options, credentials(t, a, keys.RoleAgent, "b1"), quiet)
+	require.NoError(t, err)
+	defer server.Close()
+	relay := newCuttableRelay(t, server.Address())
+	client, err := transport.Listen(options, credentials(t, a, keys.RoleEntry, "e1"), echo)
+	require.NoError(t, err)
+	defer client.Close()
+
+	s, err := client.Open(t.Context(), relay.address(), keys.RoleAgent)
+	require.NoError(t, err)
+	require.NoError(t, s.Send(body("x")))
+	time.AfterFunc(3*linkTimeout, func() { close(release) })
+	var out jayv1.ServerFrame
+	require.NoError(t, s.Receive(&out), "a peer that is only slow keeps its stream")
+	assert.Equal(t, uint64(7), out.GetEnd().GetCount())
+
+	s, err = client.Open(t.Context(), relay.address(), keys.RoleAgent)
+	require.NoError(t, err)
+	require.NoError(t, s.Send(body("x")))
+	require.NoError(t, s.Receive(&out))
+	relay.cut()
+	s, err = client.Open(t.Context(), relay.address(), keys.RoleAgent)
+	require.NoError(t, err)
+	require.NoError(t, s.Send(body("x")))
+	require.ErrorIs(t, s.Receive(&out), transport.ErrLinkLost)
+}
+
+func TestReceiveEndsAtTheCallersOwnDeadline(t *testing.T) {
+	a := authority(t)
+	server := listen(t, credentials(t, a, keys.RoleAgent, "b1"), func(ctx context.Context, _ keys.Identity, _ *transport.Stream) { <-ctx.Done() })
+	client := listen(t, credentials(t, a, keys.RoleEntry, "e1"), echo)
+	s, err := client.Open(t.Context(), server.Address(), keys.RoleAgent)
+	require.NoError(t, err)
+	require.NoError(t, s.Send(body("x")))
+	require.NoError(t, s.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	var out jayv1.ServerFrame
+	require.ErrorIs(t, s.Receive(&out), os.ErrDeadlineExceeded)
+	s.Abort()
+}
+
+func TestAnEmptyMessageIsRefused(t *testing.T) {
+	a := authority(t)
+	server := listen(t, credentials(t, a, keys.RoleAgent, "b1"), echo)
+	client := listen(t, credentials(t, a, keys.RoleEntry, "e1"), echo)
+	s, err := client.Open(t.Context(), server.Address(), keys.RoleAgent)
+	require.NoError(t, err)
+	require.Error(t, s.Send(&jayv1.ClientFrame{}))
+}
--- /dev/null
+++ b/test/slopes/main.go
@@ -0,0 +1,89 @@
+// Command slopes measures how cost grows with count, at least three counts
+// each doubled, and writes the lines fitted through them as JSON.
+// docs/CAPACITY.md is computed from that file.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"regexp"
+	"time"
+
+	"github.com/jayproxy/jayproxy/internal/capacity"
+)
+
+// measurement gives one slope: the value at each count.
+type measurement struct {
+	name  string
+	xUnit string
+	yUnit string
+	// counts, each the double of the one before.
+	counts []int
+	// measure returns the value at a count.
+	measure func(count int) (float64, error)
+}
+
+func main() {
+	out := flag.String("out", "docs/slopes.json", "file to write")
+	only := flag.String("only", ".", "regular expression of the names to run")
+	flag.Parse()
+	pattern, err := regexp.Compile(*only)
+	if err != nil {
+		fail(err)
+	}
+	var slopes []capacity.Slope
+	for _, m := range all() {
+		if !pattern.MatchString(m.name) {
+			continue
+		}
+		slope, err := run(m)
+		if err != nil {
+			fail(fmt.Errorf("%s: %w", m.name, err))
+		}
+		slopes = append(slopes, slope)
+	}
+	if err := capacity.Save(*out, slopes); err != nil {
+		fail(err)
+	}
+}
+
+func all() []measurement {
+	var list []measurement
+	list = append(list, transportMeasurements()...)
+	list = append(list, catalogMeasurements()...)
+	return list
+}
+
+func run(m measurement) (capacity.Slope, error) {
+	start := time.Now()
+	slope := capacity.Slope{
+		Name: m.name, XUnit: m.xUnit, YUnit: m.yUnit,
+		Command: fmt.Sprintf("go run ./test/slopes -only '^%s$'", m.name),
+	}
+	for _, count := range m.counts {
+		value, err := m.measure(count)
+		if err != nil {
+			return slope, err
+		}
+		slope.Points = append(slope.Points, capacity.Point{X: float64(count), Y: value})
+	}
+	slope, err := capacity.Fit(slope)
+	fmt.Printf("%-36s %12.4g %s per %s, fixed %.4g, r2 %.3f (%s)\n",
+		m.name, slope.PerUnit, m.yUnit, m.xUnit, slope.Fixed, slope.R2, time.Since(start).Round(time.Millisecond))
+	return slope, err
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
+
+// doubled returns n counts from the first, each the double of the one before.
+func doubled(first, n int) []int {
+	counts := make([]int, n)
+	for i := range counts {
+		counts[i] = first << i
+	}
+	return counts
+}
