--- /dev/null
+++ b/internal/agent/admin.go
@@ -0,0 +1,79 @@
+package agent
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/admission"
+)
+
+const adminHeaderTimeout = 5 * time.Second
+
+// adminHandler serves liveness, readiness, metrics and the debug page.
+func (a *Agent) adminHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", a.readyz)
+	e.GET("/metrics", echo.WrapHandler(a.metrics.Handler()))
+	e.GET("/debug/state", a.debugState)
+	return e
+}
+
+func (a *Agent) readyz(c echo.Context) error {
+	state := a.state()
+	if !state.GetReady() || state.GetLeaving() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// attemptView is one attempt on the debug page. It shows no prompt text.
+type attemptView struct {
+	ID        string  `json:"id"`
+	Workspace string  `json:"workspace"`
+	State     string  `json:"state"`
+	AgeMS     float64 `json:"age_ms"`
+}
+
+type debugView struct {
+	Status   json.RawMessage `json:"status"`
+	Attempts []attemptView   `json:"attempts"`
+}
+
+func (a *Agent) debugState(c echo.Context) error {
+	status, err := protojson.Marshal(a.status())
+	if err != nil {
+		return err
+	}
+	attempts := []attemptView{}
+	for _, w := range a.works.all() {
+		attempts = append(attempts, attemptView{
+			ID: w.id, Workspace: w.offer.GetWorkspace(), State: w.current(),
+			AgeMS: float64(time.Since(w.offered)) / float64(time.Millisecond),
+		})
+	}
+	sort.Slice(attempts, func(i, j int) bool { return attempts[i].ID < attempts[j].ID })
+	return c.JSON(http.StatusOK, debugView{Status: status, Attempts: attempts})
+}
+
+// probe tells the exact state, and the cost when a chain is given.
+func (a *Agent) probe(req *jayv1.ProbeRequest) *jayv1.ProbeReply {
+	reply := &jayv1.ProbeReply{State: a.state()}
+	if a.model == nil || len(req.GetChain()) == 0 {
+		return reply
+	}
+	cached := a.model.cachedBytes(time.Now(), req.GetChain())
+	reply.CachedBytes = uint32(cached)
+	reply.CostMs = a.schedule.cost(admission.Request{
+		Class:  jayv1.Class_CLASS_STANDARD,
+		Tokens: a.tokens(req.GetPool(), int(req.GetPromptBytes())-cached),
+	})
+	return reply
+}
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,170 @@
+package agent_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/agent"
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/engine"
+	"github.com/jayproxy/jayproxy/internal/keys"
+)
+
+func TestAnswerOfTheEngineReachesTheEntryWhole(t *testing.T) {
+	b := newBench(t, nil)
+	got := readAnswer(t, b.accepted(modelOffer("r1"), `{"prompt":"x"}`))
+	assert.Equal(t, []string{"one", "two", "three"}, got.chunks)
+	assert.Equal(t, []uint64{0, 1, 2}, got.seqs)
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
+	assert.EqualValues(t, 3, got.end.GetCount())
+	assert.EqualValues(t, 1, got.end.GetIncarnation())
+	assert.EqualValues(t, 4, got.end.GetUsage().GetCachedTokens())
+	assert.Equal(t, "b1", got.end.GetState().GetBackendServer())
+	requests := b.engine.requests()
+	require.Len(t, requests, 1)
+	assert.Equal(t, "w1", requests[0].Salt)
+	assert.Equal(t, `{"prompt":"x"}`, string(requests[0].Body))
+}
+
+func TestOffersThatMayNotRunHereAreRefused(t *testing.T) {
+	b := newBench(t, nil)
+	tests := map[string]struct {
+		change func(*jayv1.Offer)
+		want   jayv1.Refusal
+	}{
+		"other version": {func(o *jayv1.Offer) { o.VersionDigest = "sha256:old" }, jayv1.Refusal_REFUSAL_VERSION},
+		"other adapter": {func(o *jayv1.Offer) { o.Adapter = "a9" }, jayv1.Refusal_REFUSAL_VERSION},
+		"no workspace":  {func(o *jayv1.Offer) { o.Workspace = "" }, jayv1.Refusal_REFUSAL_INVALID},
+		"a service":     {func(o *jayv1.Offer) { o.Pool, o.Service = "", "s" }, jayv1.Refusal_REFUSAL_NOT_FOUND},
+		"too large":     {func(o *jayv1.Offer) { o.PromptBytes = 1 << 30 }, jayv1.Refusal_REFUSAL_INVALID},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			offer := modelOffer("refused " + name)
+			test.change(offer)
+			_, reply := b.offer(offer)
+			assert.False(t, reply.GetAccepted())
+			assert.Equal(t, test.want, reply.GetRefusal())
+			assert.Equal(t, "b1", reply.GetState().GetBackendServer())
+		})
+	}
+	assert.Empty(t, b.engine.requests())
+}
+
+// A caller would get one claim drafted twice: an entry that lost its link in
+// the middle of an offer sends the same attempt again, while the first is
+// already under way.
+func TestSameAttemptOfferedTwiceRunsOnce(t *testing.T) {
+	b := newBench(t, nil)
+	readAnswer(t, b.accepted(modelOffer("r1"), "{}"))
+	_, reply := b.offer(modelOffer("r1"))
+	assert.Equal(t, jayv1.Refusal_REFUSAL_DUPLICATE, reply.GetRefusal())
+	assert.Len(t, b.engine.requests(), 1)
+}
+
+func TestOnlyEntriesHandOverWork(t *testing.T) {
+	b := newBench(t, nil)
+	other := b.node(keys.RoleAgent, "b2")
+	s, err := other.Open(t.Context(), b.agent.Address(), keys.RoleAgent)
+	require.NoError(t, err)
+	require.NoError(t, s.Send(offerFrame(modelOffer("r1"))))
+	require.Error(t, s.Receive(&jayv1.ServerFrame{}))
+	assert.Empty(t, b.engine.requests())
+}
+
+// A caller that gives up must not keep a slot: cancel arrives while the
+// engine works, the engine is told, and the next request gets the slot.
+func TestCancelFreesTheSlotInTheEngine(t *testing.T) {
+	b := newBench(t, func(s *agent.Settings) { s.Queue.Slots = 1 })
+	gate := make(chan struct{})
+	b.engine.set(func(f *fakeEngine) { f.gate = gate })
+	s := b.accepted(modelOffer("r1"), "{}")
+	require.Eventually(t, func() bool { return len(b.engine.requests()) == 1 }, 5*time.Second, time.Millisecond)
+	send(t, s, cancelFrame())
+	got := readAnswer(t, s)
+	assert.Equal(t, jayv1.Outcome_OUTCOME_UNKNOWN, got.end.GetOutcome())
+	require.Eventually(t, func() bool { return len(b.engine.cancels()) == 1 }, 5*time.Second, time.Millisecond)
+	close(gate)
+	got = readAnswer(t, b.accepted(modelOffer("r2"), "{}"))
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
+}
+
+func TestEngineErrorsEndAsTheyProve(t *testing.T) {
+	tests := map[string]struct {
+		err     error
+		outcome jayv1.Outcome
+	}{
+		"not reached": {engine.ErrNotReached, jayv1.Outcome_OUTCOME_NOT_RUN},
+		"refused":     {engine.ErrRefused, jayv1.Outcome_OUTCOME_NOT_RUN},
+		"broken":      {engine.ErrBroken, jayv1.Outcome_OUTCOME_UNKNOWN},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.engine.set(func(f *fakeEngine) { f.submitErr = test.err })
+			got := readAnswer(t, b.accepted(modelOffer("r1"), "{}"))
+			assert.Equal(t, test.outcome, got.end.GetOutcome())
+		})
+	}
+}
+
+func TestEngineDownIsRefusedWithRetryAfter(t *testing.T) {
+	b := newBench(t, nil)
+	b.engine.set(func(f *fakeEngine) { f.down = true })
+	require.Eventually(t, func() bool { return !b.probe().GetReady() }, 5*time.Second, 5*time.Millisecond)
+	_, reply := b.offer(modelOffer("r1"))
+	assert.Equal(t, jayv1.Refusal_REFUSAL_ENGINE_DOWN, reply.GetRefusal())
+	assert.NotZero(t, reply.GetRetryAfterMs())
+}
+
+// A graceful shutdown with an answer under way: new work is refused as
+// leaving, the answer goes on to its end, and only then does the agent stop.
+func TestShutdownEndsRunningWorkAndRefusesNew(t *testing.T) {
+	b := newBench(t, nil)
+	gate := make(chan struct{})
+	b.engine.set(func(f *fakeEngine) { f.gate = gate })
+	s := b.accepted(modelOffer("r1"), "{}")
+	require.Eventually(t, func() bool { return len(b.engine.requests()) == 1 }, 5*time.Second, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- b.agent.Shutdown(t.Context()) }()
+	require.Eventually(t, func() bool { return b.probe().GetLeaving() }, 5*time.Second, 5*time.Millisecond)
+	_, reply := b.offer(modelOffer("r2"))
+	assert.Equal(t, jayv1.Refusal_REFUSAL_LEAVING, reply.GetRefusal())
+	assert.True(t, reply.GetState().GetLeaving())
+	close(gate)
+	got := readAnswer(t, s)
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
+	assert.Equal(t, []string{"one", "two", "three"}, got.chunks)
+	require.NoError(t, <-stopped)
+}
+
+func TestDrainByAnOperatorRefusesNewWork(t *testing.T) {
+	holder := catalog.NewHolder()
+	b := newBench(t, func(s *agent.Settings) { s.Catalog = holder })
+	holder.Adopt(catalog.Build(&jayv1.Snapshot{Generation: 1, Resources: []*jayv1.Resource{
+		{Kind: &jayv1.Resource_BackendServer{BackendServer: &jayv1.BackendServer{Name: "b1", Pool: "p1", Draining: true}}},
+	}}))
+	_, reply := b.offer(modelOffer("r1"))
+	assert.Equal(t, jayv1.Refusal_REFUSAL_LEAVING, reply.GetRefusal())
+	assert.EqualValues(t, 1, reply.GetState().GetGeneration())
+}
+
+func TestAdminPortTellsReadiness(t *testing.T) {
+	b := newBench(t, nil)
+	status := func(path string) int {
+		response, err := http.Get(b.agent.AdminURL() + path)
+		require.NoError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		return response.StatusCode
+	}
+	for _, path := range []string{"/livez", "/readyz", "/metrics", "/debug/state"} {
+		assert.Equal(t, http.StatusOK, status(path), path)
+	}
+	b.agent.Leave()
+	assert.Equal(t, http.StatusServiceUnavailable, status("/readyz"))
+}
--- /dev/null
+++ b/internal/agent/enginestate.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/engine"
+)
+
+const (
+	// engineDownRetry is what a caller is told to wait while the engine is down.
+	engineDownRetry = 2 * time.Second
+	// statePollTimeout bounds one reading of the engine's state.
+	statePollTimeout = 2 * time.Second
+)
+
+// modelBackend is the model engine beside the agent with what is known of it.
+type modelBackend struct {
+	engine engine.Engine
+	poll0  time.Duration
+
+	mu    sync.Mutex
+	up    bool
+	state engine.State
+}
+
+func newModelBackend(e engine.Engine, s Settings) *modelBackend {
+	return &modelBackend{engine: e, poll0: millis(s.Engine.PollMS)}
+}
+
+// poll reads the engine's state until the context ends.
+func (m *modelBackend) poll(ctx context.Context) {
+	ticker := time.NewTicker(m.poll0)
+	defer ticker.Stop()
+	for {
+		m.read(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *modelBackend) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, statePollTimeout)
+	defer cancel()
+	state, err := m.engine.State(ctx)
+	if err != nil {
+		m.markDown(err)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if state.Incarnation < m.state.Incarnation {
+		return // A report from before the last start, late on its way.
+	}
+	if !m.up || state.Incarnation != m.state.Incarnation {
+		klog.InfoS("engine is up", "incarnation", state.Incarnation, "versions", state.Versions)
+	}
+	m.up, m.state = true, state
+}
+
+// markDown refuses offers until the engine's state can be read again.
+func (m *modelBackend) markDown(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.up {
+		klog.ErrorS(err, "engine is down")
+	}
+	m.up = false
+}
+
+// check refuses an offer whose version or adapter is not loaded.
+func (m *modelBackend) check(offer *jayv1.Offer) (jayv1.Refusal, string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.up {
+		return jayv1.Refusal_REFUSAL_ENGINE_DOWN, "engine is down"
+	}
+	if digest := offer.GetVersionDigest(); !slices.Contains(m.state.Versions, digest) {
+		return jayv1.Refusal_REFUSAL_VERSION, "version is not loaded"
+	}
+	if adapter := offer.GetAdapter(); adapter != "" && !slices.Contains(m.state.Adapters, adapter) {
+		return jayv1.Refusal_REFUSAL_VERSION, "adapter is not loaded"
+	}
+	return 0, ""
+}
+
+// describe fills in the engine's part of the agent's state.
+func (m *modelBackend) describe(state *jayv1.AgentState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state.Incarnation = m.state.Incarnation
+	state.VersionDigests = m.state.Versions
+	state.Adapters = m.state.Adapters
+	state.Ready = m.up && len(m.state.Versions) > 0
+}
+
+func (m *modelBackend) cachedBytes(_ time.Time, _ []*jayv1.PrefixPoint) int { return 0 }
+
+func (m *modelBackend) submitted(_ time.Time, _ *work, _ engine.Request) {}
+
+func (m *modelBackend) finished(_ time.Time, _ *work, _ engine.Usage) {}
--- /dev/null
+++ b/internal/agent/fake_test.go
@@ -0,0 +1,308 @@
+package agent_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/agent"
+	"github.com/jayproxy/jayproxy/internal/engine"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+const digest = "sha256:v1"
+
+// fakeEngine answers each request with scripted events.
+type fakeEngine struct {
+	mu        sync.Mutex
+	state     engine.State
+	down      bool
+	submitErr error
+	submitted []engine.Request
+	cancelled []string
+	// script makes the events of a request; they are sent one for each token
+	// from gate, or all at once when gate is nil.
+	script func(req engine.Request) []engine.Event
+	gate   chan struct{}
+	orders []engine.Order
+	order  func(engine.Order) error
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{
+		state:  engine.State{Incarnation: 1, Versions: []string{digest}, BlockTokens: 16},
+		script: words("one", "two", "three"),
+	}
+}
+
+// words scripts one event a word and a last one with the usage.
+func words(list ...string) func(engine.Request) []engine.Event {
+	return func(req engine.Request) []engine.Event {
+		var events []engine.Event
+		for i, word := range list {
+			events = append(events, engine.Event{
+				RequestID: req.ID, Index: uint64(i), Data: []byte(word), Incarnation: 1, VersionDigest: digest,
+			})
+		}
+		return append(events, engine.Event{
+			RequestID: req.ID, Index: uint64(len(list)), Last: true, Incarnation: 1, VersionDigest: digest,
+			Usage: engine.Usage{PromptTokens: 10, CachedTokens: 4, OutputTokens: len(list)},
+		})
+	}
+}
+
+func (f *fakeEngine) State(context.Context) (engine.State, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return engine.State{}, errors.New("connection refused")
+	}
+	return f.state, nil
+}
+
+// set changes the fake while an agent may be using it.
+func (f *fakeEngine) set(change func(*fakeEngine)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *fakeEngine) Submit(_ context.Context, req engine.Request) (engine.Stream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.submitErr != nil {
+		return nil, f.submitErr
+	}
+	f.submitted = append(f.submitted, req)
+	return &fakeStream{events: f.script(req), gate: f.gate}, nil
+}
+
+func (f *fakeEngine) requests() []engine.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]engine.Request(nil), f.submitted...)
+}
+
+func (f *fakeEngine) cancels() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.cancelled...)
+}
+
+func (f *fakeEngine) Cancel(_ context.Context, id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelled = append(f.cancelled, id)
+	return nil
+}
+
+func (f *fakeEngine) Events(ctx context.Context, _ uint64) (engine.EventReader, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (f *fakeEngine) Snapshot(context.Context) (engine.CacheSnapshot, error) {
+	return engine.CacheSnapshot{}, engine.ErrUnsupported
+}
+
+func (f *fakeEngine) Blocks(engine.Request) ([]engine.BlockHash, []int, error) { return nil, nil, nil }
+
+func (f *fakeEngine) Order(_ context.Context, order engine.Order) error {
+	f.mu.Lock()
+	f.orders = append(f.orders, order)
+	apply := f.order
+	f.mu.Unlock()
+	if apply != nil {
+		return apply(order)
+	}
+	return nil
+}
+
+func (f *fakeEngine) ExportKV(context.Context, []engine.BlockHash) ([]byte, error) {
+	return nil, engine.ErrUnsupported
+}
+
+func (f *fakeEngine) ImportKV(context.Context, []byte) error { return engine.ErrUnsupported }
+
+type fakeStream struct {
+	events []engine.Event
+	gate   chan struct{}
+}
+
+func (s *fakeStream) Next(ctx context.Context) (engine.Event, error) {
+	if s.gate != nil {
+		select {
+		case <-s.gate:
+		case <-ctx.Done():
+			return engine.Event{}, ctx.Err()
+		}
+	}
+	if len(s.events) == 0 {
+		return engine.Event{}, engine.ErrBroken
+	}
+	event := s.events[0]
+	s.events = s.events[1:]
+	return event, nil
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+// bench is an agent with a fake engine or a service, and an entry's node.
+type bench struct {
+	t      *testing.T
+	agent  *agent.Agent
+	engine *fakeEngine
+	entry  *transport.Node
+	issue  func(role keys.Role, name string) string
+}
+
+func newBench(t *testing.T, change func(*agent.Settings)) *bench {
+	t.Helper()
+	authority, err := keys.NewAuthority(time.Hour)
+	require.NoError(t, err)
+	b := &bench{t: t, engine: newFakeEngine()}
+	b.issue = func(role keys.Role, name string) string {
+		dir := t.TempDir()
+		cert, err := authority.Issue(keys.Identity{Role: role, Name: name}, time.Hour)
+		require.NoError(t, err)
+		require.NoError(t, cert.Save(dir))
+		return dir
+	}
+	settings := agent.Default()
+	settings.Name = "b1"
+	settings.Keys = b.issue(keys.RoleAgent, "b1")
+	settings.Engine.URL = "http://127.0.0.1:1"
+	settings.Engine.PollMS = 10
+	settings.OpenEngine = func(string, string) (engine.Engine, error) { return b.engine, nil }
+	if change != nil {
+		change(&settings)
+	}
+	b.agent, err = agent.Start(t.Context(), settings)
+	require.NoError(t, err)
+	t.Cleanup(b.agent.Close)
+	b.entry = b.node(keys.RoleEntry, "e1")
+	if settings.Engine.URL != "" {
+		require.Eventually(t, func() bool { return b.probe().GetReady() }, 5*time.Second, 5*time.Millisecond)
+	}
+	return b
+}
+
+func (b *bench) node(role keys.Role, name string) *transport.Node {
+	creds, err := transport.LoadCredentials(b.issue(role, name))
+	require.NoError(b.t, err)
+	node, err := transport.Listen(transport.Options{Address: "127.0.0.1:0"}, creds,
+		func(_ context.Context, _ keys.Identity, s *transport.Stream) { s.Abort() })
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = node.Close() })
+	return node
+}
+
+func (b *bench) open() *transport.Stream {
+	b.t.Helper()
+	s, err := b.entry.Open(b.t.Context(), b.agent.Address(), keys.RoleAgent)
+	require.NoError(b.t, err)
+	return s
+}
+
+func (b *bench) probe() *jayv1.AgentState {
+	s := b.open()
+	defer func() { _ = s.CloseSend() }()
+	send(b.t, s, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Probe{Probe: &jayv1.ProbeRequest{}}})
+	return receive(b.t, s).GetProbeReply().GetState()
+}
+
+func send(t *testing.T, s *transport.Stream, frame *jayv1.ClientFrame) {
+	t.Helper()
+	require.NoError(t, s.Send(frame))
+}
+
+func receive(t *testing.T, s *transport.Stream) *jayv1.ServerFrame {
+	t.Helper()
+	_ = s.SetReadDeadline(time.Now().Add(10 * time.Second))
+	frame := &jayv1.ServerFrame{}
+	require.NoError(t, s.Receive(frame))
+	return frame
+}
+
+func modelOffer(id string) *jayv1.Offer {
+	return &jayv1.Offer{
+		RequestId: id, Attempt: 1, Workspace: "w1", Pool: "p1", Model: "m", VersionDigest: digest,
+		Class: jayv1.Class_CLASS_STANDARD, HasBody: true, PromptBytes: 40, Nonce: []byte("nonce-" + id),
+		ApiPath: "/v1/chat/completions",
+	}
+}
+
+func offerFrame(offer *jayv1.Offer) *jayv1.ClientFrame {
+	return &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Offer{Offer: offer}}
+}
+
+func bodyFrame(text string, last bool) *jayv1.ClientFrame {
+	return &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Body{Body: &jayv1.Data{Data: []byte(text), Last: last}}}
+}
+
+func cancelFrame() *jayv1.ClientFrame {
+	return &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Cancel{Cancel: &jayv1.Cancel{Reason: "caller left"}}}
+}
+
+func resumeFrame(offer *jayv1.Offer, next uint64) *jayv1.ClientFrame {
+	return &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Resume{Resume: &jayv1.Resume{
+		RequestId: offer.GetRequestId(), Attempt: offer.GetAttempt(), Workspace: offer.GetWorkspace(),
+		Nonce: offer.GetNonce(), NextSeq: next,
+	}}}
+}
+
+// offer sends an offer and returns the reply.
+func (b *bench) offer(offer *jayv1.Offer) (*transport.Stream, *jayv1.OfferReply) {
+	b.t.Helper()
+	s := b.open()
+	send(b.t, s, offerFrame(offer))
+	reply := receive(b.t, s).GetOfferReply()
+	require.NotNil(b.t, reply)
+	return s, reply
+}
+
+// accepted sends an offer that must be accepted, and its body.
+func (b *bench) accepted(offer *jayv1.Offer, body string) *transport.Stream {
+	b.t.Helper()
+	s, reply := b.offer(offer)
+	require.True(b.t, reply.GetAccepted(), "refused: %s %s", reply.GetRefusal(), reply.GetMessage())
+	if offer.GetHasBody() {
+		send(b.t, s, bodyFrame(body, true))
+	}
+	return s
+}
+
+// answer reads a stream to its end.
+type answer struct {
+	head   *jayv1.ServiceHead
+	chunks []string
+	seqs   []uint64
+	end    *jayv1.End
+}
+
+func readAnswer(t *testing.T, s *transport.Stream) answer {
+	t.Helper()
+	var got answer
+	for got.end == nil {
+		switch f := receive(t, s).GetFrame().(type) {
+		case *jayv1.ServerFrame_ServiceHead:
+			got.head = f.ServiceHead
+		case *jayv1.ServerFrame_Chunk:
+			got.chunks = append(got.chunks, string(f.Chunk.GetData()))
+			got.seqs = append(got.seqs, f.Chunk.GetSeq())
+		case *jayv1.ServerFrame_End:
+			got.end = f.End
+		default:
+			require.Fail(t, "unexpected frame", fmt.Sprint(f))
+		}
+	}
+	_ = s.CloseSend()
+	return got
+}
--- /dev/null
+++ b/internal/agent/model.go
@@ -0,0 +1,166 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/engine"
+	"github.com/jayproxy/jayproxy/internal/relay"
+)
+
+// cancelTimeout bounds the call that frees a slot in the engine.
+const cancelTimeout = 5 * time.Second
+
+// runModel hands an attempt to the engine and relays what comes back. It owns
+// the slot until the engine has let go of the request.
+func (a *Agent) runModel(w *work) {
+	defer a.schedule.done(w.id)
+	prefill := a.beginPrefill(w)
+	defer prefill.end(0)
+	req := a.engineRequest(w)
+	stream, err := a.model.engine.Submit(w.ctx, req)
+	if err != nil {
+		a.submitFailed(w, err)
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	a.model.submitted(time.Now(), w, req)
+	err = a.relayEngine(w, stream, prefill)
+	if err == nil {
+		return
+	}
+	// The engine may still work on it: the slot is free only after the cancel.
+	a.cancelEngine(req.ID)
+	a.end(w, eventFail, &jayv1.End{Error: err.Error()})
+}
+
+func (a *Agent) engineRequest(w *work) engine.Request {
+	w.mu.Lock()
+	body := w.body
+	w.mu.Unlock()
+	return engine.Request{
+		ID:            w.id,
+		Path:          w.offer.GetApiPath(),
+		Body:          body,
+		Salt:          w.offer.GetWorkspace(),
+		VersionDigest: w.offer.GetVersionDigest(),
+		Adapter:       w.offer.GetAdapter(),
+		Priority:      int(w.offer.GetEnginePriority()),
+	}
+}
+
+// submitFailed ends an attempt that the engine did not take. Only the two
+// errors that prove it make it "not run".
+func (a *Agent) submitFailed(w *work, err error) {
+	switch {
+	case errors.Is(err, engine.ErrNotReached):
+		a.model.markDown(err)
+		a.end(w, eventNotReached, &jayv1.End{
+			Refusal:      jayv1.Refusal_REFUSAL_ENGINE_DOWN,
+			Error:        "engine not reached",
+			RetryAfterMs: uint32(engineDownRetry.Milliseconds()),
+		})
+	case errors.Is(err, engine.ErrRefused):
+		a.end(w, eventNotReached, &jayv1.End{Refusal: jayv1.Refusal_REFUSAL_INVALID, Error: err.Error()})
+	default:
+		a.cancelEngine(w.id)
+		a.end(w, eventFail, &jayv1.End{Error: err.Error()})
+	}
+}
+
+// cancelEngine frees the request's slot in the engine, also when the attempt's
+// own context has ended.
+func (a *Agent) cancelEngine(id string) {
+	ctx, cancel := context.WithTimeout(a.ctx, cancelTimeout)
+	defer cancel()
+	if err := a.model.engine.Cancel(ctx, id); err != nil {
+		klog.V(1).InfoS("cancel did not reach the engine", "request", id, "error", err.Error())
+	}
+}
+
+// relayEngine passes the stream on, event by event, until its end. nil: the
+// answer is whole and its end is on its way.
+func (a *Agent) relayEngine(w *work, stream engine.Stream, prefill *prefillTimer) error {
+	origin := relay.NewOrigin(w.id, w.offer.GetVersionDigest())
+	for {
+		event, err := stream.Next(w.ctx)
+		if err != nil {
+			return eris.Wrap(err, "engine stream")
+		}
+		verdict, err := origin.Check(event)
+		if err != nil {
+			return err
+		}
+		if verdict != relay.Deliver {
+			a.metrics.Count("engine_events_dropped", w.offer.GetWorkspace(), 1)
+			klog.InfoS("engine event dropped", "request", w.id, "ofRequest", event.RequestID, "index", event.Index)
+			continue
+		}
+		prefill.end(w.missedTokens)
+		if len(event.Data) > 0 {
+			if err := w.box.append(w.ctx, event.Data, millis(a.settings.Replay.StallMS)); err != nil {
+				return err
+			}
+		}
+		if event.Last {
+			a.finishModel(w, event, origin)
+			return nil
+		}
+	}
+}
+
+func (a *Agent) finishModel(w *work, event engine.Event, origin *relay.Origin) {
+	w.mu.Lock()
+	queueWait := w.queueWait
+	w.mu.Unlock()
+	a.model.finished(time.Now(), w, event.Usage)
+	// The slot goes first, so that the state sent with the end counts it as free.
+	a.schedule.done(w.id)
+	a.end(w, eventFinish, &jayv1.End{
+		Incarnation:   origin.Incarnation(),
+		VersionDigest: origin.VersionDigest(),
+		Usage: &jayv1.Usage{
+			PromptTokens:     uint32(event.Usage.PromptTokens),
+			CachedTokens:     uint32(event.Usage.CachedTokens),
+			OutputTokens:     uint32(event.Usage.OutputTokens),
+			RecomputedTokens: uint32(a.recomputed(w, event.Usage)),
+			QueueWaitMs:      float64(queueWait) / float64(time.Millisecond),
+		},
+	})
+}
+
+// recomputed is how many prompt tokens the index held to be cached when the
+// offer came and the engine computed all the same.
+func (a *Agent) recomputed(w *work, usage engine.Usage) int {
+	believed := a.tokens(w.offer.GetPool(), w.cachedBytes)
+	return max(0, int(believed)-usage.CachedTokens)
+}
+
+// prefillTimer tells the scheduler once when a prompt is computed.
+type prefillTimer struct {
+	agent *Agent
+	work  *work
+	over  bool
+	began time.Time
+}
+
+func (a *Agent) beginPrefill(w *work) *prefillTimer {
+	a.schedule.prefillBegin()
+	return &prefillTimer{agent: a, work: w, began: time.Now()}
+}
+
+func (p *prefillTimer) end(tokens float64) {
+	if p.over {
+		return
+	}
+	p.over = true
+	p.agent.schedule.prefillEnd(p.work.id, tokens)
+	if tokens > 0 || p.work.missedTokens == 0 {
+		p.agent.observeFirstToken(p.work)
+	}
+}
--- /dev/null
+++ b/internal/agent/observe.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"strings"
+	"time"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+)
+
+// Names of the agent's metrics. Each is kept per workspace and per class.
+const (
+	metricQueueWait   = "queue_wait"
+	metricFirstToken  = "agent_first_token"
+	metricCachedShare = "cached_share_permille"
+	metricRecomputed  = "recomputed_tokens"
+	metricRefusals    = "refusals_"
+	metricOutcomes    = "outcomes_"
+)
+
+const permille = 1000
+
+// each calls f with both labels that a request counts under.
+func each(offer *jayv1.Offer, f func(label string)) {
+	f(offer.GetWorkspace())
+	f(className(offer.GetClass()))
+}
+
+func className(class jayv1.Class) string {
+	return "class:" + strings.ToLower(strings.TrimPrefix(class.String(), "CLASS_"))
+}
+
+func refusalName(refusal jayv1.Refusal) string {
+	return strings.ToLower(strings.TrimPrefix(refusal.String(), "REFUSAL_"))
+}
+
+func (a *Agent) observeReply(offer *jayv1.Offer, reply *jayv1.OfferReply) {
+	if !reply.GetAccepted() {
+		each(offer, func(label string) { a.metrics.Count(metricRefusals+refusalName(reply.GetRefusal()), label, 1) })
+	}
+}
+
+func (a *Agent) observeFirstToken(w *work) {
+	w.mu.Lock()
+	wait := w.queueWait
+	w.mu.Unlock()
+	each(w.offer, func(label string) {
+		a.metrics.Time(metricFirstToken, label, time.Since(w.offered))
+		a.metrics.Time(metricQueueWait, label, wait)
+	})
+}
+
+func (a *Agent) observeEnd(w *work, end *jayv1.End) {
+	outcome := strings.ToLower(strings.TrimPrefix(end.GetOutcome().String(), "OUTCOME_"))
+	each(w.offer, func(label string) {
+		a.metrics.Count(metricOutcomes+outcome, label, 1)
+		if end.GetRefusal() != 0 {
+			a.metrics.Count(metricRefusals+refusalName(end.GetRefusal()), label, 1)
+		}
+		if usage := end.GetUsage(); usage.GetPromptTokens() > 0 {
+			share := int64(usage.GetCachedTokens()) * permille / int64(usage.GetPromptTokens())
+			a.metrics.Value(metricCachedShare, label, share)
+			a.metrics.Count(metricRecomputed, label, int64(usage.GetRecomputedTokens()))
+		}
+	})
+}
--- /dev/null
+++ b/internal/agent/registry.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// rememberedAttempts bounds the ids of attempts that are over, kept to refuse
+// an offer that comes twice.
+const rememberedAttempts = 1 << 16
+
+// registry holds the attempts whose answer can still be asked for, and the
+// ids of those that were accepted before.
+type registry struct {
+	mu      sync.Mutex
+	works   map[string]*work
+	past    *simplelru.LRU[string, struct{}]
+	changed chan struct{}
+}
+
+func newRegistry() *registry {
+	past, err := simplelru.NewLRU[string, struct{}](rememberedAttempts, nil)
+	if err != nil {
+		panic(err) // Only a size below 1 is refused.
+	}
+	return &registry{works: map[string]*work{}, past: past, changed: make(chan struct{})}
+}
+
+// add registers an attempt; false when the id was accepted before.
+//
+// An offer that comes twice, say because an entry gave its link up and sent
+// it again, would run the request twice. The id is taken before anything is
+// queued, so only one of two that come at once gets in.
+func (r *registry) add(w *work) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.past.Contains(w.id) {
+		return false
+	}
+	r.past.Add(w.id, struct{}{})
+	r.works[w.id] = w
+	return true
+}
+
+// withdraw takes back an attempt that was not accepted after all, so that the
+// same offer may come again.
+func (r *registry) withdraw(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.past.Remove(id)
+	r.drop(id)
+}
+
+// forget lets go of an attempt's answer; its id stays known.
+func (r *registry) forget(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drop(id)
+}
+
+func (r *registry) drop(id string) {
+	if _, ok := r.works[id]; !ok {
+		return
+	}
+	delete(r.works, id)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *registry) get(id string) *work {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.works[id]
+}
+
+func (r *registry) all() []*work {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]*work, 0, len(r.works))
+	for _, w := range r.works {
+		all = append(all, w)
+	}
+	return all
+}
+
+// waitEmpty waits until no answer is kept any more.
+func (r *registry) waitEmpty(ctx context.Context) error {
+	for {
+		r.mu.Lock()
+		count, changed := len(r.works), r.changed
+		r.mu.Unlock()
+		if count == 0 {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/service.go
@@ -0,0 +1,186 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+)
+
+const (
+	serviceDialTimeout = 2 * time.Second
+	// serviceReadSize is how much of an answer becomes one chunk at most.
+	serviceReadSize = 16 << 10
+	// requestIDHeader carries the request id to the service.
+	requestIDHeader = "X-Request-Id"
+)
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Host", "Content-Length",
+}
+
+// serviceBackend is the plain service beside the agent.
+type serviceBackend struct {
+	base *url.URL
+	// shared keeps connections for calls that may be repeated.
+	shared *http.Transport
+	// once uses a connection for one call only.
+	once *http.Transport
+}
+
+func newServiceBackend(baseURL string) (*serviceBackend, error) {
+	base, err := url.Parse(baseURL)
+	if err != nil {
+		return nil, eris.Wrapf(err, "service URL %q", baseURL)
+	}
+	return &serviceBackend{base: base, shared: newTransport(false), once: newTransport(true)}, nil
+}
+
+// newTransport makes a client transport. The library sends a request again by
+// itself when a kept connection breaks under it, if the method is idempotent
+// or the request carries an Idempotency-Key: a booking with a key would be made
+// twice. With once, each call has a connection of its own, for which the
+// library never does that; HTTP/2, which has retries of its own, is off.
+func newTransport(once bool) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: serviceDialTimeout}).DialContext,
+		DisableKeepAlives:  once,
+		DisableCompression: true,
+		Protocols:          protocols,
+	}
+}
+
+// errServiceNotReached means that no connection to the service was made.
+var errServiceNotReached = errors.New("service not reached")
+
+// call sends the request once. Redirects are the caller's business.
+func (b *serviceBackend) call(ctx context.Context, offer *jayv1.Offer, body []byte) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := b.request(httptrace.WithClientTrace(ctx, trace), offer, body)
+	if err != nil {
+		return nil, eris.Wrapf(errServiceNotReached, "build request: %v", err)
+	}
+	transport := b.shared
+	if offer.GetNonRepeatable() {
+		transport = b.once
+	}
+	response, err := transport.RoundTrip(req)
+	if err != nil && !connected.Load() {
+		return nil, eris.Wrapf(errServiceNotReached, "%v", err)
+	}
+	return response, eris.Wrap(err, "call service")
+}
+
+func (b *serviceBackend) request(ctx context.Context, offer *jayv1.Offer, body []byte) (*http.Request, error) {
+	target, err := url.ParseRequestURI(offer.GetPath())
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = b.base.Scheme, b.base.Host
+	if prefix := strings.TrimSuffix(b.base.Path, "/"); prefix != "" {
+		target.Path = prefix + target.Path
+		target.RawPath = ""
+	}
+	req, err := http.NewRequestWithContext(ctx, offer.GetMethod(), target.String(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	// With GetBody set, the library could read the body again and resend it.
+	req.GetBody = nil
+	if len(body) == 0 {
+		req.Body = http.NoBody
+	}
+	for _, header := range offer.GetHeaders() {
+		req.Header.Add(header.GetName(), header.GetValue())
+	}
+	dropHopHeaders(req.Header)
+	req.Header.Set(requestIDHeader, offer.GetRequestId())
+	return req, nil
+}
+
+func dropHopHeaders(header http.Header) {
+	for _, line := range header.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// runService makes a plain service's call and relays its answer.
+func (a *Agent) runService(w *work) {
+	defer a.schedule.done(w.id)
+	w.mu.Lock()
+	body := w.body
+	w.mu.Unlock()
+	response, err := a.service.call(w.ctx, w.offer, body)
+	switch {
+	case errors.Is(err, errServiceNotReached):
+		a.end(w, eventNotReached, &jayv1.End{
+			Refusal:      jayv1.Refusal_REFUSAL_ENGINE_DOWN,
+			Error:        err.Error(),
+			RetryAfterMs: uint32(engineDownRetry.Milliseconds()),
+		})
+		return
+	case err != nil:
+		a.end(w, eventFail, &jayv1.End{Error: err.Error()})
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	a.schedule.firstToken(w.id)
+	w.box.setHead(serviceHead(response))
+	a.observeFirstToken(w)
+	if err := a.relayBody(w, response.Body); err != nil {
+		a.end(w, eventFail, &jayv1.End{Error: err.Error()})
+		return
+	}
+	a.schedule.done(w.id)
+	a.end(w, eventFinish, &jayv1.End{})
+}
+
+func serviceHead(response *http.Response) *jayv1.ServiceHead {
+	dropHopHeaders(response.Header)
+	head := &jayv1.ServiceHead{Status: uint32(response.StatusCode)}
+	for name, values := range response.Header {
+		for _, value := range values {
+			head.Headers = append(head.Headers, &jayv1.Header{Name: name, Value: value})
+		}
+	}
+	return head
+}
+
+func (a *Agent) relayBody(w *work, body io.Reader) error {
+	for {
+		buffer := make([]byte, serviceReadSize)
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if err := w.box.append(w.ctx, buffer[:n:n], millis(a.settings.Replay.StallMS)); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "read the service's answer")
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/stream_test.go
@@ -0,0 +1,209 @@
+package agent_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/agent"
+	"github.com/jayproxy/jayproxy/internal/engine"
+	"github.com/jayproxy/jayproxy/internal/keys"
+)
+
+// A caller's answer would stop in the middle: the link between entry and agent
+// is cut after two chunks. The engine goes on meanwhile, and a new link takes
+// up the stream at the first chunk that is missing.
+func TestLostLinkResumesAtTheRightChunk(t *testing.T) {
+	b := newBench(t, nil)
+	gate := make(chan struct{}, 10)
+	b.engine.set(func(f *fakeEngine) { f.gate = gate })
+	offer := modelOffer("r1")
+	s := b.accepted(offer, "{}")
+	gate <- struct{}{}
+	gate <- struct{}{}
+	assert.Equal(t, "one", string(receive(t, s).GetChunk().GetData()))
+	assert.Equal(t, "two", string(receive(t, s).GetChunk().GetData()))
+	s.Abort()
+	close(gate)
+
+	resumed := b.open()
+	send(t, resumed, resumeFrame(offer, 1))
+	got := readAnswer(t, resumed)
+	assert.Equal(t, []string{"two", "three"}, got.chunks)
+	assert.Equal(t, []uint64{1, 2}, got.seqs)
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
+	assert.EqualValues(t, 3, got.end.GetCount())
+}
+
+// Another tenant would read the answer: someone who knows or guesses a request
+// id asks to resume it.
+func TestResumeNeedsTheWorkspaceAndTheNonce(t *testing.T) {
+	b := newBench(t, nil)
+	offer := modelOffer("r1")
+	s := b.accepted(offer, "{}")
+	receive(t, s)
+	s.Abort()
+	tests := map[string]func(*jayv1.Resume){
+		"other workspace": func(r *jayv1.Resume) { r.Workspace = "w2" },
+		"other nonce":     func(r *jayv1.Resume) { r.Nonce = []byte("guess") },
+		"no nonce":        func(r *jayv1.Resume) { r.Nonce = nil },
+		"other attempt":   func(r *jayv1.Resume) { r.Attempt = 2 },
+		"beyond the end":  func(r *jayv1.Resume) { r.NextSeq = 99 },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			frame := resumeFrame(offer, 0)
+			change(frame.GetResume())
+			resumed := b.open()
+			send(t, resumed, frame)
+			got := readAnswer(t, resumed)
+			assert.Empty(t, got.chunks)
+			assert.Equal(t, jayv1.Outcome_OUTCOME_UNKNOWN, got.end.GetOutcome())
+			assert.Equal(t, jayv1.Refusal_REFUSAL_NOT_FOUND, got.end.GetRefusal())
+		})
+	}
+}
+
+// "Not run" must be true: the entry loses its link before it has sent the
+// whole body and reports the request as not run. Nothing may start later.
+func TestIncompleteBodyNeverRuns(t *testing.T) {
+	cuts := map[string]func(b *bench, offer *jayv1.Offer){
+		"link cut": func(b *bench, offer *jayv1.Offer) {
+			s, _ := b.offer(offer)
+			send(t, s, bodyFrame("half", false))
+			s.Abort()
+		},
+		"entry ends its side": func(b *bench, offer *jayv1.Offer) {
+			s, _ := b.offer(offer)
+			send(t, s, bodyFrame("half", false))
+			require.NoError(t, s.CloseSend())
+			assert.Equal(t, jayv1.Outcome_OUTCOME_NOT_RUN, readAnswer(t, s).end.GetOutcome())
+		},
+		"body too slow": func(b *bench, offer *jayv1.Offer) {
+			s, _ := b.offer(offer)
+			require.Error(t, s.Receive(&jayv1.ServerFrame{}))
+		},
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, func(s *agent.Settings) { s.Queue.BodyMS = 50 })
+			cut(b, modelOffer("r1"))
+			require.Eventually(t, func() bool { return b.probe().GetQueued() == 0 }, 5*time.Second, time.Millisecond)
+			assert.Empty(t, b.engine.requests())
+		})
+	}
+}
+
+// A reader that does not read must not grow the agent's memory, nor hang for
+// ever: the engine is held back, and after the stall time the answer ends in
+// an explicit error.
+func TestSlowReaderEndsInAnError(t *testing.T) {
+	b := newBench(t, func(s *agent.Settings) { s.Replay.Bytes, s.Replay.StallMS = 4096, 50 })
+	const count = 4000
+	b.engine.set(func(f *fakeEngine) {
+		f.script = words(strings.Split(strings.Repeat(strings.Repeat("x", 1000)+" ", count), " ")...)
+	})
+	s := b.accepted(modelOffer("r1"), "{}")
+	require.Eventually(t, func() bool { return len(b.engine.cancels()) == 1 }, 10*time.Second, time.Millisecond)
+	got := readAnswer(t, s)
+	assert.Equal(t, jayv1.Outcome_OUTCOME_UNKNOWN, got.end.GetOutcome())
+	assert.Contains(t, got.end.GetError(), "reader too slow")
+	assert.EqualValues(t, len(got.chunks), got.end.GetCount())
+	assert.Less(t, len(got.chunks), count)
+}
+
+// Late, doubled and crossed answers: an engine mixes up its streams. A caller
+// would see a sentence twice or another caller's text.
+func TestEventsOfOtherStreamsDoNotGetThrough(t *testing.T) {
+	event := func(req engine.Request, index uint64, text string, change func(*engine.Event)) engine.Event {
+		e := engine.Event{RequestID: req.ID, Index: index, Data: []byte(text), Incarnation: 1, VersionDigest: digest}
+		if change != nil {
+			change(&e)
+		}
+		return e
+	}
+	last := func(e *engine.Event) { e.Last, e.Data = true, nil }
+	tests := map[string]struct {
+		script  func(engine.Request) []engine.Event
+		chunks  []string
+		outcome jayv1.Outcome
+	}{
+		"crossed and doubled": {func(r engine.Request) []engine.Event {
+			return []engine.Event{
+				event(r, 0, "a", nil),
+				event(r, 1, "theirs", func(e *engine.Event) { e.RequestID = "other/1" }),
+				event(r, 0, "a", nil),
+				event(r, 1, "b", nil),
+				event(r, 2, "", func(e *engine.Event) { last(e); e.RequestID = "other/1" }),
+				event(r, 2, "", last),
+			}
+		}, []string{"a", "b"}, jayv1.Outcome_OUTCOME_DONE},
+		"missing": {func(r engine.Request) []engine.Event {
+			return []engine.Event{event(r, 0, "a", nil), event(r, 2, "c", nil), event(r, 3, "", last)}
+		}, []string{"a"}, jayv1.Outcome_OUTCOME_UNKNOWN},
+		"engine came back": {func(r engine.Request) []engine.Event {
+			return []engine.Event{event(r, 0, "a", nil), event(r, 1, "b", func(e *engine.Event) { e.Incarnation = 2 })}
+		}, []string{"a"}, jayv1.Outcome_OUTCOME_UNKNOWN},
+		"weights changed": {func(r engine.Request) []engine.Event {
+			return []engine.Event{event(r, 0, "a", nil), event(r, 1, "b", func(e *engine.Event) { e.VersionDigest = "sha256:v2" })}
+		}, []string{"a"}, jayv1.Outcome_OUTCOME_UNKNOWN},
+		"crash": {func(r engine.Request) []engine.Event {
+			return []engine.Event{event(r, 0, "a", nil)}
+		}, []string{"a"}, jayv1.Outcome_OUTCOME_UNKNOWN},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.engine.set(func(f *fakeEngine) { f.script = test.script })
+			got := readAnswer(t, b.accepted(modelOffer("r1"), "{}"))
+			assert.Equal(t, test.chunks, got.chunks)
+			assert.Equal(t, test.outcome, got.end.GetOutcome())
+			assert.EqualValues(t, len(got.chunks), got.end.GetCount())
+		})
+	}
+}
+
+// FuzzClientFrames feeds the agent frames that no entry would send, in any
+// order. Nothing may panic, and the engine sees at most what was accepted.
+func FuzzClientFrames(f *testing.F) {
+	f.Add("r1", "w1", "p1", "", []byte("{}"), uint64(3), byte(0x80))
+	f.Add("", "", "", "s", []byte{}, uint64(0), byte(0))
+	f.Add("r1", "w1", "p1", "s", []byte("\xff"), ^uint64(0), byte(0xff))
+	f.Fuzz(func(t *testing.T, id, workspace, pool, service string, body []byte, seq uint64, order byte) {
+		b := newBench(t, nil)
+		s, err := b.entry.Open(t.Context(), b.agent.Address(), keys.RoleAgent)
+		require.NoError(t, err)
+		offer := modelOffer(strings.ToValidUTF8(id, ""))
+		offer.Workspace = strings.ToValidUTF8(workspace, "")
+		offer.Pool, offer.Service = strings.ToValidUTF8(pool, ""), strings.ToValidUTF8(service, "")
+		last := order >= 1<<7
+		frames := []*jayv1.ClientFrame{
+			offerFrame(offer), bodyFrame(string(body), last), cancelFrame(), resumeFrame(offer, seq), {},
+			{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: seq}}},
+			{Frame: &jayv1.ClientFrame_Probe{}}, {Frame: &jayv1.ClientFrame_Order{}},
+		}
+		first := int(order) % len(frames)
+		for i := range frames {
+			if s.Send(frames[(first+i)%len(frames)]) != nil {
+				break
+			}
+		}
+		_ = s.CloseSend()
+		_ = s.SetReadDeadline(time.Now().Add(5 * time.Second))
+		for {
+			if err := s.Receive(&jayv1.ServerFrame{}); err != nil {
+				require.False(t, errors.Is(err, io.ErrUnexpectedEOF))
+				break
+			}
+		}
+		if first != 0 || !last {
+			require.Empty(t, b.engine.requests(), "ran without a complete offer")
+		}
+	})
+}
--- /dev/null
+++ b/internal/agent/streams.go
@@ -0,0 +1,217 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+const (
+	// firstFrameTimeout bounds the wait for what a new stream is for.
+	firstFrameTimeout = 10 * time.Second
+	// lingerTimeout is how long a stream that has sent all waits for its peer
+	// to end its side.
+	lingerTimeout = 5 * time.Second
+)
+
+// serveStream serves one stream that a peer opened.
+func (a *Agent) serveStream(ctx context.Context, peer keys.Identity, s *transport.Stream) {
+	_ = s.SetReadDeadline(time.Now().Add(firstFrameTimeout))
+	var first jayv1.ClientFrame
+	if err := s.Receive(&first); err != nil {
+		s.Abort()
+		return
+	}
+	_ = s.SetReadDeadline(time.Time{})
+	a.dispatch(ctx, peer, &first, s)
+}
+
+// dispatch serves a stream by its first frame. Only entries hand over work.
+func (a *Agent) dispatch(ctx context.Context, peer keys.Identity, first *jayv1.ClientFrame, s *transport.Stream) {
+	if peer.Role != keys.RoleEntry {
+		s.Abort()
+		return
+	}
+	switch frame := first.GetFrame().(type) {
+	case *jayv1.ClientFrame_Offer:
+		a.serveOffer(ctx, frame.Offer, s)
+	case *jayv1.ClientFrame_Resume:
+		a.serveResume(ctx, frame.Resume, s)
+	case *jayv1.ClientFrame_Probe:
+		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_ProbeReply{ProbeReply: a.probe(frame.Probe)}})
+	case *jayv1.ClientFrame_Status:
+		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Status{Status: a.status()}})
+	case *jayv1.ClientFrame_Explain:
+		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Explain{Explain: &jayv1.ExplainReply{}}})
+	default:
+		s.Abort()
+	}
+}
+
+func (a *Agent) status() *jayv1.ProcessStatus {
+	return &jayv1.ProcessStatus{
+		Name:          a.settings.Name,
+		Role:          string(keys.RoleAgent),
+		DataCentre:    a.settings.DataCentre,
+		Generation:    a.catalog.Current().Generation(),
+		Leaving:       a.isLeaving(),
+		StartedUnixMs: a.started.UnixMilli(),
+		Agent:         a.state(),
+	}
+}
+
+// serveResume continues an answer on a new link. Whoever asks must show the
+// workspace and the nonce of the offer.
+func (a *Agent) serveResume(ctx context.Context, req *jayv1.Resume, s *transport.Stream) {
+	w := a.works.get(workID(req.GetRequestId(), req.GetAttempt()))
+	if w == nil || !w.claim.Matches(claimOf(req)) {
+		a.sendEnd(s, &jayv1.End{
+			Outcome: jayv1.Outcome_OUTCOME_UNKNOWN,
+			Refusal: jayv1.Refusal_REFUSAL_NOT_FOUND,
+			Error:   "no such answer is kept here",
+		})
+		return
+	}
+	link, err := w.box.attach(req.GetNextSeq())
+	if err != nil {
+		a.sendEnd(s, &jayv1.End{
+			Outcome: jayv1.Outcome_OUTCOME_UNKNOWN,
+			Refusal: jayv1.Refusal_REFUSAL_NOT_FOUND,
+			Error:   err.Error(),
+		})
+		return
+	}
+	w.setOrphan(nil)
+	a.relay(ctx, w, link, s)
+}
+
+func (a *Agent) sendEnd(s *transport.Stream, end *jayv1.End) {
+	end.State = a.state()
+	_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_End{End: end}})
+}
+
+// relay sends an answer on one link and takes what the entry says meanwhile,
+// until the answer is delivered, another link takes over or this one is lost.
+func (a *Agent) relay(ctx context.Context, w *work, link int, s *transport.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	readerDone := make(chan struct{})
+	var readerErr error
+	go func() {
+		defer close(readerDone)
+		readerErr = a.readFrames(w, s)
+		if !errors.Is(readerErr, io.EOF) {
+			cancel()
+		}
+	}()
+	switch pump(ctx, w, link, s) {
+	case pumpEnded:
+		_ = s.CloseSend()
+		_ = s.SetReadDeadline(time.Now().Add(lingerTimeout))
+		<-readerDone
+		if errors.Is(readerErr, io.EOF) {
+			a.works.forget(w.id)
+		}
+	case pumpReplaced:
+		s.Abort()
+	case pumpLost:
+		s.Abort()
+		a.linkLost(w, link)
+	}
+	<-readerDone
+}
+
+type pumpResult int
+
+const (
+	pumpEnded pumpResult = iota + 1
+	pumpReplaced
+	pumpLost
+)
+
+func pump(ctx context.Context, w *work, link int, s *transport.Stream) pumpResult {
+	for {
+		out := w.box.next(link)
+		if out.replaced {
+			return pumpReplaced
+		}
+		if out.frame == nil {
+			select {
+			case <-out.wait:
+			case <-ctx.Done():
+				return pumpLost
+			}
+			continue
+		}
+		if err := s.Send(out.frame); err != nil {
+			return pumpLost
+		}
+		if out.last {
+			return pumpEnded
+		}
+	}
+}
+
+// readFrames takes body, acknowledgements and cancel from the entry. It ends
+// with io.EOF when the entry has ended its side, else with what broke the link.
+func (a *Agent) readFrames(w *work, s *transport.Stream) error {
+	for {
+		var frame jayv1.ClientFrame
+		if err := s.Receive(&frame); err != nil {
+			if errors.Is(err, io.EOF) && w.current() == stateReceiving {
+				// The entry ended its side in front of the body's end.
+				a.end(w, eventLinkLost, &jayv1.End{Error: "body incomplete"})
+			}
+			return err
+		}
+		if err := a.takeFrame(w, &frame, s); err != nil {
+			return err
+		}
+	}
+}
+
+var errUnexpectedFrame = errors.New("frame does not fit the stream")
+
+func (a *Agent) takeFrame(w *work, frame *jayv1.ClientFrame, s *transport.Stream) error {
+	switch f := frame.GetFrame().(type) {
+	case *jayv1.ClientFrame_Body:
+		return a.takeBody(w, f.Body, s)
+	case *jayv1.ClientFrame_Ack:
+		w.box.ack(f.Ack.GetNextSeq())
+	case *jayv1.ClientFrame_Cancel:
+		klog.V(2).InfoS("cancelled by the entry", "request", w.offer.GetRequestId(), "reason", f.Cancel.GetReason())
+		a.end(w, eventCancel, &jayv1.End{Error: "cancelled: " + f.Cancel.GetReason()})
+	default:
+		return errUnexpectedFrame
+	}
+	return nil
+}
+
+// linkLost keeps an attempt for its reader to come back, within the retain
+// time. One whose body was incomplete has not run and never will.
+func (a *Agent) linkLost(w *work, link int) {
+	if !w.box.holds(link) {
+		return
+	}
+	if _, changed := w.fire(eventLinkLost); changed {
+		a.settle(w, &jayv1.End{Error: "link lost before the body was complete"})
+		a.works.forget(w.id)
+		return
+	}
+	klog.V(1).InfoS("link lost, answer kept for resume", "request", w.offer.GetRequestId(),
+		"workspace", w.offer.GetWorkspace(), "backendServer", a.settings.Name, "link", link)
+	w.setOrphan(time.AfterFunc(millis(a.settings.Replay.RetainMS), func() {
+		if !w.box.holds(link) {
+			return // The reader came back while this timer was being set.
+		}
+		a.end(w, eventCancel, &jayv1.End{Error: "reader did not come back"})
+		a.works.forget(w.id)
+	}))
+}
--- /dev/null
+++ b/internal/agent/work.go
@@ -0,0 +1,117 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/charts"
+	"github.com/jayproxy/jayproxy/internal/relay"
+)
+
+// Names of the chart backend_request that the code refers to.
+const (
+	chartName         = "backend_request"
+	stateReceiving    = "receiving"
+	stateDone         = "done"
+	stateNotRun       = "not_run"
+	eventBodyComplete = "body_complete"
+	eventLinkLost     = "link_lost"
+	eventStart        = "start"
+	eventRefuse       = "refuse"
+	eventCancel       = "cancel"
+	eventNotReached   = "not_reached"
+	eventFinish       = "finish"
+	eventFail         = "fail"
+)
+
+// work is one accepted attempt, from the offer until nobody can ask for its
+// answer any more. It outlives the stream it came on.
+type work struct {
+	id    string
+	offer *jayv1.Offer
+	claim relay.Claim
+	box   *outbox
+	// ctx ends when the attempt is given up.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// offered is when the offer was accepted here.
+	offered time.Time
+	// cachedBytes of the chain and missedTokens when the offer was accepted.
+	cachedBytes  int
+	missedTokens float64
+
+	mu        sync.Mutex
+	state     string
+	body      []byte
+	queueWait time.Duration
+	// handed: a goroutine runs the attempt and frees its slot.
+	handed bool
+	// orphan fires when the reader of a lost link has not come back in time.
+	orphan *time.Timer
+}
+
+func workID(requestID string, attempt uint32) string {
+	return fmt.Sprintf("%s/%d", requestID, attempt)
+}
+
+func newWork(parent context.Context, offer *jayv1.Offer, replayBytes int, now time.Time) *work {
+	ctx, cancel := context.WithCancelCause(parent)
+	return &work{
+		id:      workID(offer.GetRequestId(), offer.GetAttempt()),
+		offer:   offer,
+		claim:   relay.Claim{Workspace: offer.GetWorkspace(), Nonce: offer.GetNonce()},
+		box:     newOutbox(replayBytes),
+		ctx:     ctx,
+		cancel:  cancel,
+		offered: now,
+		state:   charts.Must(chartName).Initial(),
+	}
+}
+
+// fire moves the attempt along its chart. It returns the new state, and
+// whether the event changed it; an attempt that is over stays as it is.
+func (w *work) fire(event string) (string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	chart := charts.Must(chartName)
+	if chart.Final(w.state) {
+		return w.state, false
+	}
+	next, err := chart.Next(w.state, event)
+	if err != nil || next == w.state {
+		return w.state, false
+	}
+	w.state = next
+	w.handed = w.handed || event == eventStart
+	return next, true
+}
+
+func (w *work) current() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state
+}
+
+// outcomeOf translates a final state of the chart to the wire.
+func outcomeOf(state string) jayv1.Outcome {
+	switch state {
+	case stateDone:
+		return jayv1.Outcome_OUTCOME_DONE
+	case stateNotRun:
+		return jayv1.Outcome_OUTCOME_NOT_RUN
+	}
+	return jayv1.Outcome_OUTCOME_UNKNOWN
+}
+
+// setOrphan starts or stops the wait for a reader that lost its link.
+func (w *work) setOrphan(timer *time.Timer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.orphan != nil {
+		w.orphan.Stop()
+	}
+	w.orphan = timer
+}
