--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -5,18 +5,29 @@
 // classQueue holds the waiting requests of one class, one flow a workspace.
 type classQueue struct {
 	flows map[string]*flow
+	// count of waiting requests.
+	count int
 	// virtual time: tokens per weight that the furthest served flow has had.
 	virtual float64
 	// owed is the work, in tokens, that the class may start out of its rank.
 	owed float64
 }
 
+// burstRequests is how many requests a workspace that was idle may start ahead
+// of workspaces that are always waiting.
+const burstRequests = 16
+
+// idleFlows may be kept without being looked at.
+const idleFlows = 64
+
 // flow is one workspace's part of a class: its requests in order of arrival
 // and the tokens per weight that it has been served.
 type flow struct {
 	weight  float64
 	virtual float64
-	queue   []*waiter
+	// burst is the head start of the latest request to join.
+	burst float64
+	queue []*waiter
 }
 
 func (c *classQueue) push(w *waiter) {
@@ -25,16 +36,25 @@
 		f = &flow{}
 		c.flows[w.Workspace] = f
 	}
+	f.weight = float64(w.Weight)
 	if len(f.queue) == 0 {
-		// A workspace that was idle starts level with the others: it neither
-		// saves up a claim nor pays for what it used when nobody waited.
-		f.virtual = max(f.virtual, c.virtual)
+		f.virtual = max(f.virtual, c.joinAt(w))
+		f.burst = c.virtual - c.joinAt(w)
 	}
-	f.weight = float64(w.Weight)
 	f.queue = append(f.queue, w)
+	c.count++
+}
+
+// joinAt is the virtual time at which a workspace that had nothing waiting
+// joins: a burst of requests ahead of those that are always waiting, so that a
+// workspace below its share need not queue behind one above it. It does not
+// save up more than that while it is idle.
+func (c *classQueue) joinAt(w *waiter) float64 {
+	return c.virtual - burstRequests*w.Tokens/float64(w.Weight)
 }
 
 func (c *classQueue) remove(w *waiter) {
+	c.count--
 	f := c.flows[w.Workspace]
 	for i, candidate := range f.queue {
 		if candidate == w {
@@ -42,10 +62,6 @@
 			break
 		}
 	}
-	if len(f.queue) == 0 && f.virtual <= c.virtual {
-		// Its state says no more than that of a new flow, so it needs no memory.
-		delete(c.flows, w.Workspace)
-	}
 }
 
 // next returns the first ready request of the flow that has had the least.
@@ -75,10 +91,14 @@
 	c.forgetIdle()
 }
 
-// forgetIdle drops flows without requests that the others have caught up with.
+// forgetIdle drops flows without requests that say no more than a new one:
+// they would join where it does. Flows are looked at when there are many.
 func (c *classQueue) forgetIdle() {
+	if len(c.flows) < 2*c.count+idleFlows {
+		return
+	}
 	for name, f := range c.flows {
-		if len(f.queue) == 0 && f.virtual <= c.virtual {
+		if len(f.queue) == 0 && f.virtual <= c.virtual-f.burst {
 			delete(c.flows, name)
 		}
 	}
@@ -102,14 +122,14 @@
 	return worst, worstPlace
 }
 
-// placeOf is the virtual time at which a new request of the workspace would start.
-func (c *classQueue) placeOf(workspace string) float64 {
-	f := c.flows[workspace]
+// placeOf is the virtual time at which the request would start.
+func (c *classQueue) placeOf(w *waiter) float64 {
+	f := c.flows[w.Workspace]
 	if f == nil {
-		return c.virtual
+		return c.joinAt(w)
 	}
 	if len(f.queue) == 0 {
-		return max(f.virtual, c.virtual)
+		return max(f.virtual, c.joinAt(w))
 	}
 	return f.place()
 }
--- a/internal/admission/overload.go
+++ b/internal/admission/overload.go
@@ -9,14 +9,13 @@
 // makeRoom sheds requests that are worth less than the newcomer until it fits.
 // False: it does not fit, and nothing was shed.
 //
-// Worth less is a lower class, or in the same class the last request of a
+// Worth less is a lower class beyond its kept places, or in the same class the last request of a
 // workspace that waits with more than its share. The first keeps a flood of
 // batch work from turning breakdown calls away, the second keeps one greedy
 // workspace from filling the queue before the others arrive.
 func (q *Queue) makeRoom(now time.Time, newcomer *waiter) ([]Action, bool) {
-	count, bytes := len(q.waiting)+1, q.bytes+newcomer.Bytes
 	var victims []*waiter
-	for count > q.options.Length || bytes > q.options.Bytes {
+	for q.taken(newcomer.rank) >= q.options.Length || q.bytes+newcomer.Bytes > q.options.Bytes {
 		victim := q.victim(newcomer)
 		if victim == nil {
 			q.putBack(victims)
@@ -24,8 +23,6 @@
 		}
 		q.remove(victim)
 		victims = append(victims, victim)
-		count--
-		bytes -= victim.Bytes
 	}
 	actions := make([]Action, 0, len(victims))
 	for _, w := range victims {
@@ -34,6 +31,24 @@
 	return actions, true
 }
 
+// taken counts the places that a newcomer of the rank can't have: those taken
+// and those kept for lower classes. The floor of the work would be worth
+// nothing to a class whose requests never get a place in a full queue.
+func (q *Queue) taken(rank int) int {
+	taken := 0
+	for r := range q.classes {
+		places := q.classes[r].count
+		if r > rank {
+			places = max(places, q.kept())
+		}
+		taken += places
+	}
+	return taken
+}
+
+// kept is the number of places that each lower class has for itself.
+func (q *Queue) kept() int { return int(q.options.Floor * float64(q.options.Length)) }
+
 // putBack undoes the removal of victims. Each was the last of its workspace
 // when it was taken, so the reverse order restores the queue.
 func (q *Queue) putBack(victims []*waiter) {
@@ -46,6 +61,9 @@
 // worth less than the newcomer.
 func (q *Queue) victim(newcomer *waiter) *waiter {
 	for rank := len(q.classes) - 1; rank > newcomer.rank; rank-- {
+		if q.classes[rank].count <= q.kept() {
+			continue
+		}
 		if w, _ := q.classes[rank].last(); w != nil {
 			return w
 		}
@@ -55,7 +73,7 @@
 	if w == nil || w.Workspace == newcomer.Workspace {
 		return nil
 	}
-	if place <= class.placeOf(newcomer.Workspace) {
+	if place <= class.placeOf(newcomer) {
 		return nil
 	}
 	return w
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -61,9 +61,11 @@
 }
 
 func (r *registry) drop(id string) {
-	if _, ok := r.works[id]; !ok {
+	w, ok := r.works[id]
+	if !ok {
 		return
 	}
+	w.release()
 	delete(r.works, id)
 	close(r.changed)
 	r.changed = make(chan struct{})
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -102,6 +102,10 @@
 func (a *Agent) relay(ctx context.Context, w *work, link int, s *transport.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// A reader that beats but does not read would hold the send, and with it
+	// the buffer, for ever.
+	stopAbort := context.AfterFunc(w.gone, s.Abort)
+	defer stopAbort()
 	readerDone := make(chan struct{})
 	var readerErr error
 	go func() {
@@ -116,7 +120,7 @@
 		_ = s.CloseSend()
 		_ = s.SetReadDeadline(time.Now().Add(lingerTimeout))
 		<-readerDone
-		if errors.Is(readerErr, io.EOF) {
+		if stopAbort() && errors.Is(readerErr, io.EOF) {
 			a.works.forget(w.id)
 		}
 	case pumpReplaced:
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -37,6 +37,9 @@
 	// ctx ends when the attempt is given up.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// gone ends when nobody can ask for the answer any more.
+	gone    context.Context
+	release context.CancelFunc
 	// offered is when the offer was accepted here.
 	offered time.Time
 	// cachedBytes of the chain and missedTokens when the offer was accepted.
@@ -59,7 +62,10 @@
 
 func newWork(parent context.Context, offer *jayv1.Offer, replayBytes int, now time.Time) *work {
 	ctx, cancel := context.WithCancelCause(parent)
+	gone, release := context.WithCancel(parent)
 	return &work{
+		gone:    gone,
+		release: release,
 		id:      workID(offer.GetRequestId(), offer.GetAttempt()),
 		offer:   offer,
 		claim:   relay.Claim{Workspace: offer.GetWorkspace(), Nonce: offer.GetNonce()},
