Add the router: filter, scorer, picker and all policies by name

Ways weighed: (1) a hash ring with virtual nodes, O(log n) a look-up, against a full rendezvous pass whose head of 16 servers is kept per shared prefix: the second is exact and even, and a hot prefix pays the pass once; (2) presuming shared levels on every server, against only on the prefix's own set: the second, since the caches hold only a part of the working set.

--- /dev/null
+++ b/internal/routing/choice.go
@@ -0,0 +1,118 @@
+package routing
+
+import (
+	"time"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+)
+
+// maxCandidates bounds the candidates of one choice, whatever the fleet's size.
+const maxCandidates = 16
+
+// Sources of candidates, as told in explanations.
+const (
+	sourceRendezvous = "rendezvous"
+	sourceBelief     = "belief"
+	sourceRandom     = "random"
+	sourceAsked      = "asked"
+	sourceLoad       = "load"
+	sourceFallback   = "fallback"
+)
+
+// What the cached bytes of a candidate rest on.
+const (
+	evidenceNone     = "none"
+	evidenceSeen     = "seen"
+	evidencePresumed = "presumed"
+	evidenceAsked    = "asked"
+)
+
+// candidate is a server under consideration with the terms of its expected
+// time to the first token.
+type candidate struct {
+	index    int32
+	backend  *backend
+	source   string
+	evidence string
+	filtered string
+
+	cachedBytes int
+	// exactMS is the agent's own word on queue and prefill; negative: none.
+	exactMS     float64
+	queueMS     float64
+	prefillMS   float64
+	recomputeMS float64
+	distanceMS  float64
+	penaltyMS   float64
+	totalMS     float64
+}
+
+// view is a set together with what is known of its servers.
+type view struct {
+	set      *Set
+	backends []*backend
+}
+
+// choice is the scratch space of one decision.
+type choice struct {
+	now    time.Time
+	req    *Request
+	policy *PoolPolicy
+	view   *view
+	tried  []Tried
+
+	level      *level // main shared level; nil without one
+	levelPoint int
+	averageMS  float64
+	candidates [maxCandidates]candidate
+	n          int
+	best, next int // indexes into candidates, -1: none
+	declined   int // refusals for cost so far
+}
+
+// add makes the server a candidate, once.
+func (c *choice) add(index int32, source string) *candidate {
+	backend := c.view.backends[index]
+	if found := c.find(backend); found != nil {
+		return found
+	}
+	if c.n == maxCandidates {
+		return nil
+	}
+	c.candidates[c.n] = candidate{index: index, backend: backend, source: source, evidence: evidenceNone, exactMS: -1}
+	c.n++
+	return &c.candidates[c.n-1]
+}
+
+func (c *choice) find(b *backend) *candidate {
+	for i := range c.candidates[:c.n] {
+		if c.candidates[i].backend == b {
+			return &c.candidates[i]
+		}
+	}
+	return nil
+}
+
+// explain renders the candidates; their number is bounded, and so is the cost.
+func (c *choice) explain() []*jayv1.CandidateTerms {
+	terms := make([]jayv1.CandidateTerms, c.n)
+	list := make([]*jayv1.CandidateTerms, c.n)
+	for i := range c.candidates[:c.n] {
+		from, to := &c.candidates[i], &terms[i]
+		to.BackendServer = from.backend.name
+		to.DataCentre = c.view.set.servers[from.index].DataCentre
+		to.Source = from.source
+		to.Evidence = from.evidence
+		to.CachedBytes = uint32(from.cachedBytes)
+		to.QueueMs = from.queueMS
+		to.PrefillMs = from.prefillMS
+		to.RecomputeMs = from.recomputeMS
+		to.DistanceMs = from.distanceMS
+		to.PenaltyMs = from.penaltyMS
+		to.TotalMs = from.totalMS
+		to.Filtered = from.filtered
+		to.Chosen = i == c.best
+		list[i] = to
+	}
+	return list
+}
--- /dev/null
+++ b/internal/routing/filter.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"slices"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+)
+
+// Reasons of the filter, as told in explanations.
+const (
+	filteredRefused    = "refused this request"
+	filteredMembership = "not usable"
+	filteredLeaving    = "leaving"
+	filteredNotReady   = "not ready"
+	filteredVersion    = "version not loaded"
+	filteredAdapter    = "adapter not loaded"
+	filteredDataCentre = "data centre not allowed"
+)
+
+// filter takes out the servers that may not serve a request.
+type filter struct {
+	membership Membership
+}
+
+// reason returns why the server may not serve the request, "" when it may.
+func (f filter) reason(c *choice, index int32) string {
+	server, b := &c.view.set.servers[index], c.view.backends[index]
+	switch {
+	case len(c.req.DataCentres) > 0 && !slices.Contains(c.req.DataCentres, server.DataCentre):
+		return filteredDataCentre
+	case refused(c.tried, b.name):
+		return filteredRefused
+	case f.membership != nil && !f.membership.Usable(b.name):
+		return filteredMembership
+	case b.heard() && c.now.Sub(b.signals.At) <= verdictExpires:
+		return reported(&b.signals, c.req)
+	}
+	return ""
+}
+
+// reported returns why the server's own last report keeps it out.
+func reported(signals *Signals, req *Request) string {
+	switch {
+	case signals.Leaving:
+		return filteredLeaving
+	case !signals.Ready:
+		return filteredNotReady
+	case missing(signals.VersionDigests, req.VersionDigest):
+		return filteredVersion
+	case missing(signals.Adapters, req.Adapter):
+		return filteredAdapter
+	}
+	return ""
+}
+
+func missing(loaded []string, wanted string) bool {
+	return wanted != "" && !slices.Contains(loaded, wanted)
+}
+
+// refused tells whether the server refused the request for another reason than cost.
+func refused(tried []Tried, server string) bool {
+	for i := range tried {
+		if tried[i].Server == server && tried[i].Refusal != jayv1.Refusal_REFUSAL_COST {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/routing/policies.go
@@ -0,0 +1,137 @@
+package routing
+
+import "slices"
+
+// Policies by name. PolicyOffers is the product's; the others are baselines,
+// earlier versions and bounds for experiments.
+const (
+	// PolicyRandom takes any usable server.
+	PolicyRandom = "random"
+	// PolicyLeastLoad takes the server with the fewest requests, as last reported.
+	PolicyLeastLoad = "least-load"
+	// PolicyHashFirst takes the rendezvous server of the prompt's first block.
+	PolicyHashFirst = "hash-first"
+	// PolicyHashLevel takes the rendezvous server of the shared level.
+	PolicyHashLevel = "hash-level"
+	// PolicyBeliefs goes by what this process saw alone.
+	PolicyBeliefs = "beliefs"
+	// PolicyPresumption adds the rendezvous set and what it is presumed to hold.
+	PolicyPresumption = "presumption"
+	// PolicyOffers adds that agents may decline at once with their true cost.
+	PolicyOffers = "offers"
+	// PolicyAskFour asks four candidates for their true cost before it chooses.
+	PolicyAskFour = "ask-four"
+	// PolicyAskAll asks every server: full knowledge, a bound and not a product.
+	PolicyAskAll = "ask-all"
+)
+
+// maxDeclines is how many refusals for cost a request may meet before its
+// offer can no longer be declined for cost.
+const maxDeclines = 3
+
+// strategy is what a policy is made of.
+type strategy struct {
+	name    string
+	sources []source
+	// decide replaces scoring for the baselines that need none.
+	decide func(r *Router, c *choice)
+	// mayDecline lets agents refuse for cost.
+	mayDecline bool
+	// ask is the number of servers to probe first; askAll probes every one.
+	ask    int
+	askAll bool
+}
+
+var strategies = []strategy{
+	{name: PolicyRandom, decide: decideRandom},
+	{name: PolicyLeastLoad, decide: decideLeastLoad},
+	{name: PolicyHashFirst, decide: decideHashFirst},
+	{name: PolicyHashLevel, decide: decideHashLevel},
+	{name: PolicyBeliefs, sources: []source{fromRandom, fromBeliefs}},
+	{name: PolicyPresumption, sources: []source{fromRendezvous, fromRandom, fromBeliefs, presume}},
+	{name: PolicyOffers, sources: []source{fromRefusals, fromRendezvous, fromRandom, fromBeliefs, presume}, mayDecline: true},
+	{name: PolicyAskFour, sources: []source{fromProbes, fromRendezvous, fromRandom, fromBeliefs, presume}, ask: 4},
+	{name: PolicyAskAll, sources: []source{fromProbes}, askAll: true},
+}
+
+// Policies lists the names of all policies.
+func Policies() []string {
+	names := make([]string, len(strategies))
+	for i := range strategies {
+		names[i] = strategies[i].name
+	}
+	return names
+}
+
+func strategyOf(name string) (*strategy, bool) {
+	if name == "" {
+		name = PolicyOffers
+	}
+	at := slices.IndexFunc(strategies, func(s strategy) bool { return s.name == name })
+	if at < 0 {
+		return nil, false
+	}
+	return &strategies[at], true
+}
+
+// take makes the server the choice.
+func (c *choice) take(index int32, source string) {
+	c.add(index, source)
+	c.best = c.n - 1
+}
+
+func decideRandom(r *Router, c *choice) {
+	r.fallback(c, sourceRandom)
+}
+
+// decideLeastLoad looks at every server: a baseline, not meant for large sets.
+func decideLeastLoad(r *Router, c *choice) {
+	best, bestLoad := int32(-1), 0
+	offset := r.random.IntN(c.view.set.Len())
+	for i := range c.view.set.Len() {
+		index := int32((i + offset) % c.view.set.Len())
+		if r.filter.reason(c, index) != "" {
+			continue
+		}
+		if load := c.view.backends[index].load(); best < 0 || load < bestLoad {
+			best, bestLoad = index, load
+		}
+	}
+	if best >= 0 {
+		c.take(best, sourceLoad)
+	}
+}
+
+func decideHashFirst(r *Router, c *choice) {
+	r.decideHash(c, 0)
+}
+
+func decideHashLevel(r *Router, c *choice) {
+	points, _ := sharedPoints(c.req, c.policy)
+	r.decideHash(c, points[0])
+}
+
+func (r *Router) decideHash(c *choice, point int) {
+	if point < len(c.req.Chain) {
+		level := r.levels.of(c.req.Chain[point].GetHash(), c.view.set)
+		for _, index := range level.order.servers[:level.order.length] {
+			if r.filter.reason(c, index) == "" {
+				c.take(index, sourceRendezvous)
+				return
+			}
+		}
+	}
+	r.fallback(c, sourceFallback)
+}
+
+// fallback takes the first usable server after a random one.
+func (r *Router) fallback(c *choice, source string) {
+	offset := r.random.IntN(c.view.set.Len())
+	for i := range c.view.set.Len() {
+		index := int32((i + offset) % c.view.set.Len())
+		if r.filter.reason(c, index) == "" {
+			c.take(index, source)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,275 @@
+package routing_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/prefix"
+	"github.com/jayproxy/jayproxy/internal/routing"
+)
+
+var epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func servers(n int) []routing.Server {
+	list := make([]routing.Server, n)
+	for i := range list {
+		list[i] = routing.Server{Name: fmt.Sprintf("runner-%d", i), DataCentre: fmt.Sprintf("hall-%d", i%3), Region: "north"}
+	}
+	return list
+}
+
+func request(id string, parts ...string) *routing.Request {
+	chain := prefix.Chain(prefix.Seed{Workspace: "w", Model: "m"}, parts)
+	return &routing.Request{
+		ID: id, Workspace: "w", Pool: "p", Class: jayv1.Class_CLASS_STANDARD,
+		Chain: chain.Points, Levels: chain.Levels, PromptBytes: chain.Bytes,
+	}
+}
+
+func document(book, doc int) *routing.Request {
+	return request(fmt.Sprintf("r-%d-%d", book, doc), strings.Repeat("i", 1500),
+		strings.Repeat(fmt.Sprintf("book %d ", book), 1000), strings.Repeat(fmt.Sprintf("doc %d ", doc), 300), "question")
+}
+
+func state(incarnation uint64, queueMS float64) *jayv1.AgentState {
+	return &jayv1.AgentState{Incarnation: incarnation, QueueMs: queueMS, Ready: true, PrefillTokensPerSecond: 10000, CacheSurvivalMs: 5000}
+}
+
+var pool = &routing.PoolPolicy{Pool: "p", BytesPerToken: 4, SharedLevel: 2}
+
+type members map[string]bool
+
+func (m members) Usable(server string) bool { return !m[server] }
+func (m members) Weight(string) float64     { return 1 }
+
+func option(policy string, seed uint64) routing.Options {
+	return routing.Options{Policy: policy, DataCentre: "hall-0", Region: "north", Seed: seed}
+}
+
+// A caller's request goes to a server that is leaving, that lost the version,
+// or that just refused it, although another could serve: the request fails or
+// waits for nothing. Here any policy must leave out what the filter excludes.
+func TestNoPolicyChoosesAnExcludedServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := servers(rapid.IntRange(1, 30).Draw(t, "servers"))
+		policy := rapid.SampledFrom(routing.Policies()).Draw(t, "policy")
+		out := members{}
+		excluded := map[string]bool{}
+		options := option(policy, rapid.Uint64().Draw(t, "seed"))
+		options.Membership = out
+		r := routing.New(options)
+		set := routing.NewSet("p", list)
+		var tried []routing.Tried
+		for _, server := range list {
+			switch rapid.IntRange(0, 6).Draw(t, "fault") {
+			case 0:
+				out[server.Name], excluded[server.Name] = true, true
+			case 1:
+				leaving := state(1, 0)
+				leaving.Leaving = true
+				r.Learn(epoch, server.Name, leaving)
+				excluded[server.Name] = true
+			case 2:
+				tried = append(tried, routing.Tried{Server: server.Name, Refusal: jayv1.Refusal_REFUSAL_QUEUE_FULL})
+				excluded[server.Name] = true
+			case 3:
+				r.Learn(epoch, server.Name, &jayv1.AgentState{Incarnation: 1})
+				excluded[server.Name] = true
+			default:
+				r.Learn(epoch, server.Name, state(1, rapid.Float64Range(0, 500).Draw(t, "queue")))
+				r.Saw(epoch, server.Name, document(1, 1), 1<<20, 1)
+			}
+		}
+		decision, err := r.Choose(epoch, document(1, 1), pool, set, tried)
+		if len(decision.Ask) > 0 {
+			req := document(1, 1)
+			for _, server := range decision.Ask {
+				req.Probes = append(req.Probes, routing.Probe{Server: server, CostMS: 1})
+			}
+			decision, err = r.Choose(epoch, req, pool, set, tried)
+		}
+		if len(excluded) == len(list) {
+			require.ErrorIs(t, err, routing.ErrNoServer)
+			return
+		}
+		require.NoError(t, err)
+		assert.False(t, excluded[decision.Server], "%s chose %s", policy, decision.Server)
+	})
+}
+
+// An engine crashes and comes back cold under the same name. A router that
+// still believes its old cache sends it prompts that must be computed anew,
+// while the caller waits; the belief's incarnation shows that it is dead.
+func TestBeliefOfADeadIncarnationIsNotUsed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := routing.New(option(routing.PolicyBeliefs, rapid.Uint64().Draw(t, "seed")))
+		set := routing.NewSet("p", servers(rapid.IntRange(1, 20).Draw(t, "servers")))
+		believed := uint64(rapid.IntRange(1, 3).Draw(t, "believed"))
+		current := uint64(rapid.IntRange(1, 3).Draw(t, "current"))
+		late := uint64(rapid.IntRange(1, 3).Draw(t, "late"))
+		for _, server := range servers(set.Len()) {
+			r.Learn(epoch, server.Name, state(believed, 0))
+			r.Saw(epoch, server.Name, document(1, 1), 1<<20, believed)
+			r.Learn(epoch, server.Name, state(current, 0))
+			r.Learn(epoch, server.Name, state(late, 0))
+		}
+		decision, err := r.Choose(epoch, document(1, 1), pool, set, nil)
+		require.NoError(t, err)
+		alive := max(believed, current, late) == believed
+		relied := false
+		for _, candidate := range decision.Candidates {
+			relied = relied || candidate.GetCachedBytes() > 0
+		}
+		assert.Equal(t, alive, relied)
+	})
+}
+
+// All entries restart at once. If each then spreads the hot prefixes in its
+// own way, every cache is filled anew and first tokens are late for a while;
+// they must agree by the rendezvous order alone.
+func TestColdRoutersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := servers(rapid.IntRange(1, 60).Draw(t, "servers"))
+		policy := rapid.SampledFrom([]string{routing.PolicyPresumption, routing.PolicyOffers}).Draw(t, "policy")
+		one := routing.New(option(policy, 1))
+		other := option(policy, 2)
+		other.DataCentre = "hall-2"
+		two := routing.New(other)
+		req := document(rapid.IntRange(0, 1000).Draw(t, "book"), rapid.IntRange(0, 1000).Draw(t, "doc"))
+		first, err := one.Choose(epoch, req, pool, routing.NewSet("p", list), nil)
+		require.NoError(t, err)
+		second, err := two.Choose(epoch, req, pool, routing.NewSet("p", list), nil)
+		require.NoError(t, err)
+		assert.Equal(t, first.Server, second.Server)
+	})
+}
+
+func TestCandidatesDoNotGrowWithTheFleet(t *testing.T) {
+	const bound = 12
+	for _, n := range []int{1, 12, 318, 7000} {
+		r := routing.New(option(routing.PolicyOffers, 1))
+		set := routing.NewSet("p", servers(n))
+		for i := range 200 {
+			now := epoch.Add(time.Duration(i) * time.Millisecond)
+			req := document(i%7, i)
+			decision, err := r.Choose(now, req, pool, set, nil)
+			require.NoError(t, err)
+			assert.LessOrEqual(t, len(decision.Candidates), bound)
+			r.Learn(now, decision.Server, state(1, float64(i%50)))
+			r.HandedOver(now, decision.Server, req, decision.ExpectedMS)
+			r.Finished(now, decision.Server, req, 10)
+		}
+	}
+}
+
+// A believed cache that nobody has touched for longer than blocks survive has
+// been evicted: the caller would wait for a prefill that nobody reckoned with.
+func TestBeliefEndsWithTheCachesSurvivalTime(t *testing.T) {
+	r := routing.New(option(routing.PolicyBeliefs, 1))
+	set := routing.NewSet("p", servers(1))
+	r.Learn(epoch, "runner-0", state(1, 0))
+	r.Saw(epoch, "runner-0", document(1, 1), 1<<20, 1)
+	for after, want := range map[time.Duration]string{4 * time.Second: "seen", 6 * time.Second: "none"} {
+		decision, err := r.Choose(epoch.Add(after), document(1, 1), pool, set, nil)
+		require.NoError(t, err)
+		assert.Equal(t, want, decision.Candidates[0].GetEvidence())
+	}
+}
+
+func TestDeclinesKeepTheServerInTheChoiceAndEndInAFinalOffer(t *testing.T) {
+	r := routing.New(option(routing.PolicyOffers, 1))
+	set := routing.NewSet("p", servers(12))
+	var tried []routing.Tried
+	for offers := 1; ; offers++ {
+		decision, err := r.Choose(epoch, document(1, 1), pool, set, tried)
+		require.NoError(t, err)
+		if decision.Final {
+			assert.Equal(t, 4, offers)
+			return
+		}
+		require.Greater(t, decision.NextBestMS, decision.ExpectedMS)
+		tried = append(tried, routing.Tried{
+			Server: decision.Server, Refusal: jayv1.Refusal_REFUSAL_COST, CostMS: 10000 + float64(offers),
+		})
+	}
+}
+
+// A server promises early first tokens and delivers them late: a slow engine,
+// or an agent whose report is wrong. Requests keep going there and wait,
+// unless what it delivered counts against what it promised.
+func TestServerThatBreaksItsPromisesLosesWork(t *testing.T) {
+	r := routing.New(option(routing.PolicyOffers, 1))
+	set := routing.NewSet("p", servers(3))
+	req := document(1, 1)
+	before, err := r.Choose(epoch, req, pool, set, nil)
+	require.NoError(t, err)
+	for range 10 {
+		r.Learn(epoch, before.Server, state(1, 0))
+		r.HandedOver(epoch, before.Server, req, 50)
+		r.Finished(epoch, before.Server, req, 2000)
+	}
+	after, err := r.Choose(epoch, req, pool, set, nil)
+	require.NoError(t, err)
+	assert.NotEqual(t, before.Server, after.Server)
+}
+
+func TestUnknownPolicyIsAnError(t *testing.T) {
+	_, err := routing.New(routing.Options{Policy: "nearest"}).Choose(epoch, document(1, 1), pool, routing.NewSet("p", servers(1)), nil)
+	require.ErrorIs(t, err, routing.ErrUnknownPolicy)
+}
+
+// BenchmarkChoose measures a decision over a warm router: hot prefixes, and
+// for cold=1 a shared prefix that was never seen, whose order must be computed.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{318, 1000, 3500, 7000} {
+		set := routing.NewSet("p", servers(n))
+		for _, cold := range []int{0, 1} {
+			b.Run(fmt.Sprintf("servers=%d/cold=%d", n, cold), func(b *testing.B) {
+				r, requests := warm(n, set)
+				if cold == 1 {
+					requests = make([]*routing.Request, b.N)
+					for i := range requests {
+						requests[i] = fresh(i)
+					}
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					if _, err := r.Choose(epoch, requests[i%len(requests)], pool, set, nil); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+func warm(n int, set *routing.Set) (*routing.Router, []*routing.Request) {
+	r := routing.New(option(routing.PolicyOffers, 1))
+	for _, server := range servers(n) {
+		r.Learn(epoch, server.Name, state(1, 5))
+	}
+	requests := make([]*routing.Request, 256)
+	for i := range requests {
+		requests[i] = document(i%16, i)
+		decision, _ := r.Choose(epoch, requests[i], pool, set, nil)
+		r.Saw(epoch, decision.Server, requests[i], requests[i].PromptBytes, 1)
+	}
+	return r, requests
+}
+
+// fresh is a request whose chain nobody has seen, made without hashing text.
+func fresh(i int) *routing.Request {
+	chain := make([]*jayv1.PrefixPoint, 20)
+	for p := range chain {
+		chain[p] = &jayv1.PrefixPoint{Hash: uint64(i)*0x9e3779b97f4a7c15 + uint64(p)*0xd1b54a32d192ed03, Bytes: uint32(1024 * (p + 1))}
+	}
+	return &routing.Request{ID: "fresh", Chain: chain, Levels: []int{2, 10, 19}, PromptBytes: 20480}
+}
--- /dev/null
+++ b/internal/routing/set.go
@@ -0,0 +1,75 @@
+package routing
+
+import (
+	"math/bits"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Set is the backend servers of one pool or service. Immutable.
+type Set struct {
+	pool    string
+	servers []Server
+	hashes  []uint64
+	byName  map[string]int32
+}
+
+// NewSet makes a set; the pool's name may stand for a service's.
+func NewSet(pool string, servers []Server) *Set {
+	s := &Set{
+		pool:    pool,
+		servers: append([]Server(nil), servers...),
+		hashes:  make([]uint64, len(servers)),
+		byName:  make(map[string]int32, len(servers)),
+	}
+	for i, server := range s.servers {
+		s.hashes[i] = xxh3.HashString(server.Name)
+		s.byName[server.Name] = int32(i)
+	}
+	return s
+}
+
+// Len is the number of servers.
+func (s *Set) Len() int { return len(s.servers) }
+
+// mix is the rendezvous weight of a server for a key.
+func mix(key, server uint64) uint64 {
+	const first, second = 0x9e3779b97f4a7c15, 0xd1b54a32d192ed03
+	hi, lo := bits.Mul64(key^first, server^second)
+	return hi ^ lo
+}
+
+// orderLength is how much of a rendezvous order is kept: the widest that a hot
+// prefix may spread, and the servers behind it that stand in for lost ones.
+const orderLength = 16
+
+// order is the head of the rendezvous order for a key, best first.
+type order struct {
+	length  int
+	servers [orderLength]int32
+}
+
+// rank fills the order for a key. Every process with the same set of names
+// gets the same order, and a lost server moves only its own keys.
+func (s *Set) rank(key uint64, into *order) {
+	var weights [orderLength]uint64
+	n := 0
+	for i, hash := range s.hashes {
+		weight := mix(key, hash)
+		if n == orderLength && weight <= weights[n-1] {
+			continue
+		}
+		if n < orderLength {
+			n++
+		}
+		at := n - 1
+		for at > 0 && weights[at-1] < weight {
+			weights[at] = weights[at-1]
+			into.servers[at] = into.servers[at-1]
+			at--
+		}
+		weights[at] = weight
+		into.servers[at] = int32(i)
+	}
+	into.length = n
+}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -5,6 +5,7 @@
 package routing
 
 import (
+	"errors"
 	"time"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
@@ -59,6 +60,67 @@
 	PromptBytes int
 	// DataCentres allowed by the rule; empty: all.
 	DataCentres []string
+	// Probes are exact answers of agents that the shell asked because a
+	// decision told it to (Decision.Ask). Nil before they were asked.
+	Probes []Probe
+}
+
+// Probe is an agent's exact answer about a request that was not offered.
+type Probe struct {
+	Server      string
+	CostMS      float64
+	CachedBytes int
+}
+
+// Tried is an offer of the same request that an agent refused. A refusal for
+// cost leaves the server in the choice, with its true cost; any other takes it out.
+type Tried struct {
+	Server      string
+	Refusal     jayv1.Refusal
+	CostMS      float64
+	CachedBytes int
+}
+
+// Decision is where to offer a request, or whom to ask first.
+type Decision struct {
+	Server string
+	// ExpectedMS to the first token at Server, NextBestMS at the next best
+	// candidate, both in the terms of an agent's cost: queue and prefill.
+	// NextBestMS is 0 when there is none.
+	ExpectedMS float64
+	NextBestMS float64
+	// Incarnation of the engine that the expectation rests on; 0: none known.
+	Incarnation uint64
+	// Final: the offer must not be declined for cost.
+	Final bool
+	// Ask names the servers to probe before Choose is called again with
+	// Request.Probes; Server is empty then. Only asking policies set it.
+	Ask []string
+	// Candidates with their terms, in the order in which they were found.
+	Candidates []*jayv1.CandidateTerms
+	Policy     string
+}
+
+// Errors of Choose.
+var (
+	// ErrNoServer means that no backend server may take the request now.
+	ErrNoServer = errors.New("no backend server may take the request")
+	// ErrUnknownPolicy means that Options.Policy names none.
+	ErrUnknownPolicy = errors.New("unknown routing policy")
+)
+
+// Options of a router.
+type Options struct {
+	// Policy by name; empty is PolicyOffers.
+	Policy string
+	// DataCentre and Region of the process that decides.
+	DataCentre string
+	Region     string
+	// Seed of the random candidates. The same seed and the same calls give the
+	// same decisions.
+	Seed uint64
+	// Membership may be nil: all servers are usable.
+	Membership Membership
 }
 
 // PoolPolicy is what a pool declares for its decisions.
