--- /dev/null
+++ b/internal/load/bound.go
@@ -0,0 +1,60 @@
+package load
+
+import (
+	"strings"
+
+	"github.com/zeebo/xxh3"
+)
+
+// blockBytes is the text of one cached block of the stand-in engines.
+const blockBytes = 64
+
+// Bound is what an unlimited cache would do with a trace.
+type Bound struct {
+	PromptTokens int
+	HitTokens    int
+}
+
+// HitRate is the token-weighted hit rate that no router can exceed.
+func (b Bound) HitRate() float64 { return float64(b.HitTokens) / float64(max(1, b.PromptTokens)) }
+
+// UnlimitedCache replays the calls against one cache that never evicts.
+func UnlimitedCache(calls []Call) Bound {
+	seen := map[uint64]bool{}
+	var bound Bound
+	for i := range calls {
+		points := BlockChain(&calls[i])
+		hit := 0
+		for hit < len(points) && seen[points[hit]] {
+			hit++
+		}
+		for _, point := range points[hit:] {
+			seen[point] = true
+		}
+		bound.HitTokens += hit * blockBytes / BytesPerToken
+		bound.PromptTokens += PromptBytes(&calls[i]) / BytesPerToken
+	}
+	return bound
+}
+
+// PromptBytes is the length of a call's prompt as the engines see it.
+func PromptBytes(call *Call) int {
+	total := 0
+	for _, part := range Rendered(call) {
+		total += len(part)
+	}
+	return total
+}
+
+// BlockChain returns the nested hashes of a prompt's whole blocks.
+func BlockChain(call *Call) []uint64 {
+	text := strings.Join(Rendered(call), "")
+	hash := xxh3.New()
+	_, _ = hash.WriteString(call.Workspace)
+	chain := make([]uint64, 0, len(text)/blockBytes)
+	for ; len(text) >= blockBytes; text = text[blockBytes:] {
+		_, _ = hash.WriteString(text[:blockBytes])
+		chain = append(chain, hash.Sum64())
+	}
+	return chain
+}
--- a/internal/routing/levels_test.go
+++ b/internal/routing/levels_test.go
@@ -29,3 +29,15 @@
 	feed(4000, true)
 	assert.Equal(t, 1, l.width)
 }
+
+// All queues are long after a burst. If the shortest queue then beats every
+// cached prefix, each request is computed anew at a server that holds nothing
+// of it, and the queues stay long although the caches could carry the load.
+func TestLongQueuesRaiseTheWeightOfRecomputation(t *testing.T) {
+	c := &choice{policy: &PoolPolicy{}}
+	cand := &candidate{backend: &backend{}, prefillMS: 400}
+	idle := c.recomputeMS(cand)
+	c.averageMS = 2000
+	assert.Zero(t, idle)
+	assert.Greater(t, c.recomputeMS(cand), 2000.0)
+}
--- /dev/null
+++ b/internal/routing/placement.go
@@ -0,0 +1,30 @@
+package routing
+
+const (
+	// placementShare of the prefill of a missed shared level is charged to a
+	// server outside the level's set: it would make one more copy of what the
+	// set holds, and push out what others come there for.
+	placementShare = 1.0
+	// pressureScaleMS is the average queue at which recomputed prefill counts
+	// once more on top of its own time. Work that is computed twice delays all
+	// that wait behind it, and the more the longer the queues: without this,
+	// differences between long queues outweigh any cached prefix, every
+	// request goes to the shortest queue, misses, and the queues stay long.
+	pressureScaleMS = 100
+	maxPressure     = 8
+)
+
+// recomputeMS is the weight of the prefill beyond its own time.
+func (c *choice) recomputeMS(cand *candidate) float64 {
+	pressure := min(c.averageMS/pressureScaleMS, maxPressure)
+	return (c.policy.RecomputeWeight+pressure)*cand.prefillMS + c.placementMS(cand)
+}
+
+func (c *choice) placementMS(cand *candidate) float64 {
+	if c.level == nil || c.level.holds(cand.index) {
+		return 0
+	}
+	levelBytes := int(c.req.Chain[c.levelPoint].GetBytes())
+	missed := max(0, levelBytes-cand.cachedBytes)
+	return placementShare * float64(missed) * cand.backend.byteMS
+}
--- a/internal/routing/scorer.go
+++ b/internal/routing/scorer.go
@@ -27,7 +27,7 @@
 		// The agent's word replaces our own estimate of the queue.
 		cand.queueMS = max(0, cand.exactMS-cand.prefillMS)
 	}
-	cand.recomputeMS = c.policy.RecomputeWeight * cand.prefillMS
+	cand.recomputeMS = c.recomputeMS(cand)
 	cand.distanceMS = s.distance(&c.view.set.servers[cand.index])
 	cand.penaltyMS = (cand.queueMS + cand.prefillMS + slownessFloor) * s.penalty(c, b)
 	cand.totalMS = cand.queueMS + cand.prefillMS + cand.recomputeMS + cand.distanceMS + cand.penaltyMS
--- /dev/null
+++ b/internal/routing/trial_test.go
@@ -0,0 +1,278 @@
+package routing_test
+
+import (
+	"container/heap"
+	"container/list"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/load"
+	"github.com/jayproxy/jayproxy/internal/prefix"
+	"github.com/jayproxy/jayproxy/internal/routing"
+)
+
+// The trial is a small model in virtual time for tuning the policies: servers
+// with an LRU cache and one prefill at a time, entries that each see a part of
+// the calls. Its figures are trials; jay-load measures the real processes.
+const (
+	trialPrefillRate = 10000.0 // tokens a second
+	trialHopMS       = 1.0     // one offer or probe and its answer
+	trialOutputMS    = 150.0   // from the first token to the end
+	trialCacheShare  = 0.75    // of the working set, over all servers
+)
+
+type trialServer struct {
+	freeAt    time.Duration
+	lru       *list.List
+	blocks    map[uint64]*list.Element
+	capacity  int
+	survival  float64
+	inService int
+}
+
+type cachedBlock struct {
+	hash uint64
+	used time.Duration
+}
+
+func newTrialServer(capacity int) *trialServer {
+	return &trialServer{lru: list.New(), blocks: map[uint64]*list.Element{}, capacity: capacity, survival: 30000}
+}
+
+func (s *trialServer) hits(chain []uint64) int {
+	n := 0
+	for n < len(chain) && s.blocks[chain[n]] != nil {
+		n++
+	}
+	return n
+}
+
+// touch makes the chain cached, deepest block least recently used.
+func (s *trialServer) touch(now time.Duration, chain []uint64) {
+	for i := len(chain) - 1; i >= 0; i-- {
+		if e := s.blocks[chain[i]]; e != nil {
+			e.Value = cachedBlock{chain[i], now}
+			s.lru.MoveToFront(e)
+			continue
+		}
+		s.blocks[chain[i]] = s.lru.PushFront(cachedBlock{chain[i], now})
+	}
+	for s.lru.Len() > s.capacity {
+		last := s.lru.Remove(s.lru.Back()).(cachedBlock)
+		delete(s.blocks, last.hash)
+		s.survival += 0.001 * (ms(now-last.used) - s.survival)
+	}
+}
+
+func (s *trialServer) state(now time.Duration) *jayv1.AgentState {
+	return &jayv1.AgentState{
+		Incarnation: 1, Ready: true, QueueMs: ms(max(0, s.freeAt-now)), Running: uint32(s.inService),
+		PrefillTokensPerSecond: trialPrefillRate, CacheSurvivalMs: s.survival,
+	}
+}
+
+func (s *trialServer) cost(now time.Duration, chain []uint64, bytes int) float64 {
+	missed := bytes - s.hits(chain)*64
+	return ms(max(0, s.freeAt-now)) + float64(missed)/4/trialPrefillRate*1000
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+type trialEnd struct {
+	at     time.Duration
+	server int
+	entry  int
+	req    *routing.Request
+	ttft   float64
+}
+
+type trialEnds []trialEnd
+
+func (h trialEnds) Len() int           { return len(h) }
+func (h trialEnds) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h trialEnds) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *trialEnds) Push(x any)        { *h = append(*h, x.(trialEnd)) }
+func (h *trialEnds) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+type trial struct {
+	servers []*trialServer
+	names   []string
+	byName  map[string]int
+	entries []*routing.Router
+	set     *routing.Set
+	pool    *routing.PoolPolicy
+	ends    trialEnds
+
+	ttft         []float64
+	hit, prompt  int
+	asks, calls  int
+	slowServer   int
+	slowTimes    float64
+	restartAt    time.Duration
+	policy       string
+	hitFirst5s   int
+	promptFirst5 int
+}
+
+func newTrial(mix load.Mix, policy string, entries int) *trial {
+	capacity := int(trialCacheShare * float64(mix.WorkingSetTokens()) / 16 / float64(mix.Servers))
+	t := &trial{
+		policy: policy, byName: map[string]int{}, slowServer: -1,
+		pool: &routing.PoolPolicy{Pool: "p", BytesPerToken: 4, SharedLevel: 2, RecomputeWeight: mix.RecomputeWeight},
+	}
+	list := servers(mix.Servers)
+	for i, server := range list {
+		t.servers = append(t.servers, newTrialServer(capacity))
+		t.names = append(t.names, server.Name)
+		t.byName[server.Name] = i
+	}
+	t.set = routing.NewSet("p", list)
+	for e := range entries {
+		t.entries = append(t.entries, t.router(e))
+	}
+	return t
+}
+
+func (t *trial) router(e int) *routing.Router {
+	return routing.New(routing.Options{Policy: t.policy, DataCentre: fmt.Sprintf("hall-%d", e%3), Region: "north", Seed: uint64(e)})
+}
+
+func (t *trial) run(calls []load.Call) {
+	random := rand.New(rand.NewPCG(5, 5))
+	restarted := false
+	for i := range calls {
+		at := calls[i].At
+		for len(t.ends) > 0 && t.ends[0].at <= at {
+			t.finish(heap.Pop(&t.ends).(trialEnd))
+		}
+		if t.restartAt > 0 && at >= t.restartAt && !restarted {
+			restarted = true
+			for e := range t.entries {
+				t.entries[e] = t.router(e)
+			}
+		}
+		t.serve(at, random.IntN(len(t.entries)), &calls[i])
+	}
+}
+
+func (t *trial) finish(end trialEnd) {
+	now := epoch.Add(end.at)
+	s := t.servers[end.server]
+	s.inService--
+	t.entries[end.entry].Learn(now, t.names[end.server], s.state(end.at))
+	t.entries[end.entry].Finished(now, t.names[end.server], end.req, end.ttft)
+}
+
+func (t *trial) serve(at time.Duration, e int, call *load.Call) {
+	chain := prefix.Chain(prefix.Seed{Workspace: call.Workspace}, load.Rendered(call))
+	blocks := load.BlockChain(call)
+	req := &routing.Request{ID: fmt.Sprint(call.Index), Chain: chain.Points, Levels: chain.Levels, PromptBytes: chain.Bytes}
+	router, now, hops := t.entries[e], epoch.Add(at), 1.0
+	var tried []routing.Tried
+	t.calls++
+	for {
+		d, err := router.Choose(now, req, t.pool, t.set, tried)
+		if err != nil {
+			panic(err)
+		}
+		if len(d.Ask) > 0 {
+			t.asks += len(d.Ask)
+			hops++
+			for _, name := range d.Ask {
+				s := t.servers[t.byName[name]]
+				cached := s.hits(blocks) * 64
+				router.Learn(now, name, s.state(at))
+				router.Saw(now, name, req, cached, 1)
+				req.Probes = append(req.Probes, routing.Probe{Server: name, CostMS: s.cost(at, blocks, chain.Bytes), CachedBytes: cached})
+			}
+			continue
+		}
+		t.asks++
+		i := t.byName[d.Server]
+		s := t.servers[i]
+		cached, cost := s.hits(blocks)*64, s.cost(at, blocks, chain.Bytes)
+		router.Learn(now, d.Server, s.state(at))
+		router.Saw(now, d.Server, req, cached, 1)
+		if !d.Final && d.NextBestMS > 0 && cost > d.NextBestMS {
+			hops++
+			tried = append(tried, routing.Tried{Server: d.Server, Refusal: jayv1.Refusal_REFUSAL_COST, CostMS: cost, CachedBytes: cached})
+			continue
+		}
+		router.HandedOver(now, d.Server, req, cost)
+		t.accept(at, e, i, call, req, blocks, cost+hops*trialHopMS)
+		return
+	}
+}
+
+func (t *trial) accept(at time.Duration, e, i int, call *load.Call, req *routing.Request, blocks []uint64, ttft float64) {
+	s := t.servers[i]
+	hits := s.hits(blocks)
+	prefill := time.Duration(float64(req.PromptBytes-hits*64) / 4 / trialPrefillRate * float64(time.Second))
+	if i == t.slowServer {
+		prefill = time.Duration(float64(prefill) * t.slowTimes)
+		ttft = ms(max(0, s.freeAt-at)+prefill) + trialHopMS
+	}
+	s.freeAt = max(at, s.freeAt) + prefill
+	s.touch(at, blocks)
+	s.inService++
+	heap.Push(&t.ends, trialEnd{at: at + time.Duration((ttft+trialOutputMS)*1e6), server: i, entry: e, req: req, ttft: ttft})
+	if at < 15*time.Second { // caches fill first
+		return
+	}
+	t.ttft = append(t.ttft, ttft)
+	t.hit += hits * 16
+	t.prompt += req.PromptBytes / 4
+	if t.restartAt > 0 && at >= t.restartAt && at < t.restartAt+5*time.Second {
+		t.hitFirst5s += hits * 16
+		t.promptFirst5 += req.PromptBytes / 4
+	}
+}
+
+func (t *trial) quantile(q float64) float64 {
+	slices.Sort(t.ttft)
+	return t.ttft[int(q*float64(len(t.ttft)-1))]
+}
+
+// leastLoadRate is the calls a second that least load can carry, from its own
+// hit rate at a moderate rate.
+func leastLoadRate(mix load.Mix) float64 {
+	calls := load.Generate(load.Traffic{Mix: mix, Rate: 40, Duration: 60 * time.Second, Seed: 1})
+	t := newTrial(mix, routing.PolicyLeastLoad, 3)
+	t.run(calls)
+	missed := float64(t.prompt-t.hit) / float64(len(t.ttft))
+	return float64(mix.Servers) * trialPrefillRate / missed
+}
+
+// BenchmarkTrial reports hit rate, p50 and p99 of the time to first token in
+// milliseconds and asks a request. Run it with -benchtime 1x.
+func BenchmarkTrial(b *testing.B) {
+	for _, mix := range []load.Mix{load.Association(), load.Darovnica()} {
+		full := leastLoadRate(mix)
+		for _, share := range []float64{0.5, 0.8, 1.1} {
+			calls := load.Generate(load.Traffic{Mix: mix, Rate: share * full, Duration: 75 * time.Second, Seed: 2})
+			for _, entries := range []int{1, 3, 37} {
+				for _, policy := range routing.Policies() {
+					b.Run(fmt.Sprintf("mix=%s/load=%.1f/entries=%d/%s", mix.Name, share, entries, policy), func(b *testing.B) {
+						for range b.N {
+							t := newTrial(mix, policy, entries)
+							t.run(calls)
+							b.ReportMetric(float64(t.hit)/float64(t.prompt), "hit")
+							b.ReportMetric(t.quantile(0.5), "p50ms")
+							b.ReportMetric(t.quantile(0.99), "p99ms")
+							b.ReportMetric(float64(t.asks)/float64(t.calls), "asks")
+							b.ReportMetric(0, "ns/op")
+						}
+					})
+				}
+			}
+		}
+	}
+}
