Count lateness in milliseconds against a server that breaks its promises

A ratio over an expected time near zero (the whole prompt cached) adds little, and the charge for copies elsewhere outweighed it (269 ms against 470 ms, while first tokens came 1,950 ms late). Change: the mean lateness counts as well, the larger of the two is charged.

--- a/internal/routing/backend.go
+++ b/internal/routing/backend.go
@@ -36,6 +36,7 @@
 	prefillMS  float64 // own prefill work handed over since signals.At
 	inFlight   int     // own requests handed over and not finished
 	slowness   float64 // observed over promised time to first token, 1 when as promised
+	lateMS     float64 // observed less promised time to first token
 	slownessAt time.Time
 }
 
@@ -100,26 +101,26 @@
 // observe compares a first token with what the server had promised.
 func (b *backend) observe(now time.Time, promisedMS, observedMS float64) {
 	ratio := (observedMS + slownessFloor) / (promisedMS + slownessFloor)
-	ratio = min(max(ratio, 1.0/maxSlowness), maxSlowness)
-	current := b.slownessNow(now)
-	b.slowness = current + slownessGain*(ratio-current)
+	slowness, lateMS := b.slownessNow(now)
+	b.slowness = slowness + slownessGain*(min(ratio, maxSlowness)-slowness)
+	b.lateMS = lateMS + slownessGain*(max(0, observedMS-promisedMS)-lateMS)
 	b.slownessAt = now
 }
 
-// slownessNow fades toward 1, so that a server that was slow and therefore
-// gets no work is tried again.
-func (b *backend) slownessNow(now time.Time) float64 {
-	if b.slowness == 0 {
-		return 1
+// slownessNow returns the learned ratio and lateness. Both fade, so that a
+// server that was slow and therefore gets no work is tried again.
+func (b *backend) slownessNow(now time.Time) (ratio, lateMS float64) {
+	if b.slownessAt.IsZero() {
+		return 1, 0
 	}
 	share := math.Exp2(-float64(now.Sub(b.slownessAt)) / float64(slownessFades))
-	return 1 + (b.slowness-1)*share
+	return 1 + (b.slowness-1)*share, b.lateMS * share
 }
 
-func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // load is the requests at the server: as last reported, or as this process has
 // in flight there if that is more.
 func (b *backend) load() int {
 	return max(b.signals.Running+b.signals.Queued, b.inFlight)
 }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/routing/scorer.go
+++ b/internal/routing/scorer.go
@@ -7,6 +7,9 @@
 	otherRegionMS     = 120
 )
 
+// leastWeight bounds what membership's evidence can add.
+const leastWeight = 0.01
+
 // defaultBytesPerToken is used when the pool declares none.
 const defaultBytesPerToken = 4
 
@@ -29,7 +32,7 @@
 	}
 	cand.recomputeMS = c.recomputeMS(cand)
 	cand.distanceMS = s.distance(&c.view.set.servers[cand.index])
-	cand.penaltyMS = (cand.queueMS + cand.prefillMS + slownessFloor) * s.penalty(c, b)
+	cand.penaltyMS = s.penalty(c, cand)
 	cand.totalMS = cand.queueMS + cand.prefillMS + cand.recomputeMS + cand.distanceMS + cand.penaltyMS
 }
 
@@ -52,13 +55,17 @@
 	return otherRegionMS
 }
 
-// penalty is the share by which a server is expected to be slower than it
-// says: a slow or lying one shows in first tokens later than promised, and
-// membership has evidence of failures.
-func (s scorer) penalty(c *choice, b *backend) float64 {
-	factor := b.slownessNow(c.now)
+// penalty is how much later than it says a server is expected to be: a slow or
+// lying one shows in first tokens later than promised, by a ratio for long
+// waits and by their lateness for short ones, and membership has evidence of
+// failures.
+func (s scorer) penalty(c *choice, cand *candidate) float64 {
+	saidMS := cand.queueMS + cand.prefillMS
+	ratio, lateMS := cand.backend.slownessNow(c.now)
+	penaltyMS := max(saidMS*(ratio-1), lateMS)
 	if s.membership != nil {
-		factor /= max(s.membership.Weight(b.name), 0.01)
+		weight := max(s.membership.Weight(cand.backend.name), leastWeight)
+		penaltyMS += (saidMS + slownessFloor) * (1/weight - 1)
 	}
-	return max(0, factor-1)
+	return penaltyMS
 }
