--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,288 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Defaults of ClientOptions.
+const (
+	DefaultTimeout        = 5 * time.Second
+	DefaultMaxConnections = 32
+)
+
+// Paths of the platform's HTTP interface.
+const (
+	PathGet     = "/table/get"
+	PathRange   = "/table/range"
+	PathCommit  = "/table/commit"
+	PathObjects = "/objects"
+	PathVMs     = "/vms"
+	PathWeights = "/weights"
+)
+
+const (
+	maxAnswerBytes = 64 << 20
+	maxErrorBytes  = 512
+)
+
+// GetRequest is the body of a call to PathGet.
+type GetRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// RangeRequest is the body of a call to PathRange.
+type RangeRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after"`
+	Limit  int    `json:"limit"`
+}
+
+// ClientOptions tune a Client; zero values mean the defaults.
+type ClientOptions struct {
+	// Timeout bounds a call, but not the streaming of weights.
+	Timeout time.Duration
+	// MaxConnections open at a time.
+	MaxConnections int
+}
+
+// Client implements Platform over HTTP and JSON. It is safe for concurrent use.
+//
+// A write ends in ErrUnavailable only when it is sure that nothing was done:
+// no connection was had, or the platform answered 429 or 503, which it does
+// before it carries out anything. Every other failure of a write is ErrUnknown.
+// A read changes nothing, so all its failures are ErrUnavailable.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+}
+
+var _ Platform = (*Client)(nil)
+
+// NewClient makes a client of the platform at a base URL. It does not connect.
+func NewClient(baseURL string, options ClientOptions) *Client {
+	if options.Timeout <= 0 {
+		options.Timeout = DefaultTimeout
+	}
+	if options.MaxConnections <= 0 {
+		options.MaxConnections = DefaultMaxConnections
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: options.Timeout}).DialContext,
+		MaxConnsPerHost:     options.MaxConnections,
+		MaxIdleConnsPerHost: options.MaxConnections,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	return &Client{base: baseURL, http: &http.Client{Transport: transport}, timeout: options.Timeout}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]Row, error) {
+	var rows []Row
+	err := c.readJSON(ctx, PathGet, GetRequest{Keys: keys}, &rows)
+	return rows, err
+}
+
+// Range implements Table.
+func (c *Client) Range(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	var rows []Row
+	err := c.readJSON(ctx, PathRange, RangeRequest{Prefix: prefix, After: after, Limit: limit}, &rows)
+	return rows, err
+}
+
+// Commit implements Table.
+func (c *Client) Commit(ctx context.Context, txn Txn) (TxnResult, error) {
+	var result TxnResult
+	body, err := json.Marshal(txn)
+	if err != nil {
+		return result, eris.Wrap(err, "encode transaction")
+	}
+	answer, err := c.call(ctx, call{method: http.MethodPost, path: PathCommit, body: body, writes: true})
+	if err != nil {
+		return result, err
+	}
+	// The write was carried out; an answer that can't be read is a lost answer.
+	if err := json.Unmarshal(answer, &result); err != nil {
+		return TxnResult{}, eris.Wrapf(ErrUnknown, "answer to commit: %v", err)
+	}
+	return result, nil
+}
+
+// PutObject implements Objects.
+func (c *Client) PutObject(ctx context.Context, key string, body []byte) error {
+	_, err := c.call(ctx, call{method: http.MethodPut, path: objectPath(key), body: body, writes: true})
+	return err
+}
+
+// GetObject implements Objects.
+func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
+	return c.call(ctx, call{method: http.MethodGet, path: objectPath(key)})
+}
+
+// ListObjects implements Objects.
+func (c *Client) ListObjects(ctx context.Context, prefix string) ([]string, error) {
+	var keys []string
+	err := c.getJSON(ctx, PathObjects+"?prefix="+url.QueryEscape(prefix), &keys)
+	return keys, err
+}
+
+// DeleteObject implements Objects.
+func (c *Client) DeleteObject(ctx context.Context, key string) error {
+	_, err := c.call(ctx, call{method: http.MethodDelete, path: objectPath(key), writes: true})
+	return err
+}
+
+// List implements VMs.
+func (c *Client) List(ctx context.Context, after uint64) (VMList, error) {
+	var list VMList
+	err := c.getJSON(ctx, PathVMs+"?after="+strconv.FormatUint(after, 10), &list)
+	return list, err
+}
+
+// Stat implements Weights.
+func (c *Client) Stat(ctx context.Context, digest string) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.send(ctx, call{method: http.MethodHead, path: weightPath(digest)})
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	return response.ContentLength, nil
+}
+
+// Open implements Weights.
+func (c *Client) Open(ctx context.Context, digest string) (io.ReadCloser, error) {
+	response, err := c.send(ctx, call{method: http.MethodGet, path: weightPath(digest)})
+	if err != nil {
+		return nil, err
+	}
+	return response.Body, nil
+}
+
+func objectPath(key string) string    { return PathObjects + "/" + url.PathEscape(key) }
+func weightPath(digest string) string { return PathWeights + "/" + url.PathEscape(digest) }
+
+func (c *Client) readJSON(ctx context.Context, path string, request, target any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return eris.Wrap(err, "encode request")
+	}
+	return c.decode(ctx, call{method: http.MethodPost, path: path, body: body}, target)
+}
+
+func (c *Client) getJSON(ctx context.Context, path string, target any) error {
+	return c.decode(ctx, call{method: http.MethodGet, path: path}, target)
+}
+
+func (c *Client) decode(ctx context.Context, request call, target any) error {
+	answer, err := c.call(ctx, request)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, target); err != nil {
+		return eris.Wrapf(ErrUnavailable, "answer to %s: %v", request.path, err)
+	}
+	return nil
+}
+
+type call struct {
+	method string
+	path   string
+	body   []byte
+	// writes: a failure after the request may have been sent is ErrUnknown.
+	writes bool
+}
+
+// failure is the error of a call that may have reached the platform.
+func (r call) failure() error {
+	if r.writes {
+		return ErrUnknown
+	}
+	return ErrUnavailable
+}
+
+// call sends a request and reads its whole answer.
+func (c *Client) call(ctx context.Context, request call) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.send(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, eris.Wrapf(request.failure(), "%s: read answer: %v", request.path, err)
+	}
+	return answer, nil
+}
+
+// send returns a response with a status of success. It guards against a write
+// that is reported as not done although it was: only when no connection was
+// had at all can the platform not have seen the request. The transport itself
+// sends a write a second time only when it had written none of it, since none
+// of our writes carries an idempotency key header.
+func (c *Client) send(ctx context.Context, request call) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	httpRequest, err := http.NewRequestWithContext(ctx, request.method, c.base+request.path, bodyOf(request.body))
+	if err != nil {
+		return nil, eris.Wrap(err, "platform request")
+	}
+	response, err := c.http.Do(httpRequest)
+	if err != nil {
+		if !connected.Load() {
+			return nil, eris.Wrapf(ErrUnavailable, "%s: %v", request.path, err)
+		}
+		return nil, eris.Wrapf(request.failure(), "%s: %v", request.path, err)
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		return response, nil
+	}
+	defer response.Body.Close()
+	return nil, statusError(request, response)
+}
+
+func bodyOf(body []byte) io.Reader {
+	if body == nil {
+		return nil
+	}
+	return bytes.NewReader(body)
+}
+
+// ErrInvalid means that the platform rejected the call as malformed; nothing was done.
+var ErrInvalid = errors.New("platform rejected the call")
+
+func statusError(request call, response *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	cause := request.failure()
+	switch response.StatusCode {
+	case http.StatusNotFound:
+		cause = ErrNotFound
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		cause = ErrInvalid
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		cause = ErrUnavailable
+	}
+	return eris.Wrapf(cause, "%s: status %d: %s", request.path, response.StatusCode, bytes.TrimSpace(text))
+}
