--- /dev/null
+++ b/internal/engine/dialect/events.go
@@ -0,0 +1,64 @@
+package dialect
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/jayproxy/jayproxy/internal/engine"
+)
+
+// maxEventBatch bounds the events that one call of Next returns.
+const maxEventBatch = 256
+
+// eventReader reads cache events from a response that does not end by itself.
+type eventReader struct {
+	body io.ReadCloser
+	read func() (engine.CacheEvent, error)
+	// buffered is the number of bytes that can be read without waiting.
+	buffered func() int
+	// failed is an error that came behind events already returned.
+	failed error
+}
+
+// Next implements engine.EventReader: it waits for one event and adds those
+// that have arrived with it.
+func (r *eventReader) Next(ctx context.Context) ([]engine.CacheEvent, error) {
+	if r.failed != nil {
+		return nil, r.failed
+	}
+	stop := context.AfterFunc(ctx, func() { _ = r.body.Close() })
+	defer stop()
+	var events []engine.CacheEvent
+	for len(events) < maxEventBatch {
+		event, err := r.read()
+		if err != nil {
+			r.failed = eventError(ctx, err)
+			break
+		}
+		events = append(events, event)
+		if r.buffered() == 0 {
+			break
+		}
+	}
+	if len(events) > 0 {
+		return events, nil
+	}
+	return nil, r.failed
+}
+
+func eventError(ctx context.Context, err error) error {
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case errors.Is(err, engine.ErrGap), errors.Is(err, ErrMalformed):
+		return err
+	default:
+		return eris.Wrapf(engine.ErrBroken, "cache events: %v", err)
+	}
+}
+
+// Close implements engine.EventReader.
+func (r *eventReader) Close() error { return r.body.Close() }
--- /dev/null
+++ b/internal/engine/dialect/sse.go
@@ -0,0 +1,164 @@
+package dialect
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/jayproxy/jayproxy/internal/engine"
+)
+
+const (
+	// readBuffer is the size of a stream's buffer in bytes.
+	readBuffer = 8 << 10
+	// maxLine bounds one line of an engine's stream in bytes.
+	maxLine = 4 << 20
+)
+
+// sseEvent is one server-sent event. Its fields are valid until the next read.
+type sseEvent struct {
+	id   string
+	kind string
+	data []byte
+}
+
+// sseReader reads server-sent events.
+type sseReader struct {
+	lines *bufio.Reader
+}
+
+func newSSEReader(r io.Reader) *sseReader {
+	return &sseReader{lines: bufio.NewReaderSize(r, readBuffer)}
+}
+
+// next returns the next event that has data. io.EOF at the end of the input,
+// io.ErrUnexpectedEOF when it ends inside an event.
+func (r *sseReader) next() (sseEvent, error) {
+	var event sseEvent
+	started := false
+	for {
+		line, err := readLine(r.lines)
+		if err != nil {
+			if errors.Is(err, io.EOF) && started {
+				return event, io.ErrUnexpectedEOF
+			}
+			return event, err
+		}
+		if len(line) == 0 {
+			if event.data != nil {
+				return event, nil
+			}
+			event, started = sseEvent{}, false
+			continue
+		}
+		started = true
+		event.field(line)
+	}
+}
+
+func (e *sseEvent) field(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		e.id = string(value)
+	case "event":
+		e.kind = string(value)
+	case "data":
+		if e.data == nil {
+			e.data = append(make([]byte, 0, len(value)), value...)
+			return
+		}
+		e.data = append(e.data, '\n')
+		e.data = append(e.data, value...)
+	}
+}
+
+// readLine returns a line without its end. A last line without an end is an
+// unexpected end: the sender was cut off.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var long []byte
+	for {
+		piece, err := r.ReadSlice('\n')
+		if len(long)+len(piece) > maxLine {
+			return nil, eris.Wrap(ErrMalformed, "line too long")
+		}
+		switch {
+		case err == nil && long == nil:
+			return bytes.TrimRight(piece, "\r\n"), nil
+		case err == nil:
+			return bytes.TrimRight(append(long, piece...), "\r\n"), nil
+		case errors.Is(err, bufio.ErrBufferFull):
+			long = append(long, piece...)
+		case errors.Is(err, io.EOF) && len(long)+len(piece) > 0:
+			return nil, io.ErrUnexpectedEOF
+		default:
+			return nil, err
+		}
+	}
+}
+
+// stream is an answer under way; decode turns an event of the wire into one of
+// the interface, ok is false for events that carry nothing.
+type stream struct {
+	body   io.ReadCloser
+	events *sseReader
+	decode func(sseEvent) (event engine.Event, ok bool, err error)
+	ended  bool
+}
+
+// Next implements engine.Stream. After the last event it returns io.EOF. The
+// context of Submit bounds the read as well.
+func (s *stream) Next(ctx context.Context) (engine.Event, error) {
+	if s.ended {
+		return engine.Event{}, io.EOF
+	}
+	// Closing the body is the only way to end a read that waits.
+	stop := context.AfterFunc(ctx, func() { _ = s.body.Close() })
+	defer stop()
+	for {
+		wire, err := s.events.next()
+		if ctx.Err() != nil {
+			return engine.Event{}, ctx.Err()
+		}
+		if err != nil {
+			return engine.Event{}, eris.Wrapf(engine.ErrBroken, "stream: %v", err)
+		}
+		event, ok, err := s.decode(wire)
+		if err != nil {
+			return engine.Event{}, errors.Join(engine.ErrBroken, err)
+		}
+		if ok {
+			s.ended = event.Last
+			return event, nil
+		}
+	}
+}
+
+// Close implements engine.Stream.
+func (s *stream) Close() error { return s.body.Close() }
+
+// wholeStream is the stream of an answer that came in one piece.
+type wholeStream struct {
+	event engine.Event
+	taken bool
+}
+
+// Next implements engine.Stream.
+func (s *wholeStream) Next(ctx context.Context) (engine.Event, error) {
+	if s.taken {
+		return engine.Event{}, io.EOF
+	}
+	if ctx.Err() != nil {
+		return engine.Event{}, ctx.Err()
+	}
+	s.taken = true
+	return s.event, nil
+}
+
+// Close implements engine.Stream.
+func (s *wholeStream) Close() error { return nil }
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -159,15 +158,6 @@
 	return json.NewDecoder(io.LimitReader(c.Request().Body, maxBody)).Decode(target)
 }
 
-// param is a path parameter unescaped: echo leaves it as sent when it holds an escaped slash.
-func param(c echo.Context, name string) string {
-	value, err := url.PathUnescape(c.Param(name))
-	if err != nil {
-		return c.Param(name)
-	}
-	return value
-}
-
 func (p *Platform) getRows(c echo.Context) answer {
 	var request platform.GetRequest
 	if err := decode(c, &request); err != nil {
@@ -200,7 +190,7 @@
 }
 
 func (p *Platform) getObject(c echo.Context) answer {
-	body, ok := p.objects.get(param(c, "key"))
+	body, ok := p.objects.get(standin.Param(c, "key"))
 	if !ok {
 		return answer{status: http.StatusNotFound}
 	}
@@ -212,12 +202,12 @@
 	if err != nil {
 		return invalid(err)
 	}
-	p.objects.put(param(c, "key"), body)
+	p.objects.put(standin.Param(c, "key"), body)
 	return answer{status: http.StatusNoContent}
 }
 
 func (p *Platform) deleteObject(c echo.Context) answer {
-	p.objects.remove(param(c, "key"))
+	p.objects.remove(standin.Param(c, "key"))
 	return answer{status: http.StatusNoContent}
 }
 
@@ -241,7 +231,7 @@
 }
 
 func (p *Platform) statWeights(c echo.Context) answer {
-	size, ok := p.weightSize(param(c, "digest"))
+	size, ok := p.weightSize(standin.Param(c, "digest"))
 	if !ok {
 		return answer{status: http.StatusNotFound}
 	}
@@ -253,7 +243,7 @@
 
 // sendWeights sends zeroes at the rate that all readers share.
 func (p *Platform) sendWeights(c echo.Context) answer {
-	size, ok := p.weightSize(param(c, "digest"))
+	size, ok := p.weightSize(standin.Param(c, "digest"))
 	if !ok {
 		return answer{status: http.StatusNotFound}
 	}
