--- a/internal/engine/dialect/dialect.go
+++ b/internal/engine/dialect/dialect.go
@@ -114,6 +114,15 @@
 	return nil, &statusError{path: call.path, status: response.StatusCode, text: string(bytes.TrimSpace(text))}
 }
 
+// open sends a call whose answer is read while it comes.
+func (c *client) open(ctx context.Context, call call) (io.ReadCloser, error) {
+	response, err := c.send(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	return response.Body, nil
+}
+
 // read sends a call and reads its whole answer.
 func (c *client) read(ctx context.Context, call call, limit int64) ([]byte, error) {
 	response, err := c.send(ctx, call)
--- a/internal/engine/dialect/dialect_test.go
+++ b/internal/engine/dialect/dialect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -57,7 +58,7 @@
 	var events []engine.Event
 	for {
 		event, err := stream.Next(ctx)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return events, nil
 		}
 		if err != nil {
--- a/internal/engine/dialect/merle.go
+++ b/internal/engine/dialect/merle.go
@@ -260,12 +260,12 @@
 // Events implements engine.Engine.
 func (m *merle) Events(ctx context.Context, after uint64) (engine.EventReader, error) {
 	path := "/events?after=" + strconv.FormatUint(after, 10)
-	response, err := m.send(ctx, call{method: http.MethodGet, path: path})
+	body, err := m.open(ctx, call{method: http.MethodGet, path: path})
 	if err != nil {
 		return nil, translate(err, http.StatusGone, engine.ErrGap)
 	}
-	lines := bufio.NewReaderSize(response.Body, readBuffer)
-	return &eventReader{body: response.Body, read: func() (engine.CacheEvent, error) {
+	lines := bufio.NewReaderSize(body, readBuffer)
+	return &eventReader{body: body, read: func() (engine.CacheEvent, error) {
 		line, err := readLine(lines)
 		if err != nil {
 			return engine.CacheEvent{}, err
--- a/internal/engine/dialect/pica.go
+++ b/internal/engine/dialect/pica.go
@@ -145,12 +145,12 @@
 // Events implements engine.Engine.
 func (p *pica) Events(ctx context.Context, after uint64) (engine.EventReader, error) {
 	path := "/kv/stream?from=" + strconv.FormatUint(after, 10)
-	response, err := p.send(ctx, call{method: http.MethodGet, path: path})
+	body, err := p.open(ctx, call{method: http.MethodGet, path: path})
 	if err != nil {
 		return nil, translate(err, http.StatusRequestedRangeNotSatisfiable, engine.ErrGap)
 	}
-	frames := bufio.NewReaderSize(response.Body, readBuffer)
-	return &eventReader{body: response.Body, read: func() (engine.CacheEvent, error) {
+	frames := bufio.NewReaderSize(body, readBuffer)
+	return &eventReader{body: body, read: func() (engine.CacheEvent, error) {
 		return readPicaFrame(frames)
 	}, buffered: frames.Buffered}, nil
 }
--- a/internal/standin/engine/sim/cache.go
+++ b/internal/standin/engine/sim/cache.go
@@ -39,8 +39,17 @@
 
 // use makes the blocks of a chain the latest used, with its first block in
 // front, so that a prefix never leaves before what stands on it. It returns
-// the blocks that came in and those that had to go.
+// the blocks that came in and those that had to go; none is in both. A chain
+// longer than the cache is cut.
 func (c *cache) use(chain []engine.BlockHash) (stored, removed []engine.BlockHash) {
+	chain = chain[:min(len(chain), c.capacity)]
+	// Touched first, so that what comes in does not push them out.
+	for _, hash := range chain {
+		if at, ok := c.index[hash]; ok {
+			c.unlink(at)
+			c.pushFront(at)
+		}
+	}
 	for i := len(chain) - 1; i >= 0; i-- {
 		if at, ok := c.index[chain[i]]; ok {
 			c.unlink(at)
