--- /dev/null
+++ b/cmd/jayctl/main.go
@@ -0,0 +1,18 @@
+// Command jayctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jayproxy/jayproxy/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := ctl.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/catalog/check_rules.go
@@ -0,0 +1,134 @@
+package catalog
+
+import (
+	"slices"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+)
+
+func (c *checker) rule(path string, r *jayv1.Rule) {
+	for _, workspace := range r.GetWorkspaces() {
+		if c.byName[KindWorkspace+"/"+workspace] == nil {
+			c.found.Add(path+".workspaces", "workspace %q is not declared", workspace)
+		}
+	}
+	for _, service := range r.GetServices() {
+		if c.byName[KindService+"/"+service] == nil {
+			c.found.Add(path+".services", "service %q is not declared", service)
+		}
+	}
+	pools := c.poolsOfModels(path, r)
+	if r.GetEnginePriority() > maxEnginePriority {
+		c.found.Add(path+".engine_priority", "engine_priority %d is above %d", r.GetEnginePriority(), maxEnginePriority)
+	}
+	c.ruleEffects(path, r)
+	c.ruleDataCentres(path, r, pools)
+}
+
+// poolsOfModels finds the pools that serve the rule's models.
+func (c *checker) poolsOfModels(path string, r *jayv1.Rule) []string {
+	var pools []string
+	for _, model := range r.GetModels() {
+		pool := ""
+		for name, resource := range c.byName {
+			if resource.GetPool() != nil && resource.GetPool().GetModel() == model {
+				pool = name
+			}
+		}
+		if pool == "" {
+			c.found.Add(path+".models", "model %q is served by no pool", model)
+			continue
+		}
+		pools = append(pools, pool)
+	}
+	return pools
+}
+
+func (c *checker) ruleEffects(path string, r *jayv1.Rule) {
+	hasEffect := r.GetClass() != jayv1.Class_CLASS_UNSPECIFIED || r.GetEnginePriority() > 0 ||
+		len(r.GetDataCentres()) > 0 || r.GetDeadlineMs() > 0
+	if r.GetDeny() && hasEffect {
+		c.found.Add(path+".deny", "a rule that denies has no other effects")
+	}
+	if !r.GetDeny() && !hasEffect {
+		c.found.Add(path, "the rule has no effect: set deny, class, engine_priority, data_centres or deadline_ms")
+	}
+}
+
+// ruleDataCentres finds rules that leave a target without any backend server.
+func (c *checker) ruleDataCentres(path string, r *jayv1.Rule, pools []string) {
+	if len(r.GetDataCentres()) == 0 {
+		return
+	}
+	for _, centre := range r.GetDataCentres() {
+		if _, known := c.regions[centre]; !known && !c.hasCentre(centre) {
+			c.found.Add(path+".data_centres", "no backend server is in data centre %q", centre)
+		}
+	}
+	targets := pools
+	for _, service := range r.GetServices() {
+		targets = append(targets, KindService+"/"+service)
+	}
+	for _, target := range targets {
+		reachable := slices.ContainsFunc(r.GetDataCentres(), func(centre string) bool { return c.centresOf[target][centre] })
+		if !reachable && len(c.centresOf[target]) > 0 {
+			c.found.Add(path+".data_centres", "%s has no backend server in any of %v", target, r.GetDataCentres())
+		}
+	}
+}
+
+func (c *checker) hasCentre(centre string) bool {
+	for _, centres := range c.centresOf {
+		if centres[centre] {
+			return true
+		}
+	}
+	return false
+}
+
+// shadowedRules finds rules that can never match, because one before them
+// matches all that they do. Rules that only together cover a later one are
+// not found.
+func (c *checker) shadowedRules() {
+	for i, later := range c.rules {
+		for _, earlier := range c.rules[:i] {
+			if covers(earlier, later) {
+				c.found.Add(KindRule+"/"+later.GetName(), "can never match: rule %q stands before it and matches all of it", earlier.GetName())
+				break
+			}
+		}
+	}
+}
+
+// covers tells whether all traffic that matches b matches a.
+func covers(a, b *jayv1.Rule) bool {
+	if a.GetClassLabel() != "" && a.GetClassLabel() != b.GetClassLabel() {
+		return false
+	}
+	if !coversList(a.GetWorkspaces(), b.GetWorkspaces()) {
+		return false
+	}
+	aNames := len(a.GetModels())+len(a.GetServices()) > 0
+	bNames := len(b.GetModels())+len(b.GetServices()) > 0
+	if !aNames {
+		return true
+	}
+	return bNames && subset(b.GetModels(), a.GetModels()) && subset(b.GetServices(), a.GetServices())
+}
+
+// coversList compares two lists in which empty means all.
+func coversList(a, b []string) bool {
+	if len(a) == 0 {
+		return true
+	}
+	return len(b) > 0 && subset(b, a)
+}
+
+func subset(inner, outer []string) bool {
+	for _, value := range inner {
+		if !slices.Contains(outer, value) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -6,6 +6,7 @@
 import (
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -22,6 +23,18 @@
 	KindRule          = "rule"
 )
 
+// Kinds lists the kinds of resources.
+var Kinds = []string{KindWorkspace, KindPool, KindService, KindBackendServer, KindRule}
+
+// IsKind tells whether a kind of resources has the name.
+func IsKind(name string) bool { return newDecl(name) != nil }
+
+// KindOf returns a resource's kind, "" for an empty resource.
+func KindOf(resource *jayv1.Resource) string {
+	kind, _, _ := strings.Cut(NameOf(resource), "/")
+	return kind
+}
+
 // Table is one generation of the catalog, ready for look-ups. Immutable.
 type Table struct {
 	generation uint64
@@ -302,15 +315,25 @@
 // Holder is the table in force in a process. It only moves forward.
 type Holder struct {
 	table atomic.Pointer[Table]
+	mu    sync.Mutex
+	next  chan struct{}
 }
 
 // NewHolder holds the empty generation 0.
 func NewHolder() *Holder {
-	h := &Holder{}
+	h := &Holder{next: make(chan struct{})}
 	h.table.Store(Build(&jayv1.Snapshot{}))
 	return h
 }
 
+// Next returns a channel that is closed when a newer table is adopted. Take
+// the channel first and read Current after, so that no adoption is missed.
+func (h *Holder) Next() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.next
+}
+
 // Current returns the table in force.
 func (h *Holder) Current() *Table { return h.table.Load() }
 
@@ -324,7 +347,15 @@
 			return false
 		}
 		if h.table.CompareAndSwap(current, table) {
+			h.announce()
 			return true
 		}
 	}
 }
+
+func (h *Holder) announce() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.next)
+	h.next = make(chan struct{})
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,112 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/jayproxy/jayproxy/api/gen/jay/v1/jayv1connect"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/operator"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+const (
+	defaultRetryFor = 10 * time.Second
+	retryPause      = 200 * time.Millisecond
+	callTimeout     = 15 * time.Second
+)
+
+type client = jayv1connect.OperatorServiceClient
+
+// clients returns one client per entry, in the order of the flags.
+func (a *app) clients() ([]client, error) {
+	if len(a.entries) == 0 {
+		return nil, usage(eris.New("--entry is missing"))
+	}
+	if a.keysDir == "" {
+		return nil, usage(eris.New("--keys is missing"))
+	}
+	creds, err := transport.LoadCredentials(a.keysDir)
+	if err != nil {
+		return nil, usage(err)
+	}
+	httpClient := &http.Client{Transport: &http.Transport{
+		TLSClientConfig:   creds.ClientTLS([]string{"h2", "http/1.1"}, keys.RoleEntry),
+		ForceAttemptHTTP2: true,
+	}}
+	all := make([]client, 0, len(a.entries))
+	for _, address := range a.entries {
+		if !strings.Contains(address, "://") {
+			address = "https://" + address
+		}
+		all = append(all, jayv1connect.NewOperatorServiceClient(httpClient, strings.TrimSuffix(address, "/")))
+	}
+	return all, nil
+}
+
+// call tries the entries in turn until one gives a final answer. An outcome
+// that is unknown is tried again as well: changes carry a change id, so a
+// repeat is accepted once.
+func call[T any](ctx context.Context, a *app, do func(context.Context, client) (*connect.Response[T], error)) (*T, error) {
+	clients, err := a.clients()
+	if err != nil {
+		return nil, err
+	}
+	deadline := time.Now().Add(a.retryFor)
+	for {
+		for _, c := range clients {
+			var response *connect.Response[T]
+			response, err = callOnce(ctx, c, do)
+			if err == nil {
+				return response.Msg, nil
+			}
+			if !tryAgain(err) || ctx.Err() != nil {
+				return nil, asExit(err)
+			}
+		}
+		if time.Now().After(deadline) {
+			return nil, asExit(err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, asExit(err)
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func callOnce[T any](ctx context.Context, c client, do func(context.Context, client) (*connect.Response[T], error)) (*connect.Response[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return do(ctx, c)
+}
+
+func tryAgain(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeUnavailable, connect.CodeUnknown, connect.CodeAborted, connect.CodeDeadlineExceeded:
+		return true
+	}
+	return false
+}
+
+// asExit gives an error of a call its exit code.
+func asExit(err error) error {
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return err
+	}
+	switch connect.CodeOf(err) {
+	case connect.CodeUnknown, connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeCanceled:
+		return &exitError{code: ExitUnreachable, cause: err}
+	}
+	if found := operator.FindingsOf(err); len(found) > 0 {
+		err = found.Err()
+	}
+	return &exitError{code: ExitRefused, cause: err}
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,144 @@
+// Package ctl is the operators' command line: it checks declarations on the
+// operator's machine and makes the remote procedure calls of an entry.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/jayproxy/jayproxy/internal/findings"
+)
+
+// Exit codes of jayctl, for scripts.
+const (
+	ExitOK = 0
+	// ExitFindings: check found faults, or diff found a difference.
+	ExitFindings = 1
+	// ExitUsage: unknown command, flag or argument, or an unreadable file.
+	ExitUsage = 2
+	// ExitRefused: an entry refused the call; nothing was changed.
+	ExitRefused = 3
+	// ExitUnreachable: no entry answered, or none could settle the outcome.
+	ExitUnreachable = 4
+)
+
+// Values of the flag --output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// exitError carries the exit code of a command. A nil cause prints nothing.
+type exitError struct {
+	code  int
+	cause error
+}
+
+func (e *exitError) Error() string {
+	if e.cause == nil {
+		return fmt.Sprintf("exit code %d", e.code)
+	}
+	return e.cause.Error()
+}
+
+func (e *exitError) Unwrap() error { return e.cause }
+
+func usage(err error) error { return &exitError{code: ExitUsage, cause: err} }
+
+// app holds the flags that all commands share.
+type app struct {
+	entries  []string
+	keysDir  string
+	output   string
+	retryFor time.Duration
+	out      io.Writer
+}
+
+// Main runs the command line and returns the exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	a := &app{out: stdout}
+	root := a.root()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	var exit *exitError
+	if !errors.As(err, &exit) {
+		exit = &exitError{code: ExitUsage, cause: err}
+	}
+	if exit.cause != nil {
+		fmt.Fprintln(stderr, "jayctl:", exit.cause)
+	}
+	return exit.code
+}
+
+func (a *app) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "jayctl",
+		Short: "Declare, inspect and operate a jayproxy deployment",
+		Long: "jayctl declares, inspects and operates a jayproxy deployment.\n\n" +
+			"Exit codes: 0 done; 1 findings or a difference; 2 wrong usage; 3 refused by the entry;\n" +
+			"4 no entry reached, or the outcome is unknown (repeat with the same --change-id).",
+		SilenceUsage: true, SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if a.output != outputText && a.output != outputJSON {
+				return usage(eris.Errorf("--output %q is none of text, json", a.output))
+			}
+			return nil
+		},
+	}
+	flags := root.PersistentFlags()
+	flags.StringSliceVar(&a.entries, "entry", nil, "operators' address of an entry, IP:port or https URL; several are tried in turn")
+	flags.StringVar(&a.keysDir, "keys", "", "folder with ca.pem, cert.pem and key.pem of a viewer or operator")
+	flags.StringVar(&a.output, "output", outputText, "text or json")
+	flags.DurationVar(&a.retryFor, "retry-for", defaultRetryFor, "how long to try again when no entry answers or an outcome is unknown")
+	root.AddCommand(a.keys(), a.check(), a.diff(), a.apply(), a.delete(), a.get(), a.list(), a.watch(), a.status(), a.drain(), a.explain())
+	return root
+}
+
+// print writes a message as JSON, or as text by the function.
+func (a *app) print(message proto.Message, text func(io.Writer)) error {
+	if a.output == outputText {
+		text(a.out)
+		return nil
+	}
+	encoded, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: false}.Marshal(message)
+	if err != nil {
+		return eris.Wrap(err, "encode output")
+	}
+	_, err = fmt.Fprintln(a.out, string(encoded))
+	return err
+}
+
+// printValue writes a plain value as JSON, or as text by the function.
+func (a *app) printValue(value any, text func(io.Writer)) error {
+	if a.output == outputText {
+		text(a.out)
+		return nil
+	}
+	return eris.Wrap(json.NewEncoder(a.out).Encode(value), "encode output")
+}
+
+// checkReport is the JSON output of check.
+type checkReport struct {
+	Resources int           `json:"resources"`
+	Findings  findings.List `json:"findings"`
+}
+
+func printFindings(w io.Writer, found findings.List) {
+	for _, finding := range found {
+		fmt.Fprintln(w, finding)
+	}
+}
--- /dev/null
+++ b/internal/platform/platformtest/memory.go
@@ -0,0 +1,236 @@
+// Package platformtest is an in-memory platform for tests, with faults that a
+// test switches on. It is linked into no binary.
+package platformtest
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/jayproxy/jayproxy/internal/platform"
+)
+
+// Fault decides how one commit fails. The zero value lets it pass.
+type Fault int
+
+// The faults of a commit.
+const (
+	Pass Fault = iota
+	// Unavailable: not carried out.
+	Unavailable
+	// LostAnswer: carried out, the answer is lost.
+	LostAnswer
+	// LostRequest: not carried out, but the caller can't know.
+	LostRequest
+)
+
+// Memory is a platform in memory. Safe for concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	commit  uint64
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	vms     platform.VMList
+	down    bool
+	// Reads and Writes count the calls of the table service.
+	reads, writes int
+	onCommit      func(txn platform.Txn) Fault
+}
+
+var _ platform.Platform = (*Memory)(nil)
+
+// New returns an empty platform.
+func New() *Memory {
+	return &Memory{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+}
+
+// SetDown switches an outage of the whole platform on or off.
+func (m *Memory) SetDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+// OnCommit installs the fault of each commit; it is called without the lock
+// held, so it may itself commit, e.g. as a racing writer. Nil removes it.
+func (m *Memory) OnCommit(fault func(txn platform.Txn) Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onCommit = fault
+}
+
+// Counts returns the reads and writes of the table so far.
+func (m *Memory) Counts() (reads, writes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reads, m.writes
+}
+
+// SetVMs replaces the list of VMs.
+func (m *Memory) SetVMs(vms []platform.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.vms = platform.VMList{Revision: m.vms.Revision + 1, Whole: true, VMs: vms}
+}
+
+// Get implements platform.Table.
+func (m *Memory) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	if m.down {
+		return nil, platform.ErrUnavailable
+	}
+	var found []platform.Row
+	for _, key := range keys {
+		if row, ok := m.rows[key]; ok {
+			found = append(found, row)
+		}
+	}
+	return found, nil
+}
+
+// Range implements platform.Table.
+func (m *Memory) Range(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	if m.down {
+		return nil, platform.ErrUnavailable
+	}
+	var found []platform.Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, row)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	if limit > 0 && len(found) > limit {
+		found = found[:limit]
+	}
+	return found, nil
+}
+
+// Commit implements platform.Table.
+func (m *Memory) Commit(_ context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	m.mu.Lock()
+	hook := m.onCommit
+	m.mu.Unlock()
+	fault := Pass
+	if hook != nil {
+		fault = hook(txn)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes++
+	if m.down || fault == Unavailable {
+		return platform.TxnResult{}, platform.ErrUnavailable
+	}
+	if fault == LostRequest {
+		return platform.TxnResult{}, platform.ErrUnknown
+	}
+	result := m.apply(txn)
+	if fault == LostAnswer {
+		return platform.TxnResult{}, platform.ErrUnknown
+	}
+	return result, nil
+}
+
+func (m *Memory) apply(txn platform.Txn) platform.TxnResult {
+	var failed []platform.Row
+	for _, condition := range txn.Conditions {
+		row := m.rows[condition.Key]
+		if row.Version != condition.Version {
+			row.Key = condition.Key
+			failed = append(failed, row)
+		}
+	}
+	if len(failed) > 0 {
+		return platform.TxnResult{Failed: failed}
+	}
+	m.commit++
+	for _, put := range txn.Puts {
+		m.rows[put.Key] = platform.Row{Key: put.Key, Value: bytes.Clone(put.Value), Version: m.commit}
+	}
+	for _, key := range txn.Deletes {
+		delete(m.rows, key)
+	}
+	return platform.TxnResult{Committed: true, Commit: m.commit}
+}
+
+// PutObject implements platform.Objects.
+func (m *Memory) PutObject(_ context.Context, key string, body []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.ErrUnavailable
+	}
+	m.objects[key] = bytes.Clone(body)
+	return nil
+}
+
+// GetObject implements platform.Objects.
+func (m *Memory) GetObject(_ context.Context, key string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, platform.ErrUnavailable
+	}
+	body, ok := m.objects[key]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return body, nil
+}
+
+// ListObjects implements platform.Objects.
+func (m *Memory) ListObjects(_ context.Context, prefix string) ([]string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, platform.ErrUnavailable
+	}
+	var keys []string
+	for key := range m.objects {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys, nil
+}
+
+// DeleteObject implements platform.Objects.
+func (m *Memory) DeleteObject(_ context.Context, key string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.ErrUnavailable
+	}
+	delete(m.objects, key)
+	return nil
+}
+
+// List implements platform.VMs.
+func (m *Memory) List(_ context.Context, after uint64) (platform.VMList, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.VMList{}, platform.ErrUnavailable
+	}
+	if after == m.vms.Revision {
+		return platform.VMList{Revision: after}, nil
+	}
+	return m.vms, nil
+}
+
+// Stat implements platform.Weights; no weights are kept.
+func (m *Memory) Stat(context.Context, string) (int64, error) { return 0, platform.ErrNotFound }
+
+// Open implements platform.Weights; no weights are kept.
+func (m *Memory) Open(context.Context, string) (io.ReadCloser, error) {
+	return nil, platform.ErrNotFound
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -90,6 +90,10 @@
 	return found
 }
 
+// LineOf finds the line of a key in what Lines returned, or the line of the
+// nearest table around it; 0 when there is none.
+func LineOf(lines map[string]int, path string) int { return lineOf(lines, path) }
+
 // lineOf finds the line of a key, or of the nearest table around it.
 func lineOf(lines map[string]int, path string) int {
 	for path != "" {
