--- a/internal/ctl/declare.go
+++ b/internal/ctl/declare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -195,7 +196,8 @@
 // withChangeID tells the id when the outcome is unknown, so that the operator
 // can repeat the change safely.
 func (a *app) withChangeID(err error, changeID string) error {
-	if connect.CodeOf(err) == connect.CodeUnknown {
+	var exit *exitError
+	if errors.As(err, &exit) && exit.code == ExitUnreachable && connect.CodeOf(err) == connect.CodeUnknown {
 		return &exitError{code: ExitUnreachable, cause: fmt.Errorf("%w; repeat with --change-id %s", err, changeID)}
 	}
 	return err
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -1,3 +1,4 @@
+// Package entry is the shell of an entry process.
 package entry
 
 import (
