--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,437 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/charts"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/statechart"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+// Events and states of charts/attempt.toml.
+const (
+	eventAccept     = "accept"
+	eventRefuse     = "refuse"
+	eventLinkLost   = "link_lost"
+	eventBodySent   = "body_sent"
+	eventResume     = "resume"
+	eventEndDone    = "end_done"
+	eventEndNotRun  = "end_not_run"
+	eventEndUnknown = "end_unknown"
+	eventGiveUp     = "give_up"
+
+	stateDone   = "done"
+	stateNotRun = "not_run"
+)
+
+// cancelWait is how long an agent gets to say, after a Cancel, whether the
+// work had begun.
+const cancelWait = 300 * time.Millisecond
+
+var (
+	errCallerGone   = errors.New("the caller went away")
+	errGivenUp      = errors.New("given up")
+	errMissingChunk = errors.New("chunks are missing")
+	errOutOfTurn    = errors.New("frame out of turn")
+)
+
+// dialer opens streams to agents.
+type dialer interface {
+	Open(ctx context.Context, address string, roles ...keys.Role) (*transport.Stream, error)
+}
+
+// attempt is one hand-over of a request to one backend server.
+type attempt struct {
+	id      string
+	number  uint32
+	address string
+	server  string
+	// workspace and nonce prove on resume that the stream is the caller's.
+	workspace string
+	nonce     []byte
+	dial      dialer
+	limits    AttemptSettings
+	timeouts  TimeoutSettings
+
+	chart  *statechart.Chart
+	state  string
+	stream *transport.Stream
+	// nextSeq is the number of the chunk that is due.
+	nextSeq uint64
+	acked   uint64
+	reply   *jayv1.OfferReply
+	end     *jayv1.End
+	headed  bool
+	// stuck counts resumes since the last chunk.
+	stuck int
+	// deadline to the first chunk.
+	deadline time.Time
+	// detach: a caller that goes away may come back for the rest.
+	detach bool
+	// cause of an end without an End frame.
+	cause error
+}
+
+// sink takes what an attempt delivers, in order and without doubles.
+type sink interface {
+	Head(head *jayv1.ServiceHead) error
+	Chunk(seq uint64, data []byte) error
+}
+
+func newAttempt(id string, number uint32) *attempt {
+	chart := charts.Must("attempt")
+	return &attempt{id: id, number: number, chart: chart, state: chart.Initial()}
+}
+
+func (a *attempt) fire(event string) {
+	next, err := a.chart.Next(a.state, event)
+	if err != nil {
+		klog.ErrorS(err, "attempt", "request", a.id, "attempt", a.number)
+		return
+	}
+	a.state = next
+}
+
+// over tells whether the attempt ended.
+func (a *attempt) over() bool { return a.chart.Final(a.state) }
+
+// outcome of an attempt that is over.
+func (a *attempt) outcome() jayv1.Outcome {
+	switch a.state {
+	case stateDone:
+		return jayv1.Outcome_OUTCOME_DONE
+	case stateNotRun:
+		return jayv1.Outcome_OUTCOME_NOT_RUN
+	default:
+		return jayv1.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+// run carries the attempt to its end.
+func (a *attempt) run(ctx context.Context, offer *jayv1.Offer, body bodySource, to sink) {
+	a.handOver(ctx, offer, body)
+	for !a.over() {
+		err := a.relay(ctx, to)
+		if a.over() {
+			break
+		}
+		a.broken(ctx, err)
+	}
+	a.release()
+}
+
+// follow relays a stream that another entry began.
+func (a *attempt) follow(ctx context.Context, to sink) {
+	for _, event := range []string{eventAccept, eventBodySent, eventLinkLost} {
+		a.fire(event)
+	}
+	a.reconnect(ctx)
+	for !a.over() {
+		err := a.relay(ctx, to)
+		if !a.over() {
+			a.broken(ctx, err)
+		}
+	}
+	a.release()
+}
+
+// broken deals with a relay that ended without an End frame.
+func (a *attempt) broken(ctx context.Context, err error) {
+	a.cause = err
+	switch {
+	case a.detach && errors.Is(err, errCallerGone):
+		// Without a Cancel the agent goes on and keeps the stream for a resume.
+		a.stream.Abort()
+		a.fire(eventGiveUp)
+	case errors.Is(err, errCallerGone), errors.Is(err, errGivenUp), ctx.Err() != nil:
+		a.cancel(err)
+	default:
+		klog.V(1).InfoS("link lost", "request", a.id, "attempt", a.number, "server", a.server, "next", a.nextSeq, "cause", err)
+		a.stream.Abort()
+		a.fire(eventLinkLost)
+		a.reconnect(ctx)
+	}
+}
+
+// handOver offers the work and, when it is taken, sends the body.
+func (a *attempt) handOver(ctx context.Context, offer *jayv1.Offer, body bodySource) {
+	if err := a.offerTo(ctx, offer); err != nil {
+		a.cause = err
+		a.fire(eventLinkLost)
+		return
+	}
+	if !a.reply.GetAccepted() {
+		a.fire(eventRefuse)
+		return
+	}
+	a.fire(eventAccept)
+	if err := a.sendBody(body); err != nil {
+		a.cause = err
+		a.stream.Abort()
+		a.fire(eventLinkLost)
+	}
+}
+
+func (a *attempt) offerTo(ctx context.Context, offer *jayv1.Offer) error {
+	ctx, cancel := context.WithTimeout(ctx, ms(a.timeouts.OfferMS))
+	defer cancel()
+	stream, err := a.dial.Open(ctx, a.address, keys.RoleAgent)
+	if err != nil {
+		return err
+	}
+	a.stream = stream
+	stop := a.guard(ctx)
+	defer stop()
+	if err := stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Offer{Offer: offer}}); err != nil {
+		return err
+	}
+	var frame jayv1.ServerFrame
+	if err := stream.Receive(&frame); err != nil {
+		return err
+	}
+	a.reply = frame.GetOfferReply()
+	if a.reply == nil {
+		return errOutOfTurn
+	}
+	return nil
+}
+
+// guard fails pending calls of the stream when the context ends.
+func (a *attempt) guard(ctx context.Context) func() {
+	stream := a.stream
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	return func() { stop() }
+}
+
+// sendBody sends the pieces. An error means that the last piece was not sent,
+// so that the agent can't have the whole body and runs nothing.
+func (a *attempt) sendBody(body bodySource) error {
+	for {
+		piece, last, err := body.Next()
+		if err != nil {
+			return err
+		}
+		if last {
+			// Before the send: a send that fails may have arrived all the same,
+			// and from then on the attempt can't be called not run.
+			a.fire(eventBodySent)
+		}
+		frame := &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Body{Body: &jayv1.Data{Data: piece, Last: last}}}
+		if err := a.stream.Send(frame); err != nil && !last {
+			return err
+		}
+		if last {
+			return nil
+		}
+	}
+}
+
+// relay passes chunks on until the end, a lost link or a caller that is gone.
+func (a *attempt) relay(ctx context.Context, to sink) error {
+	stop := a.guard(ctx)
+	defer stop()
+	for !a.over() {
+		frame, err := a.receive(ctx)
+		if err != nil {
+			return err
+		}
+		if err := a.take(frame, to); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// receive waits for a frame no longer than the caller's deadline to the first
+// chunk, or than a running stream may be silent.
+func (a *attempt) receive(ctx context.Context) (*jayv1.ServerFrame, error) {
+	until := time.Now().Add(ms(a.timeouts.StreamIdleMS))
+	if a.nextSeq == 0 && !a.headed && !a.deadline.IsZero() {
+		// The agent ends a request at the deadline itself, with proof of what
+		// ran; its word is worth a short wait.
+		until = a.deadline.Add(cancelWait)
+	}
+	_ = a.stream.SetReadDeadline(until)
+	if ctx.Err() != nil {
+		return nil, errCallerGone
+	}
+	frame := &jayv1.ServerFrame{}
+	err := a.stream.Receive(frame)
+	if err == nil {
+		return frame, nil
+	}
+	if ctx.Err() != nil {
+		return nil, errCallerGone
+	}
+	if isTimeout(err) {
+		return nil, errGivenUp
+	}
+	return nil, err
+}
+
+func (a *attempt) take(frame *jayv1.ServerFrame, to sink) error {
+	switch f := frame.GetFrame().(type) {
+	case *jayv1.ServerFrame_ServiceHead:
+		return a.takeHead(f.ServiceHead, to)
+	case *jayv1.ServerFrame_Chunk:
+		return a.takeChunk(f.Chunk, to)
+	case *jayv1.ServerFrame_End:
+		return a.takeEnd(f.End)
+	}
+	return errOutOfTurn
+}
+
+func (a *attempt) takeHead(head *jayv1.ServiceHead, to sink) error {
+	if a.headed {
+		return nil
+	}
+	a.headed = true
+	return gone(to.Head(head))
+}
+
+// takeChunk passes a chunk on when it is the one that is due. One that came
+// before is dropped; a later one shows a loss, which a resume repairs.
+func (a *attempt) takeChunk(chunk *jayv1.Chunk, to sink) error {
+	if chunk.GetSeq() < a.nextSeq {
+		return nil
+	}
+	if chunk.GetSeq() > a.nextSeq {
+		return errMissingChunk
+	}
+	if err := gone(to.Chunk(chunk.GetSeq(), chunk.GetData())); err != nil {
+		return err
+	}
+	a.nextSeq++
+	a.stuck = 0
+	if a.nextSeq-a.acked >= uint64(a.limits.AckChunks) { //nolint:gosec // a positive setting
+		a.acked = a.nextSeq
+		return a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: a.nextSeq}}})
+	}
+	return nil
+}
+
+func gone(err error) error {
+	if err == nil {
+		return nil
+	}
+	return eris.Wrap(errCallerGone, err.Error())
+}
+
+func (a *attempt) takeEnd(end *jayv1.End) error {
+	if end.GetOutcome() == jayv1.Outcome_OUTCOME_DONE && end.GetCount() != a.nextSeq {
+		return errMissingChunk
+	}
+	a.end = end
+	switch end.GetOutcome() {
+	case jayv1.Outcome_OUTCOME_DONE:
+		a.fire(eventEndDone)
+	case jayv1.Outcome_OUTCOME_NOT_RUN:
+		a.fire(eventEndNotRun)
+	default:
+		a.fire(eventEndUnknown)
+	}
+	return nil
+}
+
+// cancel tells the agent that nobody waits, and takes its word on what ran
+// when it comes at once.
+func (a *attempt) cancel(cause error) {
+	_ = a.stream.SetDeadline(time.Now().Add(cancelWait))
+	reason := &jayv1.Cancel{Reason: cause.Error()}
+	if a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Cancel{Cancel: reason}}) == nil {
+		a.awaitEnd()
+	}
+	if !a.over() {
+		a.fire(eventGiveUp)
+	}
+}
+
+func (a *attempt) awaitEnd() {
+	for {
+		frame := &jayv1.ServerFrame{}
+		if a.stream.Receive(frame) != nil {
+			return
+		}
+		if end := frame.GetEnd(); end != nil && end.GetOutcome() != jayv1.Outcome_OUTCOME_DONE {
+			_ = a.takeEnd(end)
+			return
+		}
+	}
+}
+
+// reconnect resumes a stream whose link was lost, in a few tries.
+func (a *attempt) reconnect(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ms(a.limits.ResumeWindowMS))
+	defer cancel()
+	wait := ms(a.limits.ResumeWaitMS)
+	a.stuck++
+	for try := range a.limits.ResumeTries {
+		// An agent that answers each resume without a further chunk would
+		// hold the caller for ever.
+		if a.stuck > a.limits.ResumeTries {
+			break
+		}
+		if try > 0 && !pause(ctx, wait) {
+			break
+		}
+		wait *= 2
+		if a.resumeOnce(ctx) {
+			a.fire(eventResume)
+			return
+		}
+	}
+	a.fire(eventGiveUp)
+}
+
+func (a *attempt) resumeOnce(ctx context.Context) bool {
+	stream, err := a.dial.Open(ctx, a.address, keys.RoleAgent)
+	if err != nil {
+		a.cause = err
+		return false
+	}
+	resume := &jayv1.Resume{
+		RequestId: a.id, Attempt: a.number, Workspace: a.workspace, Nonce: a.nonce, NextSeq: a.nextSeq,
+	}
+	if err := stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Resume{Resume: resume}}); err != nil {
+		stream.Abort()
+		return false
+	}
+	a.stream = stream
+	a.acked = a.nextSeq
+	return true
+}
+
+// release ends the stream's two sides once the attempt is over.
+func (a *attempt) release() {
+	if a.stream == nil {
+		return
+	}
+	_ = a.stream.CloseSend()
+	_ = a.stream.SetDeadline(time.Now().Add(cancelWait))
+	if err := a.stream.Receive(&jayv1.ServerFrame{}); !errors.Is(err, io.EOF) {
+		a.stream.Abort()
+	}
+}
+
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// pause waits, false when the context ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/entry/decode.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/jayproxy/jayproxy/internal/prefix"
+)
+
+// Paths of the model API.
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+)
+
+// adapterSeparator stands between model and adapter in a caller's model name.
+const adapterSeparator = ":"
+
+// modelRequest is what the entry reads of a caller's body; the body itself
+// goes on unchanged.
+type modelRequest struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           int64           `json:"max_tokens"`
+	MaxCompletionTokens int64           `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+
+	// Adapter is cut off the model name.
+	Adapter string `json:"-"`
+	// Parts of the canonical prompt.
+	Parts []string `json:"-"`
+}
+
+// decodeModelRequest reads a body of the model API.
+func decodeModelRequest(path string, body []byte) (*modelRequest, *Error) {
+	req := &modelRequest{}
+	if err := json.Unmarshal(body, req); err != nil {
+		return nil, invalid("the body is not a JSON object of the expected shape: " + err.Error())
+	}
+	if req.Model == "" {
+		return nil, invalid("model is missing")
+	}
+	if path == pathChat && len(req.Messages) == 0 {
+		return nil, invalid("messages is missing")
+	}
+	if path == pathCompletions && len(req.Prompt) == 0 {
+		return nil, invalid("prompt is missing")
+	}
+	if req.MaxTokens < 0 || req.MaxCompletionTokens < 0 {
+		return nil, invalid("max_tokens is below zero")
+	}
+	parts, err := prefix.Render(body)
+	if err != nil {
+		return nil, invalid(err.Error())
+	}
+	req.Parts = parts
+	req.Model, req.Adapter, _ = strings.Cut(req.Model, adapterSeparator)
+	return req, nil
+}
+
+// maxOutput is the caller's bound on generated tokens, 0 when there is none.
+func (r *modelRequest) maxOutput() uint32 {
+	const most = 1 << 30
+	return uint32(min(max(r.MaxTokens, r.MaxCompletionTokens), most)) //nolint:gosec // bounded above
+}
+
+func (r *modelRequest) promptBytes() int {
+	total := 0
+	for _, part := range r.Parts {
+		total += len(part)
+	}
+	return total
+}
+
+func invalid(message string) *Error {
+	return refuse(http.StatusBadRequest, CodeInvalidRequest, message)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,220 @@
+// Package entry is the shell of jay-entry: the callers' HTTP API, the hand-over
+// of requests to agents and the relay of their answers. It does the I/O; the
+// decisions are the packages routing, retry, quota, membership and ledger.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/metrics"
+	"github.com/jayproxy/jayproxy/internal/quota"
+	"github.com/jayproxy/jayproxy/internal/retry"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+// headerPatience bounds the wait for a caller's request head.
+const headerPatience = 10 * time.Second
+
+// Entry is a running entry.
+type Entry struct {
+	settings Settings
+	holder   *catalog.Holder
+	creds    *transport.Credentials
+	node     *transport.Node
+	metrics  *metrics.Registry
+	picker   *picker
+	streams  *streamCount
+	explain  *explanations
+
+	quotaMu  sync.Mutex
+	quota    *quota.Limiter
+	budgetMu sync.Mutex
+	budget   *retry.Budget
+
+	callers, admin *server
+	started        time.Time
+	// stopping: not ready any more. serving: the callers' port still takes requests.
+	stopping, serving atomic.Bool
+	ctx               context.Context
+	cancel            context.CancelFunc
+	wg                sync.WaitGroup
+}
+
+// Start opens all listeners and serves. It needs neither the platform nor a
+// peer: without a catalog callers get a typed refusal until one is known.
+func Start(ctx context.Context, settings Settings) (*Entry, error) {
+	creds, err := transport.LoadCredentials(settings.KeysDir)
+	if err != nil {
+		return nil, err
+	}
+	if settings.Name == "" {
+		settings.Name = creds.Self().Name
+	}
+	e := newEntry(ctx, settings, creds)
+	if err := e.listen(); err != nil {
+		e.Close()
+		return nil, err
+	}
+	e.background()
+	klog.InfoS("entry serves", "name", settings.Name, "callers", e.CallersURL(), "admin", e.AdminURL(), "quic", e.Address())
+	return e, nil
+}
+
+func newEntry(ctx context.Context, settings Settings, creds *transport.Credentials) *Entry {
+	e := &Entry{
+		settings: settings, holder: settings.Holder, creds: creds,
+		metrics: metrics.New(settings.MaxLabels),
+		picker:  &picker{choose: &roundRobin{}},
+		streams: newStreamCount(settings.Limits),
+		explain: newExplanations(),
+		quota:   quota.NewLimiter(),
+		budget:  retry.NewBudget(settings.Attempts.RetryShare, settings.Attempts.RetryBurst),
+		started: time.Now(),
+	}
+	if e.holder == nil {
+		e.holder = catalog.NewHolder()
+	}
+	e.serving.Store(true)
+	e.ctx, e.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	return e
+}
+
+func (e *Entry) listen() error {
+	var err error
+	e.node, err = transport.Listen(transport.Options{Address: e.settings.Address}, e.creds, e.servePeer)
+	if err != nil {
+		return err
+	}
+	headers := e.settings.Limits.HeaderBytes
+	if e.admin, err = serveHTTP(e.settings.AdminAddress, e.adminAPI(), headers); err != nil {
+		return err
+	}
+	e.callers, err = serveHTTP(e.settings.CallersAddress, e.callersAPI(), headers)
+	return err
+}
+
+func (e *Entry) background() {
+	e.goWith(func(ctx context.Context) { e.creds.Watch(ctx, ms(e.settings.Timeouts.KeysReloadMS)) })
+}
+
+func (e *Entry) goWith(run func(ctx context.Context)) {
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		run(e.ctx)
+	}()
+}
+
+// CallersURL is the base URL of the callers' API.
+func (e *Entry) CallersURL() string { return e.callers.url() }
+
+// AdminURL is the base URL of the admin pages.
+func (e *Entry) AdminURL() string { return e.admin.url() }
+
+// Address is the QUIC listener, IP:port.
+func (e *Entry) Address() string { return e.node.Address() }
+
+// Catalog is the holder of the catalog in force.
+func (e *Entry) Catalog() *catalog.Holder { return e.holder }
+
+// Shutdown stops without cutting a request: it turns not ready, goes on
+// serving while the balancer takes notice, then refuses new requests and waits
+// for those under way. An error means that the context ended first.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.stopping.Store(true)
+	pause(ctx, ms(e.settings.Timeouts.GraceMS))
+	err := e.callers.drain(ctx)
+	e.serving.Store(false)
+	if err == nil {
+		err = e.streams.wait(ctx)
+	}
+	e.Close()
+	return err
+}
+
+// Close stops at once and cuts what is under way.
+func (e *Entry) Close() {
+	e.stopping.Store(true)
+	e.cancel()
+	e.callers.close()
+	e.admin.close()
+	if e.node != nil {
+		_ = e.node.Close()
+	}
+	e.wg.Wait()
+}
+
+// servePeer serves a stream that another process opened.
+func (e *Entry) servePeer(_ context.Context, _ keys.Identity, stream *transport.Stream) {
+	first := &jayv1.ClientFrame{}
+	if err := stream.Receive(first); err != nil {
+		return
+	}
+	switch f := first.GetFrame().(type) {
+	case *jayv1.ClientFrame_Explain:
+		explanation, found := e.explain.get(f.Explain.GetRequestId())
+		reply := &jayv1.ExplainReply{Found: found, Explanation: explanation}
+		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Explain{Explain: reply}})
+	case *jayv1.ClientFrame_Status:
+		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Status{Status: e.Status()}})
+	}
+}
+
+// Status is what the entry tells operators about itself.
+func (e *Entry) Status() *jayv1.ProcessStatus {
+	return &jayv1.ProcessStatus{
+		Name: e.settings.Name, Role: string(keys.RoleEntry), DataCentre: e.settings.DataCentre,
+		Generation: e.holder.Current().Generation(), Leaving: e.stopping.Load(), StartedUnixMs: e.started.UnixMilli(),
+	}
+}
+
+// server is an HTTP server on a listener of its own.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func serveHTTP(address string, handler http.Handler, headerBytes int) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	// net/http cuts off far beyond the bound, without a typed error; up to
+	// there the handler refuses with one.
+	const hardLimit = 4
+	s := &server{
+		listener: listener,
+		http: &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerPatience, MaxHeaderBytes: hardLimit * headerBytes,
+		},
+	}
+	go func() {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "HTTP listener ended", "address", address)
+		}
+	}()
+	return s, nil
+}
+
+func (s *server) url() string { return "http://" + s.listener.Addr().String() }
+
+// drain closes the listener and waits for the requests under way.
+func (s *server) drain(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+func (s *server) close() {
+	if s != nil {
+		_ = s.http.Close()
+	}
+}
--- /dev/null
+++ b/internal/entry/fakeagent_test.go
@@ -0,0 +1,294 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+// fakeAgent speaks the agent's side of wire.proto and is scripted by its fields.
+type fakeAgent struct {
+	name string
+	node *transport.Node
+
+	mu sync.Mutex
+	// refuse, when set, may answer an offer with a refusal; nil accepts.
+	refuse func(offer *jayv1.Offer) *jayv1.OfferReply
+	// answer makes the chunks of an accepted request; it may block.
+	answer func(offer *jayv1.Offer, body []byte, emit func(data string)) *jayv1.End
+	// cut aborts the link after so many chunks, as often as it says.
+	cutAfter, cuts int
+	// wrongCount is added to the count of chunks in the end.
+	wrongCount uint64
+	// cutBody aborts the link before the body is complete, as often as it says.
+	cutBody int
+	// head of a plain service's answer.
+	head *jayv1.ServiceHead
+
+	offers  []*jayv1.Offer
+	bodies  [][]byte
+	runs    map[string]int
+	cancels int
+	resumes int
+	acked   uint64
+	kept    map[string]*keptStream
+}
+
+// keptStream is the replay buffer of one attempt.
+type keptStream struct {
+	nonce     []byte
+	workspace string
+	mu        sync.Mutex
+	grown     *sync.Cond
+	chunks    []string
+	end       *jayv1.End
+}
+
+func newFakeAgent(t *testing.T, authority *keys.Authority, name string) *fakeAgent {
+	t.Helper()
+	f := &fakeAgent{name: name, runs: map[string]int{}, kept: map[string]*keptStream{}}
+	node, err := transport.Listen(transport.Options{Address: "127.0.0.1:0"}, credentials(t, authority, keys.RoleAgent, name), f.serve)
+	require.NoError(t, err)
+	f.node = node
+	t.Cleanup(func() { _ = node.Close() })
+	return f
+}
+
+func (f *fakeAgent) state() *jayv1.AgentState {
+	return &jayv1.AgentState{BackendServer: f.name, Incarnation: 1, Ready: true, Slots: 8}
+}
+
+func (f *fakeAgent) set(change func(f *fakeAgent)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// seen reads a figure under the lock.
+func (f *fakeAgent) seen(read func(f *fakeAgent) int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return read(f)
+}
+
+// first returns the first offer and body.
+func (f *fakeAgent) first() (*jayv1.Offer, []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.offers[0], f.bodies[0]
+}
+
+func (f *fakeAgent) ran(id string) int { return f.seen(func(f *fakeAgent) int { return f.runs[id] }) }
+
+func (f *fakeAgent) serve(ctx context.Context, _ keys.Identity, s *transport.Stream) {
+	first := &jayv1.ClientFrame{}
+	if s.Receive(first) != nil {
+		return
+	}
+	switch frame := first.GetFrame().(type) {
+	case *jayv1.ClientFrame_Offer:
+		f.takeOffer(ctx, frame.Offer, s)
+	case *jayv1.ClientFrame_Resume:
+		f.takeResume(ctx, frame.Resume, s)
+	}
+}
+
+func (f *fakeAgent) takeOffer(ctx context.Context, offer *jayv1.Offer, s *transport.Stream) {
+	f.mu.Lock()
+	f.offers = append(f.offers, offer)
+	refuse := f.refuse
+	f.mu.Unlock()
+	reply := &jayv1.OfferReply{Accepted: true, State: f.state()}
+	if refuse != nil {
+		if refusal := refuse(offer); refusal != nil {
+			refusal.State = f.state()
+			reply = refusal
+		}
+	}
+	if s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_OfferReply{OfferReply: reply}}) != nil || !reply.GetAccepted() {
+		return
+	}
+	body, ok := f.readBody(s)
+	if !ok {
+		return
+	}
+	kept := &keptStream{nonce: offer.GetNonce(), workspace: offer.GetWorkspace()}
+	kept.grown = sync.NewCond(&kept.mu)
+	f.mu.Lock()
+	f.bodies = append(f.bodies, body)
+	f.runs[offer.GetRequestId()]++
+	f.kept[key(offer.GetRequestId(), offer.GetAttempt())] = kept
+	answer := f.answer
+	f.mu.Unlock()
+	if answer == nil {
+		answer = tokens(3)
+	}
+	go func() {
+		end := answer(offer, body, kept.emit)
+		end.Count = f.wrongCount
+		kept.close(end)
+	}()
+	f.send(ctx, s, kept, 0)
+}
+
+func key(id string, attempt uint32) string { return fmt.Sprintf("%s/%d", id, attempt) }
+
+func (f *fakeAgent) readBody(s *transport.Stream) ([]byte, bool) {
+	f.mu.Lock()
+	cut := f.cutBody > 0
+	if cut {
+		f.cutBody--
+	}
+	f.mu.Unlock()
+	if cut {
+		s.Abort()
+		return nil, false
+	}
+	var body []byte
+	for {
+		frame := &jayv1.ClientFrame{}
+		if s.Receive(frame) != nil || frame.GetBody() == nil {
+			return nil, false
+		}
+		body = append(body, frame.GetBody().GetData()...)
+		if frame.GetBody().GetLast() {
+			return body, true
+		}
+	}
+}
+
+func (f *fakeAgent) takeResume(ctx context.Context, resume *jayv1.Resume, s *transport.Stream) {
+	f.mu.Lock()
+	f.resumes++
+	kept := f.kept[key(resume.GetRequestId(), resume.GetAttempt())]
+	f.mu.Unlock()
+	if kept == nil || !bytes.Equal(kept.nonce, resume.GetNonce()) || kept.workspace != resume.GetWorkspace() {
+		end := &jayv1.End{Outcome: jayv1.Outcome_OUTCOME_UNKNOWN, Refusal: jayv1.Refusal_REFUSAL_NOT_FOUND}
+		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_End{End: end}})
+		return
+	}
+	f.send(ctx, s, kept, resume.GetNextSeq())
+}
+
+// send passes kept chunks on from a number, and listens for Ack and Cancel.
+func (f *fakeAgent) send(ctx context.Context, s *transport.Stream, kept *keptStream, from uint64) {
+	go f.listen(s)
+	if f.head != nil && from == 0 {
+		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_ServiceHead{ServiceHead: f.head}})
+	}
+	for ctx.Err() == nil {
+		chunk, end := kept.wait(from)
+		if end != nil {
+			_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_End{End: end}})
+			return
+		}
+		if f.cutNow(from) {
+			s.Abort()
+			return
+		}
+		frame := &jayv1.Chunk{Seq: from, Data: []byte(chunk)}
+		if s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Chunk{Chunk: frame}}) != nil {
+			return
+		}
+		from++
+	}
+}
+
+func (f *fakeAgent) cutNow(sent uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cuts == 0 || sent < uint64(f.cutAfter) {
+		return false
+	}
+	f.cuts--
+	f.cutAfter++
+	return true
+}
+
+func (f *fakeAgent) listen(s *transport.Stream) {
+	for {
+		frame := &jayv1.ClientFrame{}
+		if s.Receive(frame) != nil {
+			return
+		}
+		f.set(func(f *fakeAgent) {
+			if frame.GetCancel() != nil {
+				f.cancels++
+			}
+			f.acked = max(f.acked, frame.GetAck().GetNextSeq())
+		})
+	}
+}
+
+func (k *keptStream) emit(data string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.chunks = append(k.chunks, data)
+	k.grown.Broadcast()
+}
+
+func (k *keptStream) close(end *jayv1.End) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	end.Count += uint64(len(k.chunks))
+	k.end = end
+	k.grown.Broadcast()
+}
+
+func (k *keptStream) wait(from uint64) (string, *jayv1.End) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for uint64(len(k.chunks)) <= from && k.end == nil {
+		k.grown.Wait()
+	}
+	if uint64(len(k.chunks)) > from {
+		return k.chunks[from], nil
+	}
+	return "", k.end
+}
+
+func done() *jayv1.End {
+	return &jayv1.End{Outcome: jayv1.Outcome_OUTCOME_DONE, Usage: &jayv1.Usage{PromptTokens: 100, CachedTokens: 60, OutputTokens: 3}}
+}
+
+// tokens answers with n chunks when streaming, else with one whole answer.
+func tokens(n int) func(*jayv1.Offer, []byte, func(string)) *jayv1.End {
+	return func(offer *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+		if offer.GetService() != "" {
+			emit("served by " + offer.GetMethod() + " " + offer.GetPath())
+			return done()
+		}
+		if !offer.GetStream() {
+			emit(wholeAnswer)
+			return done()
+		}
+		for i := range n {
+			emit(fmt.Sprintf(`{"id":"c","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"t%d "}}]}`, i))
+		}
+		return done()
+	}
+}
+
+// paced answers with n chunks, one each interval.
+func paced(n int, interval time.Duration) func(*jayv1.Offer, []byte, func(string)) *jayv1.End {
+	return func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for i := range n {
+			<-ticker.C
+			emit(fmt.Sprintf(`{"choices":[{"index":0,"delta":{"content":"t%d "}}]}`, i))
+		}
+		return done()
+	}
+}
+
+const wholeAnswer = `{"id":"c","object":"chat.completion","model":"modelos","choices":[{"index":0,"message":{"role":"assistant","content":"ready"},"finish_reason":"stop"}],"usage":{"prompt_tokens":100,"completion_tokens":1,"total_tokens":101,"prompt_tokens_details":{"cached_tokens":60}}}`
--- /dev/null
+++ b/internal/entry/model.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/prefix"
+	"github.com/jayproxy/jayproxy/internal/routing"
+)
+
+// resumeKeep in the header HeaderResume asks that the answer goes on when the
+// caller's own connection breaks, so that it can be resumed.
+const resumeKeep = "keep"
+
+// defaults of a pool's declaration.
+const (
+	defaultBytesPerToken = 4
+	defaultSharedLevel   = 2
+)
+
+// finisher is an answer that is closed with the request's result.
+type finisher interface {
+	answer
+	finish(r result)
+}
+
+// serveModel is the handler of both completion calls.
+func (e *Entry) serveModel(c echo.Context) error {
+	call := callOf(c)
+	body, refusal := e.readBody(c)
+	if refusal != nil {
+		return refusal
+	}
+	req, refusal := decodeModelRequest(c.Request().URL.Path, body)
+	if refusal != nil {
+		return refusal
+	}
+	w, refusal := e.modelWork(c, call, req, body)
+	if refusal != nil {
+		return refusal
+	}
+	return e.serve(c, w, req.promptTokens(w.policy.BytesPerToken), func(client *caller) finisher {
+		if w.stream {
+			return &sseSink{caller: client, mint: e.resumeToken}
+		}
+		return &plainSink{caller: client, limit: e.settings.Limits.AnswerBytes}
+	})
+}
+
+// modelWork looks up what the request needs in the catalog.
+func (e *Entry) modelWork(c echo.Context, call *call, req *modelRequest, body []byte) (*work, *Error) {
+	if req.promptBytes() > e.settings.Limits.PromptBytes {
+		return nil, refuse(http.StatusBadRequest, CodePromptTooLarge, "the prompt is longer than the limit")
+	}
+	pool, ok := call.table.PoolOfModel(req.Model)
+	if !ok {
+		return nil, refuse(http.StatusNotFound, CodeModelNotFound, "no such model")
+	}
+	version := catalog.ActiveVersion(pool)
+	adapter, ok := adapterOf(pool, req.Adapter)
+	if version == nil || !ok {
+		return nil, refuse(http.StatusNotFound, CodeModelNotFound, "the model has no such version or adapter")
+	}
+	w := &work{
+		pool: pool, model: req.Model, version: version.GetDigest(), adapter: adapter,
+		apiPath: c.Request().URL.Path, stream: req.Stream, maxOut: req.maxOutput(),
+		body: &wholeBody{body: body}, repeatable: true,
+		keepOpen: req.Stream && c.Request().Header.Get(HeaderResume) == resumeKeep,
+	}
+	rule, refusal := e.admit(c, call, w, catalog.Traffic{Model: req.Model})
+	if refusal != nil {
+		return nil, refusal
+	}
+	seed := prefix.Seed{Workspace: w.workspace.GetName(), Model: w.model, VersionDigest: w.version, Adapter: adapter}
+	chain := prefix.Chain(seed, req.Parts)
+	w.route = &routing.Request{
+		ID: w.id, Workspace: w.workspace.GetName(), Pool: pool.GetName(), VersionDigest: w.version, Adapter: adapter,
+		Class: w.class, Chain: chain.Points, Levels: chain.Levels, PromptBytes: chain.Bytes, DataCentres: rule.GetDataCentres(),
+	}
+	w.policy = policyOf(pool)
+	return w, nil
+}
+
+// adapterOf checks the adapter's name, false when the pool declares none of it.
+func adapterOf(pool *jayv1.Pool, name string) (string, bool) {
+	if name == "" {
+		return "", true
+	}
+	for _, adapter := range pool.GetAdapters() {
+		if adapter.GetName() == name {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// admit fills in who asks, under which rule and until when.
+func (e *Entry) admit(c echo.Context, call *call, w *work, traffic catalog.Traffic) (*jayv1.Rule, *Error) {
+	traffic.Workspace = call.workspace.GetName()
+	traffic.ClassLabel = c.Request().Header.Get(HeaderClass)
+	rule := call.table.Match(traffic)
+	if rule.GetDeny() {
+		return nil, refuse(http.StatusForbidden, CodeForbidden, "a rule denies this traffic")
+	}
+	w.id, w.workspace, w.started = call.id, call.workspace, call.started
+	w.class = classOf(rule, call.workspace)
+	w.priority = rule.GetEnginePriority()
+	deadline := ms(e.settings.Timeouts.DeadlineMS)
+	if rule.GetDeadlineMs() > 0 {
+		deadline = time.Duration(rule.GetDeadlineMs()) * time.Millisecond
+	}
+	w.deadline = call.started.Add(deadline)
+	return rule, nil
+}
+
+func classOf(rule *jayv1.Rule, workspace *jayv1.Workspace) jayv1.Class {
+	for _, class := range []jayv1.Class{rule.GetClass(), workspace.GetDefaultClass()} {
+		if class != jayv1.Class_CLASS_UNSPECIFIED {
+			return class
+		}
+	}
+	return jayv1.Class_CLASS_STANDARD
+}
+
+func policyOf(pool *jayv1.Pool) *routing.PoolPolicy {
+	policy := &routing.PoolPolicy{
+		Pool: pool.GetName(), RecomputeWeight: pool.GetRecomputeWeight(),
+		BytesPerToken: pool.GetBytesPerToken(), SharedLevel: int(pool.GetSharedLevel()),
+		PrefillTokensPerSecond: pool.GetPrefillTokensPerSecond(),
+	}
+	if policy.BytesPerToken == 0 {
+		policy.BytesPerToken = defaultBytesPerToken
+	}
+	if policy.SharedLevel == 0 {
+		policy.SharedLevel = defaultSharedLevel
+	}
+	return policy
+}
+
+func (r *modelRequest) promptTokens(bytesPerToken float64) float64 {
+	return float64(r.promptBytes()) / bytesPerToken
+}
+
+// modelList is the answer of /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// listModels lists the models that no rule denies to the workspace.
+func (e *Entry) listModels(c echo.Context) error {
+	call := callOf(c)
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, pool := range call.table.Pools() {
+		rule := call.table.Match(catalog.Traffic{
+			Workspace: call.workspace.GetName(), Model: pool.GetModel(),
+			ClassLabel: c.Request().Header.Get(HeaderClass),
+		})
+		if rule.GetDeny() {
+			continue
+		}
+		list.Data = append(list.Data, modelItem{ID: pool.GetModel(), Object: "model", OwnedBy: "jayproxy"})
+		for _, adapter := range pool.GetAdapters() {
+			id := pool.GetModel() + adapterSeparator + adapter.GetName()
+			list.Data = append(list.Data, modelItem{ID: id, Object: "model", OwnedBy: "jayproxy"})
+		}
+	}
+	c.Response().Header().Set(HeaderOutcome, OutcomeName(jayv1.Outcome_OUTCOME_DONE))
+	c.Response().Header().Set(HeaderAttempts, "0")
+	return c.JSON(http.StatusOK, list)
+}
--- /dev/null
+++ b/internal/entry/resume.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"encoding/base64"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+	"google.golang.org/protobuf/proto"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+)
+
+// errToken is a resume token that says nothing.
+var errToken = errors.New("resume token is not valid")
+
+// maxTokenBytes bounds an encoded resume token.
+const maxTokenBytes = 1024
+
+// resumeToken names the stream of an attempt: where it runs, which it is, and
+// the nonce that only its caller has. The workspace is not part of it: it is
+// taken from the key of whoever resumes.
+func (e *Entry) resumeToken(a *attempt) string {
+	return encodeToken(&jayv1.ResumeToken{BackendServer: a.server, RequestId: a.id, Attempt: a.number, Nonce: a.nonce})
+}
+
+func encodeToken(token *jayv1.ResumeToken) string {
+	encoded, err := proto.Marshal(token)
+	if err != nil {
+		return ""
+	}
+	return base64.RawURLEncoding.EncodeToString(encoded)
+}
+
+func decodeToken(text string) (*jayv1.ResumeToken, error) {
+	if len(text) > maxTokenBytes {
+		return nil, errToken
+	}
+	encoded, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return nil, errToken
+	}
+	token := &jayv1.ResumeToken{}
+	if proto.Unmarshal(encoded, token) != nil {
+		return nil, errToken
+	}
+	if token.GetBackendServer() == "" || token.GetRequestId() == "" || len(token.GetNonce()) != nonceBytes {
+		return nil, errToken
+	}
+	return token, nil
+}
+
+// resumeStream continues a stream after Last-Event-ID, at whichever entry the
+// caller's new connection came to.
+func (e *Entry) resumeStream(c echo.Context) error {
+	call := callOf(c)
+	notFound := refuse(http.StatusNotFound, CodeStreamNotFound, "no such stream")
+	notFound.Outcome = jayv1.Outcome_OUTCOME_UNKNOWN
+	token, err := decodeToken(c.Param("token"))
+	if err != nil {
+		return notFound
+	}
+	server, ok := call.table.BackendServer(token.GetBackendServer())
+	if !ok {
+		return notFound
+	}
+	next, ok := nextAfter(c.Request().Header.Get("Last-Event-ID"))
+	if !ok {
+		return invalid("Last-Event-ID is not a number")
+	}
+	leave, refusal := e.streams.enter(call.workspace.GetName())
+	if refusal != nil {
+		return refusal
+	}
+	defer leave()
+	a := newAttempt(token.GetRequestId(), token.GetAttempt())
+	a.server, a.address = server.GetName(), server.GetAgentAddress()
+	a.workspace, a.nonce, a.nextSeq = call.workspace.GetName(), token.GetNonce(), next
+	a.dial, a.limits, a.timeouts = e.node, e.settings.Attempts, e.settings.Timeouts
+	a.detach = c.Request().Header.Get(HeaderResume) == resumeKeep
+	client := newCaller(c.Response(), token.GetRequestId(), ms(e.settings.Timeouts.CallerWriteMS))
+	to := &sseSink{caller: client, mint: e.resumeToken}
+	to.Begin(a)
+	a.follow(c.Request().Context(), to)
+	to.finish(resumed(a, to.Started(), notFound))
+	return nil
+}
+
+// nextAfter is the number of the first chunk wanted after the last event seen.
+func nextAfter(lastEventID string) (uint64, bool) {
+	if lastEventID == "" {
+		return 0, true
+	}
+	last, err := strconv.ParseUint(lastEventID, 10, 64)
+	return last + 1, err == nil && last+1 != 0
+}
+
+// resumed is the result of a stream that was continued.
+func resumed(a *attempt, started bool, notFound *Error) result {
+	r := result{outcome: a.outcome(), attempts: a.number, end: a.end, server: a.server}
+	switch {
+	case r.outcome == jayv1.Outcome_OUTCOME_DONE:
+	case !started && a.end != nil:
+		r.err = notFound
+	default:
+		r.err = &Error{
+			Status: http.StatusBadGateway, Code: CodeStreamBroken, Outcome: r.outcome,
+			Message: "the stream could not be completed",
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"k8s.io/klog/v2"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+)
+
+// serve takes a request through the limits and its attempts to its answer.
+func (e *Entry) serve(c echo.Context, w *work, tokens float64, open func(*caller) finisher) error {
+	leave, refusal := e.enter(w.workspace, tokens)
+	if refusal != nil {
+		return refusal
+	}
+	defer leave()
+	defer e.leaveLimits(w.workspace.GetName())
+	if refusal := e.claim(c.Request().Context(), w); refusal != nil {
+		return refusal
+	}
+	client := newCaller(c.Response(), w.id, ms(e.settings.Timeouts.CallerWriteMS))
+	client.onToken = e.tokenMeter(w)
+	to := open(client)
+	r := e.handOver(c.Request().Context(), w, to)
+	e.settle(w, r)
+	e.measure(w, r)
+	to.finish(r)
+	return nil
+}
+
+// enter counts the request in, or refuses it before anything was done for it.
+func (e *Entry) enter(workspace *jayv1.Workspace, tokens float64) (func(), *Error) {
+	if e.stopping.Load() && !e.serving.Load() {
+		return nil, refuseForNow(http.StatusServiceUnavailable, CodeOverloaded, "the entry is stopping", 0)
+	}
+	leave, refusal := e.streams.enter(workspace.GetName())
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal := e.withinLimits(workspace, tokens); refusal != nil {
+		leave()
+		return nil, refusal
+	}
+	return leave, nil
+}
+
+// streamCount bounds the requests under way, in all and for each workspace.
+type streamCount struct {
+	mu           sync.Mutex
+	max          int
+	perWorkspace int
+	all          int
+	of           map[string]int
+	idle         chan struct{}
+}
+
+func newStreamCount(limits LimitSettings) *streamCount {
+	return &streamCount{max: limits.Streams, perWorkspace: limits.StreamsPerWorkspace, of: map[string]int{}}
+}
+
+func (s *streamCount) enter(workspace string) (func(), *Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all >= s.max {
+		return nil, refuseForNow(http.StatusServiceUnavailable, CodeTooManyStreams, "too many requests are under way", 0)
+	}
+	if s.of[workspace] >= s.perWorkspace {
+		return nil, refuseForNow(http.StatusTooManyRequests, CodeTooManyStreams, "too many requests of the workspace are under way", 0)
+	}
+	s.all++
+	s.of[workspace]++
+	return func() { s.leave(workspace) }, nil
+}
+
+func (s *streamCount) leave(workspace string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all--
+	s.of[workspace]--
+	if s.of[workspace] == 0 {
+		delete(s.of, workspace)
+	}
+	if s.all == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
+// wait returns when no request is under way, or the context ends.
+func (s *streamCount) wait(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		if s.all == 0 {
+			s.mu.Unlock()
+			return nil
+		}
+		if s.idle == nil {
+			s.idle = make(chan struct{})
+		}
+		idle := s.idle
+		s.mu.Unlock()
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Names of the metrics, by workspace and by class.
+const (
+	metricFirstToken  = "first_token"
+	metricNextToken   = "next_token"
+	metricQueueWait   = "queue_wait"
+	metricCachedShare = "cached_share_percent"
+	metricRecomputed  = "recomputed_tokens"
+	metricRequests    = "requests"
+	metricRefusals    = "refusals"
+	classLabelPrefix  = "class:"
+)
+
+// labels of a request: its workspace and its class.
+func labels(w *work) [2]string {
+	return [2]string{w.workspace.GetName(), classLabelPrefix + jayv1.Class_name[int32(w.class)]}
+}
+
+func (e *Entry) tokenMeter(w *work) func(time.Time, time.Duration) {
+	names := labels(w)
+	first := true
+	return func(now time.Time, since time.Duration) {
+		for _, label := range names {
+			if first {
+				e.metrics.Time(metricFirstToken, label, now.Sub(w.started))
+			} else {
+				e.metrics.Time(metricNextToken, label, since)
+			}
+		}
+		first = false
+	}
+}
+
+// measure keeps what a finished request cost.
+func (e *Entry) measure(w *work, r result) {
+	const percent = 100
+	usage := r.end.GetUsage()
+	for _, label := range labels(w) {
+		e.metrics.Count(metricRequests+"_"+OutcomeName(r.outcome), label, 1)
+		if r.err != nil {
+			e.metrics.Count(metricRefusals+"_"+string(r.err.Code), label, 1)
+			continue
+		}
+		if usage.GetPromptTokens() == 0 {
+			continue
+		}
+		e.metrics.Time(metricQueueWait, label, time.Duration(usage.GetQueueWaitMs()*float64(time.Millisecond)))
+		e.metrics.Value(metricCachedShare, label, int64(percent*usage.GetCachedTokens()/usage.GetPromptTokens()))
+		e.metrics.Value(metricRecomputed, label, int64(usage.GetRecomputedTokens()))
+	}
+	klog.V(1).InfoS("request over", "request", w.id, "workspace", w.workspace.GetName(), "server", r.server,
+		"attempts", r.attempts, "outcome", OutcomeName(r.outcome))
+}
+
+// countRefusal counts a request that was refused before its first attempt.
+func (e *Entry) countRefusal(workspace *jayv1.Workspace, refusal *Error) {
+	label := "none"
+	if workspace != nil {
+		label = workspace.GetName()
+	}
+	e.metrics.Count(metricRefusals+"_"+string(refusal.Code), label, 1)
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/routing"
+)
+
+const servicesPrefix = "/services/"
+
+// serveService is the handler of plain services, any method.
+func (e *Entry) serveService(c echo.Context) error {
+	call := callOf(c)
+	w, refusal := e.serviceWork(c, call)
+	if refusal != nil {
+		return refusal
+	}
+	return e.serve(c, w, 0, func(client *caller) finisher { return &serviceSink{caller: client} })
+}
+
+func (e *Entry) serviceWork(c echo.Context, call *call) (*work, *Error) {
+	service, ok := call.table.Service(c.Param("name"))
+	if !ok || service.GetKvStore() {
+		return nil, refuse(http.StatusNotFound, CodeServiceNotFound, "no such service")
+	}
+	request := c.Request()
+	if request.ContentLength > e.settings.Limits.BodyBytes {
+		return nil, refuse(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is longer than the limit")
+	}
+	path := pathBelow(request)
+	w := &work{
+		service: service, method: request.Method, path: path, headers: passedHeaders(request.Header),
+		key: request.Header.Get(HeaderIdempotencyKey),
+	}
+	bare, _, _ := strings.Cut(path, "?")
+	w.nonRepeatable = catalog.NonRepeatable(service, request.Method, bare)
+	w.repeatable = !w.nonRepeatable && safeMethod(request.Method)
+	if len(w.key) > e.settings.Limits.KeyBytes {
+		return nil, invalid("the idempotency key is longer than the limit")
+	}
+	rule, refusal := e.admit(c, call, w, catalog.Traffic{Service: service.GetName()})
+	if refusal != nil {
+		return nil, refusal
+	}
+	w.body = e.serviceBody(c)
+	w.route = &routing.Request{ID: w.id, Workspace: w.workspace.GetName(), Class: w.class, DataCentres: rule.GetDataCentres()}
+	w.policy = &routing.PoolPolicy{BytesPerToken: defaultBytesPerToken, SharedLevel: defaultSharedLevel}
+	return w, nil
+}
+
+// pathBelow is the path and query below the service, as the caller wrote it.
+func pathBelow(request *http.Request) string {
+	path := strings.TrimPrefix(request.URL.EscapedPath(), servicesPrefix)
+	_, path, _ = strings.Cut(path, "/")
+	path = "/" + path
+	if request.URL.RawQuery != "" {
+		path += "?" + request.URL.RawQuery
+	}
+	return path
+}
+
+// serviceBody streams the body, bounded in size and in patience.
+func (e *Entry) serviceBody(c echo.Context) bodySource {
+	request := c.Request()
+	if request.Body == nil || request.Body == http.NoBody {
+		return &wholeBody{}
+	}
+	patient := &patientReader{
+		from: request.Body, control: http.NewResponseController(c.Response()),
+		patience: ms(e.settings.Timeouts.CallerReadMS),
+	}
+	bounded := &boundedReader{from: patient, left: e.settings.Limits.BodyBytes}
+	return newStreamedBody(bounded, e.settings.Limits.KeptBodyBytes)
+}
+
+// safeMethod tells whether a call may be started again by its method alone.
+func safeMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// hopHeaders concern one connection, or the entry itself, and go no further.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Authorization": true, "Content-Length": true, "Host": true,
+}
+
+func passedHeaders(header http.Header) []*jayv1.Header {
+	dropped := connectionHeaders(header)
+	var passed []*jayv1.Header
+	for name, values := range header {
+		if hopHeaders[name] || dropped[name] {
+			continue
+		}
+		for _, value := range values {
+			passed = append(passed, &jayv1.Header{Name: name, Value: value})
+		}
+	}
+	return passed
+}
+
+// connectionHeaders are those that the caller's Connection header names.
+func connectionHeaders(header http.Header) map[string]bool {
+	named := map[string]bool{}
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
+// passesBack keeps a service from speaking in the entry's name.
+func passesBack(name string) bool {
+	canonical := http.CanonicalHeaderKey(name)
+	return !hopHeaders[canonical] && !strings.HasPrefix(canonical, "X-Jay-")
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/platform"
+)
+
+// Settings of an entry. Addresses are IP:port, port 0 takes a free one.
+type Settings struct {
+	Name       string `toml:"name" doc:"Name of the process; empty takes the name in the certificate. Request ids carry it."`
+	DataCentre string `toml:"data_centre" validate:"required" doc:"Data centre that the VM stands in."`
+	Region     string `toml:"region" doc:"Region of the data centre."`
+
+	CallersAddress   string `toml:"callers_address" validate:"required,hostname_port" doc:"Address of the callers' HTTP API."`
+	OperatorsAddress string `toml:"operators_address" validate:"required,hostname_port" doc:"Address of the operators' remote procedure calls (mutual TLS)."`
+	AdminAddress     string `toml:"admin_address" validate:"required,hostname_port" doc:"Address of liveness, readiness, metrics and debug pages."`
+	Address          string `toml:"address" validate:"required,hostname_port" doc:"Address of the QUIC listener for the system's own processes."`
+
+	KeysDir     string `toml:"keys_dir" validate:"required" doc:"Folder with ca.pem, cert.pem and key.pem; read again while running."`
+	PlatformURL string `toml:"platform_url" validate:"omitempty,url" doc:"Base URL of the platform."`
+	Policy      string `toml:"policy" doc:"Routing policy; empty takes the default."`
+	MaxLabels   int    `toml:"max_labels" validate:"gt=0" doc:"Workspaces and classes that metrics keep apart; others flow together."`
+
+	Limits   LimitSettings   `toml:"limits"`
+	Timeouts TimeoutSettings `toml:"timeouts"`
+	Attempts AttemptSettings `toml:"attempts"`
+	Ledger   LedgerSettings  `toml:"ledger"`
+
+	// Holder is the catalog to serve by; nil: the entry makes its own.
+	Holder *catalog.Holder `toml:"-"`
+	// Platform replaces the client of PlatformURL, e.g. in tests.
+	Platform platform.Platform `toml:"-"`
+}
+
+// LimitSettings bound what callers may ask of one entry.
+type LimitSettings struct {
+	BodyBytes           int64 `toml:"body_bytes" validate:"gt=0" unit:"bytes" doc:"Longest request body."`
+	AnswerBytes         int64 `toml:"answer_bytes" validate:"gt=0" unit:"bytes" doc:"Longest answer that is not streamed; it is held whole until it is complete."`
+	HeaderBytes         int   `toml:"header_bytes" validate:"gt=0" unit:"bytes" doc:"All request headers together."`
+	PromptBytes         int   `toml:"prompt_bytes" validate:"gt=0" unit:"bytes" doc:"Longest prompt after rendering."`
+	KeptBodyBytes       int   `toml:"kept_body_bytes" validate:"gt=0" unit:"bytes" doc:"Part of a service call's body that is kept for a further attempt."`
+	Streams             int   `toml:"streams" validate:"gt=0" unit:"requests" doc:"Requests under way at once."`
+	StreamsPerWorkspace int   `toml:"streams_per_workspace" validate:"gt=0" unit:"requests" doc:"Requests of one workspace under way at once."`
+	KeyBytes            int   `toml:"key_bytes" validate:"gt=0,lte=512" unit:"bytes" doc:"Longest idempotency key."`
+}
+
+// TimeoutSettings of an entry, in milliseconds.
+type TimeoutSettings struct {
+	DeadlineMS    int `toml:"deadline_ms" validate:"gt=0" unit:"ms" doc:"Time to the first token after which a request is given up, when no rule says otherwise."`
+	OfferMS       int `toml:"offer_ms" validate:"gt=0" unit:"ms" doc:"Wait for an agent's answer to an offer."`
+	StreamIdleMS  int `toml:"stream_idle_ms" validate:"gt=0" unit:"ms" doc:"Silence of a running stream after which it is given up."`
+	CallerWriteMS int `toml:"caller_write_ms" validate:"gt=0" unit:"ms" doc:"A caller that takes no byte for this long is cut off."`
+	CallerReadMS  int `toml:"caller_read_ms" validate:"gt=0" unit:"ms" doc:"A caller that sends no byte of its body for this long is cut off."`
+	GraceMS       int `toml:"grace_ms" validate:"gte=0" unit:"ms" doc:"Time between not ready and closed listener at a stop, for the balancer."`
+	KeysReloadMS  int `toml:"keys_reload_ms" validate:"gt=0" unit:"ms" doc:"Interval of reading the keys folder again."`
+	VMListMS      int `toml:"vm_list_ms" validate:"gt=0" unit:"ms" doc:"Interval of reading the platform's list of VMs."`
+}
+
+// AttemptSettings bound the attempts of a request.
+type AttemptSettings struct {
+	Max            int     `toml:"max" validate:"gt=0" unit:"attempts" doc:"Attempts of a request, declined offers included."`
+	MaxDeclines    int     `toml:"max_declines" validate:"gte=0" unit:"offers" doc:"Offers that agents may decline for cost before one is final."`
+	RetryShare     float64 `toml:"retry_share" validate:"gte=0,lte=1" doc:"Retries of started work as a share of successes."`
+	RetryBurst     float64 `toml:"retry_burst" validate:"gte=0" unit:"retries" doc:"Most retries of started work that can be saved up."`
+	ResumeTries    int     `toml:"resume_tries" validate:"gte=0" unit:"tries" doc:"Connections tried to resume a stream whose link was lost."`
+	ResumeWaitMS   int     `toml:"resume_wait_ms" validate:"gt=0" unit:"ms" doc:"Wait before the second try to resume; doubles with each."`
+	ResumeWindowMS int     `toml:"resume_window_ms" validate:"gt=0" unit:"ms" doc:"Time after a lost link in which a stream is resumed."`
+	AckChunks      int     `toml:"ack_chunks" validate:"gt=0" unit:"chunks" doc:"Chunks passed on between two acknowledgements to the agent."`
+}
+
+// LedgerSettings of the at-most-once claims.
+type LedgerSettings struct {
+	WindowMS int `toml:"window_ms" validate:"gt=0" unit:"ms" doc:"Wait for further claims before a transaction is sent."`
+	InFlight int `toml:"in_flight" validate:"gt=0" unit:"transactions" doc:"Transactions under way at once."`
+	SettleMS int `toml:"settle_ms" validate:"gt=0" unit:"ms" doc:"Time to take a claim, including the settling of lost answers; then the call is refused as not run."`
+}
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	return Settings{
+		CallersAddress: "127.0.0.1:0", OperatorsAddress: "127.0.0.1:0",
+		AdminAddress: "127.0.0.1:0", Address: "127.0.0.1:0",
+		MaxLabels: 512,
+		Limits: LimitSettings{
+			BodyBytes: 8 << 20, AnswerBytes: 8 << 20, HeaderBytes: 32 << 10, PromptBytes: 4 << 20,
+			KeptBodyBytes: 1 << 20, Streams: 20000, StreamsPerWorkspace: 5000, KeyBytes: 200,
+		},
+		Timeouts: TimeoutSettings{
+			DeadlineMS: 60000, OfferMS: 3000, StreamIdleMS: 60000, CallerWriteMS: 20000, CallerReadMS: 20000,
+			GraceMS: 3000, KeysReloadMS: 10000, VMListMS: 1000,
+		},
+		Attempts: AttemptSettings{
+			Max: 8, MaxDeclines: 3, RetryShare: 0.1, RetryBurst: 20,
+			ResumeTries: 6, ResumeWaitMS: 50, ResumeWindowMS: 15000, AckChunks: 32,
+		},
+		Ledger: LedgerSettings{WindowMS: 3, InFlight: 4, SettleMS: 3000},
+	}
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/entry/stream_test.go
@@ -0,0 +1,143 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/entry"
+)
+
+// Story: a foreman reads an answer as it is written. The link between entry
+// and agent breaks in the middle, several times. Without resume he would see
+// half a sentence; with a resume at the wrong place a word twice.
+func TestALinkLostInMidStreamLosesAndDoublesNothing(t *testing.T) {
+	s := newSite(t, "b1")
+	s.agents[0].answer = tokens(20)
+	s.agents[0].cutAfter, s.agents[0].cuts = 4, 5
+	e := s.entry("e1")
+	r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
+	require.Equal(t, http.StatusOK, r.status, r.body)
+	var want []string
+	for i := range 20 {
+		want = append(want, fmt.Sprintf("t%d ", i))
+	}
+	assert.Equal(t, want, texts(r.body))
+	assert.Equal(t, 5, s.agents[0].seen(func(f *fakeAgent) int { return f.resumes }))
+	assert.Equal(t, 1, s.agents[0].ran(r.header.Get(entry.HeaderRequestID)))
+	assert.True(t, strings.HasSuffix(r.body, "data: [DONE]\n\n"))
+}
+
+// Story: the engine dies after a few words and nothing can bring the rest.
+// A stream that just ended would look like a complete, short answer.
+func TestAStreamThatCannotBeCompletedEndsInAnErrorEvent(t *testing.T) {
+	s := newSite(t, "b1")
+	s.agents[0].answer = func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+		emit(`{"choices":[{"delta":{"content":"half"}}]}`)
+		return &jayv1.End{Outcome: jayv1.Outcome_OUTCOME_UNKNOWN, Error: "engine broke"}
+	}
+	e := s.entry("e1")
+	r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
+	require.NoError(t, r.err)
+	assert.Equal(t, []string{"half"}, texts(r.body))
+	assert.Contains(t, r.body, "event: error\ndata: {\"error\":{")
+	assert.Contains(t, r.body, `"outcome":"unknown"`)
+	assert.NotContains(t, r.body, "[DONE]")
+	assert.Equal(t, "unknown", r.trailer.Get(entry.HeaderOutcome))
+}
+
+// Story: the agent says that an answer is complete but its tail never came.
+// Counted chunks show it, and a resume that brings nothing must not hold the
+// caller for ever.
+func TestAnAnswerThatLacksItsTailIsNotCalledDone(t *testing.T) {
+	s := newSite(t, "b1")
+	s.agents[0].wrongCount = 1
+	e := s.entry("e1")
+	r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
+	assert.Contains(t, r.body, "event: error\n")
+	assert.NotContains(t, r.body, "[DONE]")
+}
+
+func TestACallerThatGoesAwayFreesTheSlot(t *testing.T) {
+	s := newSite(t, "b1")
+	s.agents[0].answer = paced(1000, 5*time.Millisecond)
+	e := s.entry("e1")
+	response := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
+	_, err := response.Body.Read(make([]byte, 10))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Eventually(t, func() bool {
+		return s.agents[0].seen(func(f *fakeAgent) int { return f.cancels }) == 1
+	}, 3*time.Second, 5*time.Millisecond)
+}
+
+// Story: a caller's connection breaks and the balancer brings it to another
+// entry. With its token and the last event it saw it gets the rest; with
+// another workspace's key it must learn nothing, not even that the stream exists.
+func TestACallerResumesAtAnotherEntry(t *testing.T) {
+	s := newSite(t, "b1")
+	s.agents[0].answer = paced(40, 2*time.Millisecond)
+	first, second := s.entry("e1"), s.entry("e2")
+	response := open(t, "POST", first.CallersURL()+chatPath, keyQuarry, chatStream, entry.HeaderResume, "keep")
+	token := response.Header.Get(entry.HeaderResumeToken)
+	seen := readEvents(t, response, 5)
+	require.NoError(t, response.Body.Close())
+
+	stranger := call(t, "GET", second.CallersURL()+"/v1/streams/"+token, keyOther, "", "Last-Event-ID", "4")
+	assert.Equal(t, http.StatusNotFound, stranger.status)
+	assert.Equal(t, string(entry.CodeStreamNotFound), errorOf(t, stranger).Code)
+
+	rest := call(t, "GET", second.CallersURL()+"/v1/streams/"+token, keyQuarry, "", "Last-Event-ID", "4")
+	require.Equal(t, http.StatusOK, rest.status, rest.body)
+	all := append(seen, texts(rest.body)...)
+	require.Len(t, all, 40)
+	for i, text := range all {
+		assert.Equal(t, fmt.Sprintf("t%d ", i), text)
+	}
+	assert.Contains(t, rest.body, "id: 5\n")
+	assert.True(t, strings.HasSuffix(rest.body, "data: [DONE]\n\n"))
+	assert.Zero(t, s.agents[0].seen(func(f *fakeAgent) int { return f.cancels }))
+}
+
+// readEvents reads the texts of the first n events.
+func readEvents(t *testing.T, response *http.Response, n int) []string {
+	t.Helper()
+	var read strings.Builder
+	buffer := make([]byte, 64)
+	for strings.Count(read.String(), "\n\n") < n {
+		got, err := response.Body.Read(buffer)
+		require.NoError(t, err)
+		read.Write(buffer[:got])
+	}
+	return texts(read.String())[:n]
+}
+
+// Story: a caller opens many long answers and reads none. Held in memory they
+// would bring the entry down for everybody; the caller is cut off instead.
+func TestASlowReaderIsCutOffAndHarmsNobody(t *testing.T) {
+	s := newSite(t, "b1")
+	long := strings.Repeat("x", 64<<10)
+	s.agents[0].answer = func(offer *jayv1.Offer, body []byte, emit func(string)) *jayv1.End {
+		if offer.GetWorkspace() == "other" {
+			return tokens(3)(offer, body, emit)
+		}
+		for range 400 {
+			emit(long)
+		}
+		return done()
+	}
+	e := s.entry("e1", func(settings *entry.Settings) { settings.Timeouts.CallerWriteMS = 300 })
+	slow := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
+	defer func() { _ = slow.Body.Close() }()
+	r := call(t, "POST", e.CallersURL()+chatPath, keyOther, chatStream)
+	assert.Len(t, texts(r.body), 3)
+	require.Eventually(t, func() bool {
+		return s.agents[0].seen(func(f *fakeAgent) int { return f.cancels }) == 1
+	}, 5*time.Second, 10*time.Millisecond)
+}
