End a stream only after the peer has said its last word

Ruled out: leaving the receiving side open (half-open streams add up to the connection's limit of streams). Change: after a handler the transport reads and drops what still comes until the peer ends its side, at most for the link timeout. The fake agent of the entry's tests keeps its handler until the entry has ended its side, as the real one does.

--- a/internal/entry/fakeagent_test.go
+++ b/internal/entry/fakeagent_test.go
@@ -181,7 +181,11 @@
 
 // send passes kept chunks on from a number, and listens for Ack and Cancel.
 func (f *fakeAgent) send(ctx context.Context, s *transport.Stream, kept *keptStream, from uint64) {
-	go f.listen(s)
+	heard := make(chan struct{})
+	go func() {
+		defer close(heard)
+		f.listen(s)
+	}()
 	if f.head != nil && from == 0 {
 		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_ServiceHead{ServiceHead: f.head}})
 	}
@@ -189,6 +193,7 @@
 		chunk, end := kept.wait(from)
 		if end != nil {
 			_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_End{End: end}})
+			<-heard // The last Ack may cross the End.
 			return
 		}
 		if f.cutNow(from) {
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -59,7 +59,8 @@
 	return o
 }
 
-// Handler serves one incoming stream. The stream is ended when it returns.
+// Handler serves one incoming stream. The stream is ended when it returns, and
+// nothing may use it afterwards.
 type Handler func(ctx context.Context, peer keys.Identity, stream *Stream)
 
 // Node is a process's end of all its links: one UDP socket, a listener and the
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -174,11 +174,15 @@
 	s.stopHeartbeat()
 }
 
-// finish ends both sides after a handler: what the peer still sends is not
-// read by anyone, and a stream that is half open would count against the
-// connection's limit for as long as the connection lasts.
+// finish ends both sides after a handler. What the peer still sends, such as
+// an acknowledgement that crossed the last frame, is read and dropped until it
+// ends its side: refusing it at once would fail the peer's sends while it still
+// reads the answer. A peer that does not end its side within the link timeout
+// is refused, so that half-open streams do not add up to the connection's limit.
 func (s *Stream) finish() {
 	_ = s.CloseSend()
+	_ = s.quic.SetReadDeadline(time.Now().Add(s.timeout))
+	_, _ = io.Copy(io.Discard, s.quic)
 	s.quic.CancelRead(abortCode)
 }
 
