Keep every chunk until it is acknowledged

Cause: the replay buffer made room by dropping chunks that were only sent. A link that broke just then took them along, and the answer could not be resumed. Weighed: dropping sent chunks (memory bounded, streams break), growing (streams hold, memory does not), holding the engine back until the reader acknowledges; the last keeps both, and the stall time ends a reader that never does. Change: Append makes room from acknowledged chunks only; they stay as long as there is room, for callers that come back. A resume acknowledges.

--- a/internal/relay/buffer.go
+++ b/internal/relay/buffer.go
@@ -29,19 +29,22 @@
 	chunks [][]byte
 	// cursor is the number of the next chunk to send on the present link.
 	cursor uint64
+	// acked: the receiver has passed on all chunks below it.
+	acked uint64
 }
 
 // NewBuffer makes a buffer that holds at most maxBytes.
 func NewBuffer(maxBytes int) *Buffer { return &Buffer{maxBytes: maxBytes} }
 
 // Append adds the next chunk. To make room it lets go of the oldest chunks
-// that were sent. ErrFull: the receiver is so far behind that only unsent
-// chunks are left; the caller waits for Next or Ack to make room. A chunk
-// larger than the bound is taken when the buffer is empty.
+// that were acknowledged, and of no others: a chunk that was only sent may have
+// been lost with its link, and an answer without it could never be made whole.
+// ErrFull: the receiver is so far behind that there are none; the caller waits
+// for Ack. A chunk larger than the bound is taken when the buffer is empty.
 func (b *Buffer) Append(data []byte) error {
 	size := len(data) + chunkOverhead
 	for b.bytes+size > b.maxBytes && len(b.chunks) > 0 {
-		if b.first >= b.cursor {
+		if b.first >= b.acked {
 			return ErrFull
 		}
 		b.dropFirst()
@@ -61,15 +64,17 @@
 	return seq, b.chunks[seq-b.first], true
 }
 
-// Ack lets go of all chunks below next: the receiver has passed them on.
-// Numbers beyond what was sent are ignored.
+// Ack tells that the receiver has passed on all chunks below next. They stay
+// for a caller that comes back later until their room is needed. Numbers
+// beyond what was sent are ignored.
 func (b *Buffer) Ack(next uint64) {
-	for b.first < next && b.first < b.cursor {
-		b.dropFirst()
+	if next <= b.cursor {
+		b.acked = max(b.acked, next)
 	}
 }
 
-// Resume moves the cursor to the first chunk that the receiver lacks.
+// Resume moves the cursor to the first chunk that the receiver lacks, which
+// acknowledges all before it.
 func (b *Buffer) Resume(next uint64) error {
 	if next < b.first {
 		return ErrEvicted
@@ -78,15 +83,13 @@
 		return ErrAhead
 	}
 	b.cursor = next
+	b.acked = max(b.acked, next)
 	return nil
 }
 
 // Count is the number of chunks appended so far.
 func (b *Buffer) Count() uint64 { return b.first + uint64(len(b.chunks)) }
 
-// Drained tells whether every chunk was sent on the present link.
-func (b *Buffer) Drained() bool { return b.cursor == b.Count() }
-
 // Bytes is the memory that the kept chunks take.
 func (b *Buffer) Bytes() int { return b.bytes }
 
