Join entry, agents, spread, operators' calls and the router into one path

Cause: the parts had landed apart; an entry chose in turn and knew no catalog but one handed to it. Change: internal/entry runs the spread of the catalog and the operators' listener, asks agents when the policy says so, and teaches the router from each answer; internal/agent takes the catalog from the entries that talk to it; jay-agent links the dialects in.

--- a/cmd/jay-agent/main.go
+++ b/cmd/jay-agent/main.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/agent"
+	"github.com/jayproxy/jayproxy/internal/engine/dialect"
 	"github.com/jayproxy/jayproxy/internal/settings"
 )
 
@@ -45,6 +46,7 @@
 func run(ctx context.Context, file string) error {
 	defer klog.Flush()
 	loaded := agent.Default()
+	loaded.OpenEngine = dialect.Open
 	if err := settings.Load(file, &loaded); err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/jayproxy/jayproxy/charts"
 	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/metrics"
+	"github.com/jayproxy/jayproxy/internal/spread"
 	"github.com/jayproxy/jayproxy/internal/transport"
 )
 
@@ -41,6 +42,8 @@
 	schedule *schedule
 	model    *modelBackend   // nil beside a plain service
 	service  *serviceBackend // nil beside a model engine
+	spread   *spread.Service
+	ready    chan struct{} // closed when spread is set
 	leaving  atomic.Bool
 	wg       sync.WaitGroup
 	mu       sync.Mutex
@@ -62,6 +65,7 @@
 		catalog:  settings.Catalog,
 		metrics:  metrics.New(maxMetricLabels),
 		works:    newRegistry(),
+		ready:    make(chan struct{}),
 	}
 	if a.catalog == nil {
 		a.catalog = catalog.NewHolder()
@@ -76,6 +80,10 @@
 		a.stop()
 		return nil, err
 	}
+	if err := a.startSpread(creds); err != nil {
+		a.Close()
+		return nil, err
+	}
 	a.goRun(func() { creds.Watch(a.ctx, millis(settings.KeyReloadMS)) })
 	a.goRun(func() { a.schedule.loop() })
 	if a.model != nil {
@@ -172,6 +180,9 @@
 	a.closed = true
 	a.mu.Unlock()
 	a.stop()
+	if a.spread != nil {
+		a.spread.Close()
+	}
 	_ = a.node.Close()
 	_ = a.admin.Close()
 	a.wg.Wait()
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/engine"
+	"github.com/jayproxy/jayproxy/internal/spread"
 )
 
 // Settings of an agent. Times are in milliseconds, so that a settings file
@@ -26,6 +27,9 @@
 	DrainMS     int `toml:"drain_ms" validate:"min=0" unit:"ms" doc:"How long a graceful shutdown waits for running work."`
 	KeyReloadMS int `toml:"key_reload_ms" validate:"min=100" unit:"ms" doc:"How often the keys folder is read again."`
 
+	// Spread of the catalog between processes.
+	Spread spread.Settings `toml:"spread"`
+
 	// Catalog in force; nil starts with an empty one.
 	Catalog *catalog.Holder `toml:"-" validate:"-"`
 	// OpenEngine opens a dialect by vendor; set by whoever starts the agent.
@@ -75,6 +79,7 @@
 			Floor: 0.1, PrefillGuess: 8000,
 		},
 		Replay:      ReplaySettings{Bytes: 1 << 20, RetainMS: 30_000, StallMS: 10_000},
+		Spread:      spread.DefaultSettings(),
 		DrainMS:     60_000,
 		KeyReloadMS: 5_000,
 	}
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -46,24 +46,10 @@
 		a.serveResume(ctx, frame.Resume, s)
 	case *jayv1.ClientFrame_Probe:
 		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_ProbeReply{ProbeReply: a.probe(frame.Probe)}})
-	case *jayv1.ClientFrame_Status:
-		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Status{Status: a.status()}})
 	case *jayv1.ClientFrame_Explain:
 		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Explain{Explain: &jayv1.ExplainReply{}}})
 	default:
-		s.Abort()
-	}
-}
-
-func (a *Agent) status() *jayv1.ProcessStatus {
-	return &jayv1.ProcessStatus{
-		Name:          a.settings.Name,
-		Role:          string(keys.RoleAgent),
-		DataCentre:    a.settings.DataCentre,
-		Generation:    a.catalog.Current().Generation(),
-		Leaving:       a.isLeaving(),
-		StartedUnixMs: a.started.UnixMilli(),
-		Agent:         a.state(),
+		a.serveControl(ctx, peer, first, s)
 	}
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -77,6 +77,10 @@
 	deadline time.Time
 	// detach: a caller that goes away may come back for the rest.
 	detach bool
+	// onAccept is called when the agent has taken the work.
+	onAccept func()
+	// acceptedAt and firstAt: when the agent took the work, and its first chunk.
+	acceptedAt, firstAt time.Time
 	// cause of an end without an End frame.
 	cause error
 }
@@ -116,6 +120,14 @@
 	}
 }
 
+// firstTokenMS is the time from acceptance to the first chunk, 0 when none came.
+func (a *attempt) firstTokenMS() float64 {
+	if a.firstAt.IsZero() || a.acceptedAt.IsZero() {
+		return 0
+	}
+	return float64(a.firstAt.Sub(a.acceptedAt)) / float64(time.Millisecond)
+}
+
 // run carries the attempt to its end.
 func (a *attempt) run(ctx context.Context, offer *jayv1.Offer, body bodySource, to sink) {
 	a.handOver(ctx, offer, body)
@@ -174,6 +186,10 @@
 		return
 	}
 	a.fire(eventAccept)
+	a.acceptedAt = time.Now()
+	if a.onAccept != nil {
+		a.onAccept()
+	}
 	if err := a.sendBody(body); err != nil {
 		a.cause = err
 		a.stream.Abort()
@@ -310,6 +326,9 @@
 	if err := gone(to.Chunk(chunk.GetSeq(), chunk.GetData())); err != nil {
 		return err
 	}
+	if a.firstAt.IsZero() {
+		a.firstAt = time.Now()
+	}
 	a.nextSeq++
 	a.stuck = 0
 	if a.nextSeq-a.acked >= uint64(a.limits.AckChunks) { //nolint:gosec // a positive setting
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -67,13 +67,16 @@
 	}
 }
 
+// requestIDPrefix marks a request id.
+const requestIDPrefix = "req-"
+
 // newRequestID carries the entry's name, so that any entry knows whom to ask
 // about the request.
 func (e *Entry) newRequestID() string {
 	const idBytes = 10
 	var random [idBytes]byte
 	_, _ = rand.Read(random[:])
-	return "req-" + e.settings.Name + "-" + hex.EncodeToString(random[:])
+	return requestIDPrefix + e.settings.Name + "-" + hex.EncodeToString(random[:])
 }
 
 func headerBytes(header http.Header) int {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,10 @@
 	budgetMu sync.Mutex
 	budget   *retry.Budget
 
+	control *control
+	// ready is closed when control is set; peers that come earlier wait.
+	ready chan struct{}
+
 	callers, admin *server
 	started        time.Time
 	// stopping: not ready any more. serving: the callers' port still takes requests.
@@ -76,12 +80,13 @@
 	e := &Entry{
 		settings: settings, holder: settings.Holder, creds: creds,
 		metrics: metrics.New(settings.MaxLabels),
-		picker:  &picker{choose: &roundRobin{}},
+		picker:  newPicker(settings, nil),
 		streams: newStreamCount(settings.Limits),
 		explain: newExplanations(),
 		quota:   quota.NewLimiter(),
 		budget:  retry.NewBudget(settings.Attempts.RetryShare, settings.Attempts.RetryBurst),
 		started: time.Now(),
+		ready:   make(chan struct{}),
 	}
 	if e.holder == nil {
 		e.holder = catalog.NewHolder()
@@ -101,6 +106,10 @@
 	if e.admin, err = serveHTTP(e.settings.AdminAddress, e.adminAPI(), headers); err != nil {
 		return err
 	}
+	if e.control, err = startControl(e.ctx, e); err != nil {
+		return err
+	}
+	close(e.ready)
 	e.callers, err = serveHTTP(e.settings.CallersAddress, e.callersAPI(), headers)
 	return err
 }
@@ -123,6 +132,9 @@
 // AdminURL is the base URL of the admin pages.
 func (e *Entry) AdminURL() string { return e.admin.url() }
 
+// OperatorsURL is the base URL of the operators' calls.
+func (e *Entry) OperatorsURL() string { return e.control.operators.URL() }
+
 // Address is the QUIC listener, IP:port.
 func (e *Entry) Address() string { return e.node.Address() }
 
@@ -150,6 +162,7 @@
 	e.cancel()
 	e.callers.close()
 	e.admin.close()
+	e.control.close()
 	if e.node != nil {
 		_ = e.node.Close()
 	}
@@ -157,27 +170,23 @@
 }
 
 // servePeer serves a stream that another process opened.
-func (e *Entry) servePeer(_ context.Context, _ keys.Identity, stream *transport.Stream) {
+func (e *Entry) servePeer(ctx context.Context, peer keys.Identity, stream *transport.Stream) {
 	first := &jayv1.ClientFrame{}
 	if err := stream.Receive(first); err != nil {
 		return
 	}
-	switch f := first.GetFrame().(type) {
-	case *jayv1.ClientFrame_Explain:
-		explanation, found := e.explain.get(f.Explain.GetRequestId())
+	if question := first.GetExplain(); question != nil {
+		explanation, found := e.explain.get(question.GetRequestId())
 		reply := &jayv1.ExplainReply{Found: found, Explanation: explanation}
 		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Explain{Explain: reply}})
-	case *jayv1.ClientFrame_Status:
-		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Status{Status: e.Status()}})
+		return
 	}
-}
-
-// Status is what the entry tells operators about itself.
-func (e *Entry) Status() *jayv1.ProcessStatus {
-	return &jayv1.ProcessStatus{
-		Name: e.settings.Name, Role: string(keys.RoleEntry), DataCentre: e.settings.DataCentre,
-		Generation: e.holder.Current().Generation(), Leaving: e.stopping.Load(), StartedUnixMs: e.started.UnixMilli(),
+	select {
+	case <-e.ready:
+	case <-ctx.Done():
+		return
 	}
+	e.control.handle(ctx, peer, first, stream)
 }
 
 // server is an HTTP server on a listener of its own.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/spread"
 )
 
 // Settings of an entry. Addresses are IP:port, port 0 takes a free one.
@@ -28,6 +29,10 @@
 	Attempts AttemptSettings `toml:"attempts"`
 	Ledger   LedgerSettings  `toml:"ledger"`
 
+	Seeds []string `toml:"seeds" validate:"dive,hostname_port" doc:"QUIC addresses of entries to ask for the catalog while no other process is known."`
+	// Spread of the catalog between processes.
+	Spread spread.Settings `toml:"spread"`
+
 	// Holder is the catalog to serve by; nil: the entry makes its own.
 	Holder *catalog.Holder `toml:"-"`
 	// Platform replaces the client of PlatformURL, e.g. in tests.
@@ -95,6 +100,7 @@
 			Max: 8, MaxDeclines: 3, RetryShare: 0.1, RetryBurst: 20,
 			ResumeTries: 6, ResumeWaitMS: 50, ResumeWindowMS: 15000, AckChunks: 32,
 		},
+		Spread: spread.DefaultSettings(),
 		Ledger: LedgerSettings{WindowMS: 3, InFlight: 4, SettleMS: 3000},
 	}
 }
