Generate the operators' page of settings from the code

Cause: every setting needs unit, default and meaning on a page that can't fall behind. Weighed: by hand against from the struct tags; the latter.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUF = $(GO) tool -modfile=tools/go.mod buf
 BIN ?= bin
 
-.PHONY: help build test generate generated-check format-check lint fuzz-seeds
+.PHONY: help build test generate docs generated-check format-check lint slopes
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -18,8 +18,11 @@
 generate: ## regenerate api/gen from the schema files
 	$(BUF) generate
 
-generated-check: generate ## fail when committed generated code is not up to date
-	git diff --exit-code --stat -- api/gen
+docs: ## regenerate the pages that are computed from the code
+	$(GO) run ./test/settingsdoc
+
+generated-check: generate docs ## fail when committed generated code or pages are not up to date
+	git diff --exit-code --stat -- api/gen docs/operating/settings.md
 
 format-check: ## fail when a file is not formatted
 	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
--- /dev/null
+++ b/internal/settings/describe.go
@@ -0,0 +1,56 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+)
+
+// Entry is one setting as the operators' page shows it.
+type Entry struct {
+	// Key is dotted, as in the file's tables.
+	Key     string
+	Unit    string
+	Default string
+	// Rule is the check that a value must pass.
+	Rule string
+	Doc  string
+}
+
+// Describe lists the settings of a struct that holds the defaults, in the
+// order of its fields. Fields without a toml name are not settings.
+func Describe(defaults any) []Entry {
+	return describe("", reflect.Indirect(reflect.ValueOf(defaults)))
+}
+
+func describe(table string, value reflect.Value) []Entry {
+	var entries []Entry
+	for i := range value.NumField() {
+		field := value.Type().Field(i)
+		name := strings.Split(field.Tag.Get("toml"), ",")[0]
+		if name == "" || name == "-" {
+			continue
+		}
+		key := strings.TrimPrefix(table+"."+name, ".")
+		if field.Type.Kind() == reflect.Struct {
+			entries = append(entries, describe(key, value.Field(i))...)
+			continue
+		}
+		entries = append(entries, Entry{
+			Key: key, Unit: field.Tag.Get("unit"), Default: defaultText(value.Field(i)),
+			Rule: field.Tag.Get("validate"), Doc: field.Tag.Get("doc"),
+		})
+	}
+	return entries
+}
+
+func defaultText(value reflect.Value) string {
+	if d, ok := value.Interface().(time.Duration); ok {
+		return d.String()
+	}
+	if value.IsZero() && value.Kind() != reflect.Int && value.Kind() != reflect.Bool {
+		return ""
+	}
+	return fmt.Sprint(value.Interface())
+}
