Add the scenario harness over real processes

testscript with commands that start, kill, freeze and stop processes, cut the entries' link to an agent by a UDP relay in the test, call like a caller and check that each answer is whole and its own. kill and wait are commands of testscript itself, so ours are sigkill and expect.

--- /dev/null
+++ b/test/scenario/process_test.go
@@ -0,0 +1,148 @@
+package scenario_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// readyLine is what a process prints once it serves.
+var readyLine = regexp.MustCompile(`listening url=(\S+)|entry serves|agent started`)
+
+// process is one program under test. It can be started again as it was.
+type process struct {
+	name   string
+	binary string
+	args   []string
+	log    string
+	cmd    *exec.Cmd
+	// url of a stand-in.
+	url  string
+	done chan struct{}
+	err  error
+}
+
+// start runs the program and waits until it serves.
+func (p *process) start() error {
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	from, err := log.Seek(0, 2)
+	if err != nil {
+		return err
+	}
+	p.cmd = exec.Command(filepath.Join(binaries, p.binary), p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.done = done
+	go func() {
+		p.err = p.cmd.Wait()
+		close(done)
+	}()
+	return p.awaitReady(from)
+}
+
+func (p *process) awaitReady(from int64) error {
+	var ready []string
+	err := poll(func() error {
+		select {
+		case <-p.done:
+			return final{fmt.Errorf("%s ended: %v\n%s", p.name, p.err, p.tail())}
+		default:
+		}
+		text, err := os.ReadFile(p.log)
+		if err != nil {
+			return err
+		}
+		if ready = readyLine.FindStringSubmatch(string(text[from:])); ready == nil {
+			return fmt.Errorf("%s does not say that it serves\n%s", p.name, p.tail())
+		}
+		return nil
+	})
+	if err == nil && ready[1] != "" {
+		p.url = ready[1]
+	}
+	return err
+}
+
+func (p *process) alive() bool {
+	if p.done == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(s syscall.Signal) error {
+	if !p.alive() {
+		return fmt.Errorf("%s is not running", p.name)
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+// kill ends the process without a chance to clean up.
+func (p *process) kill() error {
+	if err := p.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-p.done
+	return nil
+}
+
+// exited waits for a graceful end and tells whether it was one.
+func (p *process) exited() error {
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		return fmt.Errorf("%s does not end\n%s", p.name, p.tail())
+	}
+	if p.err != nil {
+		return fmt.Errorf("%s ended with %v\n%s", p.name, p.err, p.tail())
+	}
+	return nil
+}
+
+// tail is the end of the process's log.
+func (p *process) tail() string {
+	const lines = 15
+	text, _ := os.ReadFile(p.log)
+	all := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return p.name + ": " + strings.Join(all[max(0, len(all)-lines):], "\n"+p.name+": ")
+}
+
+const (
+	// patience bounds the wait for something that must come.
+	patience = 30 * time.Second
+	pollGap  = 10 * time.Millisecond
+)
+
+// final is an error that no waiting mends.
+type final struct{ error }
+
+// poll calls check until it succeeds or the patience ends.
+func poll(check func() error) error {
+	deadline := time.Now().Add(patience)
+	for {
+		err := check()
+		var end final
+		if err == nil || errors.As(err, &end) || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(pollGap)
+	}
+}
--- /dev/null
+++ b/test/scenario/site_test.go
@@ -0,0 +1,327 @@
+package scenario_test
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/platform"
+)
+
+// What the site declares.
+const (
+	siteModel   = "modelos-lenguaje"
+	siteService = "reservas-app"
+	siteDigest  = "sha256:one"
+	siteCentre  = "quito-sala-a"
+	siteRegion  = "sierra-norte"
+)
+
+type worldKey struct{}
+
+// world is everything that one script has started.
+type world struct {
+	env       *testscript.Env
+	dir       string
+	processes map[string]*process
+	order     []string
+	links     map[string]*link
+	answers   map[string]*answer
+	loads     map[string]*load
+	addresses map[string]entryAddresses
+	callerKey string
+	resources strings.Builder
+	authority *keys.Authority
+}
+
+// entryAddresses of one entry; they stay the same when it starts again.
+type entryAddresses struct {
+	callers, operators, admin, quic string
+}
+
+func newWorld(env *testscript.Env) *world {
+	return &world{
+		env: env, dir: env.WorkDir,
+		processes: map[string]*process{}, links: map[string]*link{}, answers: map[string]*answer{},
+		loads: map[string]*load{}, addresses: map[string]entryAddresses{},
+	}
+}
+
+// close ends every process; after a failure it shows the ends of their logs.
+func (w *world) close() {
+	for _, l := range w.loads {
+		l.end()
+	}
+	for _, p := range w.processes {
+		if p.alive() {
+			_ = p.kill()
+		}
+	}
+	for _, l := range w.links {
+		l.close()
+	}
+	if t, ok := w.env.T().(interface{ Failed() bool }); ok && t.Failed() {
+		for _, name := range w.order {
+			w.env.T().Log(w.processes[name].tail())
+		}
+	}
+}
+
+// Ports of the processes under test stand below those that the system hands
+// out, so that nothing takes one while its owner is down.
+const (
+	firstPort = 20000
+	ports     = 10000
+)
+
+// freeAddress finds a port that is free for TCP and UDP.
+func freeAddress() (string, error) {
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		tcp, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = tcp.Close()
+		udp, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = udp.Close()
+		return address, nil
+	}
+	return "", fmt.Errorf("no free port")
+}
+
+// run starts a process under a name.
+func (w *world) run(name, binary string, args ...string) (*process, error) {
+	p := &process{name: name, binary: binary, args: args, log: filepath.Join(w.dir, name+".log")}
+	w.processes[name] = p
+	w.order = append(w.order, name)
+	return p, p.start()
+}
+
+// size of a site.
+type size struct {
+	entries, engines, portals int
+	vendor                    string
+	engineArgs                []string
+	portalArgs                []string
+}
+
+// build starts the platform, the backend servers with their agents and the
+// entries, and declares them by an operator's call.
+func (w *world) build(s size) error {
+	authority, err := keys.NewAuthority(24 * time.Hour)
+	if err != nil {
+		return err
+	}
+	w.authority = authority
+	if err := w.issue(keys.RoleOperator, "operator"); err != nil {
+		return err
+	}
+	if _, err := w.run("platform", "jay-standin", "platform"); err != nil {
+		return err
+	}
+	if err := w.declareBasics(); err != nil {
+		return err
+	}
+	for i := range s.engines {
+		if err := w.startEngine(i+1, s); err != nil {
+			return err
+		}
+	}
+	for i := range s.portals {
+		if err := w.startPortal(i+1, s); err != nil {
+			return err
+		}
+	}
+	for i := range s.entries {
+		if err := w.startEntry(i+1, s.entries); err != nil {
+			return err
+		}
+	}
+	return w.declare()
+}
+
+func (w *world) issue(role keys.Role, name string) error {
+	cert, err := w.authority.Issue(keys.Identity{Role: role, Name: name}, time.Hour)
+	if err != nil {
+		return err
+	}
+	return cert.Save(w.keysDir(name))
+}
+
+func (w *world) keysDir(name string) string { return filepath.Join(w.dir, "keys", name) }
+
+func (w *world) declareBasics() error {
+	plain, key, err := catalog.NewCallerKey()
+	if err != nil {
+		return err
+	}
+	w.callerKey = plain
+	fmt.Fprintf(&w.resources, `
+[[workspace]]
+name = "canteras"
+[[workspace.keys]]
+id = %q
+salt = %q
+hash = %q
+
+[[pool]]
+name = "modelos"
+model = %q
+active_version = "uno"
+versions = [{name = "uno", digest = %q}]
+
+[[service]]
+name = %q
+non_repeatable = [{method = "POST", path_prefix = "/confirm"}]
+`, key.GetId(), hex.EncodeToString(key.GetSalt()), hex.EncodeToString(key.GetHash()), siteModel, siteDigest, siteService)
+	return nil
+}
+
+func (w *world) startEngine(i int, s size) error {
+	args := append([]string{"engine", "--vendor", s.vendor, "--version", siteDigest}, s.engineArgs...)
+	engine, err := w.run(fmt.Sprint("engine", i), "jay-standin", args...)
+	if err != nil {
+		return err
+	}
+	// Started again at the same address: the agent beside it must find it.
+	engine.args = append(engine.args, "--listen", strings.TrimPrefix(engine.url, "http://"))
+	backend := fmt.Sprintf("[engine]\nvendor = %q\nurl = %q\n", s.vendor, engine.url)
+	return w.startAgent(fmt.Sprint("agent", i), backend, fmt.Sprintf("pool = %q\nvendor = %q\n", "modelos", s.vendor))
+}
+
+func (w *world) startPortal(i int, s size) error {
+	portal, err := w.run(fmt.Sprint("portal", i), "jay-standin", append([]string{"service", "--name", siteService}, s.portalArgs...)...)
+	if err != nil {
+		return err
+	}
+	backend := fmt.Sprintf("[service]\nname = %q\nurl = %q\n", siteService, portal.url)
+	return w.startAgent(fmt.Sprint("portalagent", i), backend, fmt.Sprintf("service = %q\nvendor = %q\n", siteService, "plain"))
+}
+
+// startAgent starts the agent beside a backend server, with a link in front of
+// it that can be cut, and declares the backend server.
+func (w *world) startAgent(name, backend, declared string) error {
+	if err := w.issue(keys.RoleAgent, name); err != nil {
+		return err
+	}
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	front, err := newLink(address)
+	if err != nil {
+		return err
+	}
+	w.links[name] = front
+	settings := fmt.Sprintf("name = %q\nlisten = %q\nadmin = \"127.0.0.1:0\"\nkeys = %q\nplatform = %q\ndata_centre = %q\nregion = %q\n%s",
+		name, address, w.keysDir(name), w.processes["platform"].url, siteCentre, siteRegion, backend)
+	fmt.Fprintf(&w.resources, "\n[[backend_server]]\nname = %q\nagent_address = %q\ndata_centre = %q\nregion = %q\n%s",
+		name, front.address(), siteCentre, siteRegion, declared)
+	if err := w.setVM(platform.VM{Name: name, Address: front.address(), Role: "backend"}); err != nil {
+		return err
+	}
+	file, err := w.writeSettings(name, settings)
+	if err != nil {
+		return err
+	}
+	_, err = w.run(name, "jay-agent", "--settings", file, "--v", "2")
+	return err
+}
+
+func (w *world) startEntry(i, of int) error {
+	name := fmt.Sprint("entry", i)
+	if err := w.issue(keys.RoleEntry, name); err != nil {
+		return err
+	}
+	for n := range of {
+		if err := w.reserveEntry(fmt.Sprint("entry", n+1)); err != nil {
+			return err
+		}
+	}
+	at := w.addresses[name]
+	seeds := []string{}
+	for other, addresses := range w.addresses {
+		if other != name {
+			seeds = append(seeds, fmt.Sprintf("%q", addresses.quic))
+		}
+	}
+	settings := fmt.Sprintf("name = %q\ndata_centre = %q\nregion = %q\ncallers_address = %q\noperators_address = %q\nadmin_address = %q\naddress = %q\nkeys_dir = %q\nplatform_url = %q\n%s[timeouts]\ngrace_ms = 500\n",
+		name, siteCentre, siteRegion, at.callers, at.operators, at.admin, at.quic,
+		w.keysDir(name), w.processes["platform"].url, seedsLine(seeds))
+	if err := w.setVM(platform.VM{Name: name, Address: at.quic, Role: "entry"}); err != nil {
+		return err
+	}
+	file, err := w.writeSettings(name, settings)
+	if err != nil {
+		return err
+	}
+	_, err = w.run(name, "jay-entry", "--settings", file, "--v", "2")
+	return err
+}
+
+// seedsLine names the other entries; empty while the entry has no such setting.
+func seedsLine([]string) string { return "" }
+
+func (w *world) reserveEntry(name string) error {
+	if _, ok := w.addresses[name]; ok {
+		return nil
+	}
+	var at entryAddresses
+	for _, address := range []*string{&at.callers, &at.operators, &at.admin, &at.quic} {
+		free, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		*address = free
+	}
+	w.addresses[name] = at
+	return nil
+}
+
+func (w *world) writeSettings(name, text string) (string, error) {
+	file := filepath.Join(w.dir, name+".toml")
+	return file, os.WriteFile(file, []byte(text), 0o600)
+}
+
+// setVM changes the platform's list of VMs.
+func (w *world) setVM(vm platform.VM) error {
+	if vm.State == "" {
+		vm.State = platform.VMLive
+	}
+	vm.DataCentre, vm.Region = siteCentre, siteRegion
+	if vm.Incarnation == 0 {
+		vm.Incarnation = 1
+	}
+	body := fmt.Sprintf(`{"name":%q,"address":%q,"data_centre":%q,"region":%q,"role":%q,"state":%q,"incarnation":%d}`,
+		vm.Name, vm.Address, vm.DataCentre, vm.Region, vm.Role, vm.State, vm.Incarnation)
+	return post(w.processes["platform"].url+"/faults/vm", body)
+}
+
+// declare applies what the site has as one change and waits until every
+// process has it in force.
+func (w *world) declare() error {
+	folder := filepath.Join(w.dir, "declared")
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(folder, "site.toml"), []byte(w.resources.String()), 0o600); err != nil {
+		return err
+	}
+	if out, err := w.ctl("apply", folder, "--wait", "20s"); err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	return nil
+}
