--- a/test/scenario/site_test.go
+++ b/test/scenario/site_test.go
@@ -41,6 +41,10 @@
 	callerKey string
 	resources strings.Builder
 	authority *keys.Authority
+	moments   map[string]time.Time
+	watches   map[string]*watch
+	// frozen is the agent that freezeserving froze.
+	frozen string
 }
 
 // entryAddresses of one entry; they stay the same when it starts again.
@@ -53,6 +57,7 @@
 		env: env, dir: env.WorkDir,
 		processes: map[string]*process{}, links: map[string]*link{}, answers: map[string]*answer{},
 		loads: map[string]*load{}, addresses: map[string]entryAddresses{},
+		moments: map[string]time.Time{}, watches: map[string]*watch{},
 	}
 }
 
@@ -61,6 +66,9 @@
 	for _, l := range w.loads {
 		l.end()
 	}
+	for _, watched := range w.watches {
+		watched.end()
+	}
 	for _, p := range w.processes {
 		if p.alive() {
 			_ = p.kill()
--- /dev/null
+++ b/test/scenario/watch_test.go
@@ -0,0 +1,172 @@
+package scenario_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// watch notes when the count of runs at a stand-in last rose.
+type watch struct {
+	stop    chan struct{}
+	stopped chan struct{}
+	once    sync.Once
+	last    time.Time
+}
+
+// end stops the watch; last may be read after it.
+func (v *watch) end() {
+	v.once.Do(func() { close(v.stop) })
+	<-v.stopped
+}
+
+func (w *world) cmdWatch(args []string) error {
+	if err := need(args, 1); err != nil {
+		return err
+	}
+	v := &watch{stop: make(chan struct{}), stopped: make(chan struct{})}
+	w.watches[args[0]] = v
+	url := w.processes[args[0]].url
+	go func() {
+		defer close(v.stopped)
+		ticker := time.NewTicker(pollGap)
+		defer ticker.Stop()
+		before := 0
+		for {
+			select {
+			case <-v.stop:
+				return
+			case <-ticker.C:
+			}
+			counts, err := runsAt(url)
+			if err == nil && len(counts) != before {
+				before, v.last = len(counts), time.Now()
+			}
+		}
+	}()
+	return nil
+}
+
+func (w *world) cmdQuiet(args []string) error {
+	if err := need(args, 3); err != nil {
+		return err
+	}
+	v, ok := w.watches[args[0]]
+	bound, err := time.ParseDuration(args[2])
+	if !ok || err != nil {
+		return fmt.Errorf("no watch on %s, or no duration: %w", args[0], err)
+	}
+	v.end()
+	if v.last.IsZero() {
+		return errors.New("nothing ever ran there")
+	}
+	if late := v.last.Sub(w.moments[args[1]]); late > bound {
+		return fmt.Errorf("a run began %v after", late)
+	}
+	return nil
+}
+
+func (w *world) cmdMark(args []string) error {
+	if err := need(args, 1); err != nil {
+		return err
+	}
+	w.moments[args[0]] = time.Now()
+	return nil
+}
+
+func (w *world) cmdLogged(args []string) error {
+	if err := need(args, 2); err != nil {
+		return err
+	}
+	p, ok := w.processes[args[0]]
+	if !ok {
+		return fmt.Errorf("no process %s", args[0])
+	}
+	return poll(func() error {
+		text, err := os.ReadFile(p.log)
+		if err == nil && strings.Contains(string(text), args[1]) {
+			return nil
+		}
+		return fmt.Errorf("not logged: %s", p.tail())
+	})
+}
+
+func (w *world) cmdReady(args []string) error {
+	if err := need(args, 2); err != nil {
+		return err
+	}
+	bound, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	err = poll(func() error {
+		response, err := http.Get("http://" + w.addresses[args[0]].admin + "/readyz")
+		if err != nil {
+			return err
+		}
+		defer response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return fmt.Errorf("not ready: %s", w.processes[args[0]].tail())
+		}
+		return nil
+	})
+	if took := time.Since(started); err == nil && took > bound {
+		return fmt.Errorf("ready after %v", took)
+	}
+	return err
+}
+
+func (w *world) cmdLoadMore(args []string) error {
+	if err := need(args, 2); err != nil {
+		return err
+	}
+	l, ok := w.loads[args[0]]
+	if !ok {
+		return fmt.Errorf("no load %s", args[0])
+	}
+	var n int64
+	if _, err := fmt.Sscan(args[1], &n); err != nil {
+		return err
+	}
+	until := l.sent.Load() + n
+	return poll(func() error {
+		if sent := l.sent.Load(); sent < until {
+			return fmt.Errorf("%d requests sent, want %d", sent, until)
+		}
+		return nil
+	})
+}
+
+// cmdFreezeServing freezes the agent whose engine has run something, when it is one.
+func (w *world) cmdFreezeServing([]string) error {
+	for name := range w.processes {
+		number, isEngine := strings.CutPrefix(name, "engine")
+		if !isEngine {
+			continue
+		}
+		n, err := w.runsOf(name, "*")
+		if err != nil {
+			return err
+		}
+		if n > 0 && w.frozen != "" {
+			return errors.New("more than one engine has run something")
+		}
+		if n > 0 {
+			w.frozen = "agent" + number
+		}
+	}
+	if w.frozen == "" {
+		return errors.New("no engine has run anything")
+	}
+	return w.processes[w.frozen].signal(syscall.SIGSTOP)
+}
+
+func (w *world) cmdThawServing([]string) error {
+	return w.processes[w.frozen].signal(syscall.SIGCONT)
+}
