Count own offers, not accepted work, between reports

Cause: the state that rides on an acceptance already counts the accepted request (agent.serveOffer takes the state after the queue has it), so adding it at the hand-over counted it twice. Change: work counts from the choice until the answer.

--- a/internal/routing/backend.go
+++ b/internal/routing/backend.go
@@ -33,7 +33,7 @@
 	name       string
 	signals    Signals
 	byteMS     float64 // milliseconds a prompt byte takes to prefill, as last scored
-	prefillMS  float64 // own prefill work handed over since signals.At
+	offeredMS  float64 // own prefill work offered since signals.At
 	inFlight   int     // own requests handed over and not finished
 	slowness   float64 // observed over promised time to first token, 1 when as promised
 	lateMS     float64 // observed less promised time to first token
@@ -59,7 +59,7 @@
 		Leaving:                state.GetLeaving(),
 		Ready:                  state.GetReady(),
 	}
-	b.prefillMS = 0
+	b.offeredMS = 0
 	return true
 }
 
@@ -70,12 +70,12 @@
 // as the report ages, and the own work that the report could not know of.
 func (b *backend) queueMS(now time.Time, average float64) float64 {
 	if !b.heard() {
-		return average + b.prefillMS
+		return average + b.offeredMS
 	}
 	age := now.Sub(b.signals.At)
 	reported := max(0, b.signals.QueueMS-milliseconds(age))
 	trust := math.Exp2(-float64(age) / float64(stateFades))
-	own := max(0, b.prefillMS-milliseconds(age))
+	own := max(0, b.offeredMS-milliseconds(age))
 	return reported*trust + average*(1-trust) + own
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -126,6 +126,9 @@
 		return decision, ErrNoServer
 	}
 	best := &c.candidates[c.best]
+	// Until the answer to the offer tells the queue, the work counts as there,
+	// so that requests that come together do not all go to the same server.
+	best.backend.offeredMS += best.prefillMS
 	decision.Server = best.backend.name
 	decision.Incarnation = best.backend.signals.Incarnation
 	decision.ExpectedMS = best.queueMS + best.prefillMS
@@ -210,12 +213,11 @@
 }
 
 // HandedOver takes in that a server accepted the request and promised its
-// first token in expectedMS: its prefill counts into the server's queue until
-// the next report, and its prompt will be cached there.
+// first token in expectedMS. The state that came with the acceptance, learned
+// before, counts the request; its prompt will be cached there.
 func (r *Router) HandedOver(now time.Time, server string, req *Request, expectedMS float64) {
 	b := r.backend(server)
 	b.inFlight++
-	b.prefillMS += float64(max(0, req.PromptBytes-r.cachedAt(now, b, req))) * b.byteMS
 	r.pending[req.ID] = promise{backend: b, expectedMS: expectedMS}
 	for _, point := range req.Chain {
 		r.beliefs.put(point.GetHash(), holder{server: b, seen: now, incarnation: b.signals.Incarnation})
@@ -233,14 +235,3 @@
 		b.observe(now, made.expectedMS, firstTokenMS)
 	}
 }
-
-func (r *Router) cachedAt(now time.Time, b *backend, req *Request) int {
-	for i := len(req.Chain) - 1; i >= 0; i-- {
-		for _, h := range r.beliefs.holders(req.Chain[i].GetHash()) {
-			if h.server == b && !h.absent && h.valid(now) {
-				return int(req.Chain[i].GetBytes())
-			}
-		}
-	}
-	return 0
-}
--- a/internal/routing/trial_test.go
+++ b/internal/routing/trial_test.go
@@ -206,8 +206,9 @@
 			tried = append(tried, routing.Tried{Server: d.Server, Refusal: jayv1.Refusal_REFUSAL_COST, CostMS: cost, CachedBytes: cached})
 			continue
 		}
-		router.HandedOver(now, d.Server, req, cost)
 		t.accept(at, e, i, call, req, blocks, cost+hops*trialHopMS)
+		router.Learn(now, d.Server, s.state(at))
+		router.HandedOver(now, d.Server, req, cost)
 		return
 	}
 }
