--- /dev/null
+++ b/cmd/jay-dev/main.go
@@ -0,0 +1,57 @@
+// Command jay-dev runs the whole system in one process on loopback, with
+// stand-ins for the engines, the services and the platform.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/dev"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command().ExecuteContext(ctx)
+	stop()
+	klog.Flush()
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	options := dev.Options{Out: os.Stdout}
+	selfCheck := false
+	cmd := &cobra.Command{
+		Use:          "jay-dev",
+		Short:        "The whole system on one machine, with stand-ins",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if !selfCheck {
+				return dev.Run(cmd.Context(), options)
+			}
+			if err := dev.SelfCheck(cmd.Context(), options); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(options.Out, "self-check passed")
+			return err
+		},
+	}
+	flags := cmd.Flags()
+	flags.IntVar(&options.Engines, "engines", 3, "stand-in engines")
+	flags.IntVar(&options.Entries, "entries", 2, "entries")
+	flags.StringVar(&options.Policy, "policy", "", "routing policy; empty takes the default")
+	flags.BoolVar(&selfCheck, "self-check", false, "send one request through every part, print what came back and exit")
+	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(logFlags)
+	flags.AddGoFlagSet(logFlags)
+	return cmd
+}
--- /dev/null
+++ b/internal/standin/cluster/cluster.go
@@ -0,0 +1,241 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/jayproxy/jayproxy/internal/agent"
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/engine/dialect"
+	"github.com/jayproxy/jayproxy/internal/entry"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	platformapi "github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/standin/engine"
+	"github.com/jayproxy/jayproxy/internal/standin/platform"
+	"github.com/jayproxy/jayproxy/internal/standin/service"
+)
+
+// keysValid is how long the certificates of a cluster last.
+const keysValid = 7 * 24 * time.Hour
+
+// Cluster is a running system. Engines[i] stands beside Agents[i], the agents
+// of Services follow.
+type Cluster struct {
+	Options  Options
+	Platform *platform.Platform
+	Engines  []*engine.Engine
+	Services []*service.Service
+	Agents   []*agent.Agent
+	// KeysDir holds one folder of keys for each process and for the operator.
+	KeysDir string
+
+	mu        sync.Mutex
+	entries   []*entry.Entry
+	authority *keys.Authority
+	holder    *catalog.Holder
+}
+
+// Start runs a cluster until Close and puts its declaration in force.
+func Start(ctx context.Context, options Options) (*Cluster, error) {
+	dir, err := os.MkdirTemp("", "jay-cluster-")
+	if err != nil {
+		return nil, eris.Wrap(err, "make folder for keys")
+	}
+	c := &Cluster{Options: options.withDefaults(), KeysDir: dir, holder: catalog.NewHolder()}
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	var err error
+	if c.authority, err = keys.NewAuthority(keysValid); err != nil {
+		return err
+	}
+	if err := c.issue(keys.RoleOperator, operatorName); err != nil {
+		return err
+	}
+	if c.Platform, err = platform.Start(platform.Options{Weights: map[string]int64{Digest: 1 << 20}}); err != nil {
+		return err
+	}
+	for i := range c.Options.Engines {
+		if err := c.startEngine(ctx, i); err != nil {
+			return err
+		}
+	}
+	for i := range c.Options.Services {
+		if err := c.startService(ctx, i); err != nil {
+			return err
+		}
+	}
+	if err := c.startEntries(ctx); err != nil {
+		return err
+	}
+	return c.declare(ctx)
+}
+
+// issue writes a process's keys to its folder.
+func (c *Cluster) issue(role keys.Role, name string) error {
+	cert, err := c.authority.Issue(keys.Identity{Role: role, Name: name}, keysValid)
+	if err != nil {
+		return err
+	}
+	return cert.Save(c.keysOf(name))
+}
+
+func (c *Cluster) keysOf(name string) string { return filepath.Join(c.KeysDir, name) }
+
+// EngineName is the name of the backend server with the engine.
+func EngineName(i int) string { return fmt.Sprintf("runner-%02d", i) }
+
+// ServiceName is the name of the backend server with the service.
+func ServiceName(i int) string { return fmt.Sprintf("app-%02d", i) }
+
+// EntryName is the name of an entry.
+func EntryName(i int) string { return fmt.Sprintf("entry-%02d", i) }
+
+func (c *Cluster) vendor(i int) string { return c.Options.Vendors[i%len(c.Options.Vendors)] }
+
+func (c *Cluster) dataCentre(i int) string {
+	return c.Options.DataCentres[i%len(c.Options.DataCentres)]
+}
+
+func (c *Cluster) startEngine(ctx context.Context, i int) error {
+	options := engine.Options{Vendor: c.vendor(i), Name: EngineName(i), Engine: c.Options.Engine}
+	options.Engine.Seed += uint64(i)
+	started, err := engine.Start(options)
+	if err != nil {
+		return err
+	}
+	c.Engines = append(c.Engines, started)
+	return c.startAgent(ctx, EngineName(i), i, func(s *agent.Settings) {
+		s.Engine.Vendor, s.Engine.URL = c.vendor(i), started.URL()
+	})
+}
+
+func (c *Cluster) startService(ctx context.Context, i int) error {
+	started, err := service.Start(service.Options{Name: ServiceName(i)})
+	if err != nil {
+		return err
+	}
+	c.Services = append(c.Services, started)
+	return c.startAgent(ctx, ServiceName(i), i, func(s *agent.Settings) {
+		s.Service.Name, s.Service.URL = Service, started.URL()
+	})
+}
+
+func (c *Cluster) startAgent(ctx context.Context, name string, i int, backend func(*agent.Settings)) error {
+	if err := c.issue(keys.RoleAgent, name); err != nil {
+		return err
+	}
+	settings := agent.Default()
+	settings.Name = name
+	settings.Keys = c.keysOf(name)
+	settings.Platform = c.Platform.URL()
+	settings.DataCentre, settings.Region = c.dataCentre(i), c.Options.Region
+	settings.OpenEngine = dialect.Open
+	settings.Catalog = c.holder
+	backend(&settings)
+	if c.Options.Agent != nil {
+		c.Options.Agent(&settings)
+	}
+	started, err := agent.Start(ctx, settings)
+	if err != nil {
+		return err
+	}
+	c.Agents = append(c.Agents, started)
+	return nil
+}
+
+func (c *Cluster) startEntries(ctx context.Context) error {
+	started := make([]*entry.Entry, c.Options.Entries)
+	var group errgroup.Group
+	for i := range started {
+		group.Go(func() error {
+			one, err := c.startEntry(ctx, i)
+			started[i] = one
+			return err
+		})
+	}
+	err := group.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries = started
+	return err
+}
+
+func (c *Cluster) startEntry(ctx context.Context, i int) (*entry.Entry, error) {
+	name := EntryName(i)
+	if err := c.issue(keys.RoleEntry, name); err != nil {
+		return nil, err
+	}
+	settings := entry.Default()
+	settings.Name = name
+	settings.KeysDir = c.keysOf(name)
+	settings.PlatformURL = c.Platform.URL()
+	settings.DataCentre, settings.Region = c.dataCentre(i), c.Options.Region
+	settings.Policy = c.Options.Policy
+	settings.Timeouts.GraceMS = 0
+	settings.Holder = c.holder
+	if c.Options.Entry != nil {
+		c.Options.Entry(&settings)
+	}
+	started, err := entry.Start(ctx, settings)
+	if err != nil {
+		return nil, err
+	}
+	c.Platform.SetVM(platformapi.VM{
+		Name: name, Address: started.Address(), DataCentre: settings.DataCentre,
+		Region: settings.Region, Role: "entry", State: platformapi.VMLive, Incarnation: uint64(time.Now().UnixNano()),
+	})
+	return started, nil
+}
+
+// Entries returns the entries that run now.
+func (c *Cluster) Entries() []*entry.Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*entry.Entry(nil), c.entries...)
+}
+
+// RestartEntries replaces all entries at once: the new ones know nothing but
+// what they read. The old ones are gone before the new ones start.
+func (c *Cluster) RestartEntries(ctx context.Context) error {
+	for _, old := range c.Entries() {
+		if old != nil {
+			old.Close()
+		}
+	}
+	return c.startEntries(ctx)
+}
+
+// Close stops everything and removes the keys.
+func (c *Cluster) Close() {
+	for _, one := range c.Entries() {
+		if one != nil {
+			one.Close()
+		}
+	}
+	for _, one := range c.Agents {
+		one.Close()
+	}
+	for _, one := range c.Engines {
+		one.Close()
+	}
+	for _, one := range c.Services {
+		one.Close()
+	}
+	if c.Platform != nil {
+		c.Platform.Close()
+	}
+	_ = os.RemoveAll(c.KeysDir)
+}
