--- a/internal/load/body.go
+++ b/internal/load/body.go
@@ -16,6 +16,11 @@
 	Messages  []message `json:"messages"`
 	MaxTokens int       `json:"max_tokens"`
 	Stream    bool      `json:"stream"`
+	Options   options   `json:"stream_options"`
+}
+
+type options struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 func role(part int) string {
@@ -27,7 +32,7 @@
 
 // Body is the JSON of a call for /v1/chat/completions.
 func Body(call *Call, model string) ([]byte, error) {
-	b := body{Model: model, MaxTokens: call.Output, Stream: true}
+	b := body{Model: model, MaxTokens: call.Output, Stream: true, Options: options{IncludeUsage: true}}
 	for i, part := range call.Parts {
 		b.Messages = append(b.Messages, message{Role: role(i), Content: part})
 	}
--- a/internal/load/bound.go
+++ b/internal/load/bound.go
@@ -13,15 +13,17 @@
 type Bound struct {
 	PromptTokens int
 	HitTokens    int
+	// Hits of each call, by its index.
+	Hits []int
 }
 
 // HitRate is the token-weighted hit rate that no router can exceed.
-func (b Bound) HitRate() float64 { return float64(b.HitTokens) / float64(max(1, b.PromptTokens)) }
+func (b Bound) HitRate() float64 { return share(float64(b.HitTokens), float64(b.PromptTokens)) }
 
 // UnlimitedCache replays the calls against one cache that never evicts.
 func UnlimitedCache(calls []Call) Bound {
 	seen := map[uint64]bool{}
-	var bound Bound
+	bound := Bound{Hits: make([]int, len(calls))}
 	for i := range calls {
 		points := BlockChain(&calls[i])
 		hit := 0
@@ -31,12 +33,21 @@
 		for _, point := range points[hit:] {
 			seen[point] = true
 		}
-		bound.HitTokens += hit * blockBytes / BytesPerToken
+		bound.Hits[i] = hit * blockBytes / BytesPerToken
+		bound.HitTokens += bound.Hits[i]
 		bound.PromptTokens += PromptBytes(&calls[i]) / BytesPerToken
 	}
 	return bound
 }
 
+// share is a part of a whole, 0 of an empty one.
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
+
 // PromptBytes is the length of a call's prompt as the engines see it.
 func PromptBytes(call *Call) int {
 	total := 0
