--- /dev/null
+++ b/internal/experiment/table.go
@@ -0,0 +1,81 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/jayproxy/jayproxy/internal/routing"
+)
+
+// key of the runs that are compared with each other.
+type key struct {
+	mix     string
+	share   float64
+	entries int
+	fault   Fault
+	greedy  float64
+}
+
+func keyOf(r Result) key {
+	return key{r.MixName, r.Share, r.Entries, r.Fault, r.Greedy}
+}
+
+// Compared is a result beside the baselines of the same cell.
+type Compared struct {
+	Result
+	// Hit rate over that of least load, and over that of full knowledge.
+	HitOverLeastLoad, HitOverFull float64
+	// The same of the p99 to first token.
+	P99OverLeastLoad, P99OverFull float64
+	// Wasted recomputation over that of least load.
+	WastedOverLeastLoad float64
+}
+
+// Compare puts every result beside its cell's baselines. Ratios to a baseline
+// that did not run are 0.
+func (r Report) Compare() []Compared {
+	least, full := map[key]Result{}, map[key]Result{}
+	for _, result := range r.Results {
+		switch result.Policy {
+		case routing.PolicyLeastLoad:
+			least[keyOf(result)] = result
+		case routing.PolicyAskAll:
+			full[keyOf(result)] = result
+		}
+	}
+	compared := make([]Compared, 0, len(r.Results))
+	for _, result := range r.Results {
+		l, f := least[keyOf(result)], full[keyOf(result)]
+		compared = append(compared, Compared{
+			Result:              result,
+			HitOverLeastLoad:    ratio(result.HitRate, l.HitRate),
+			HitOverFull:         ratio(result.HitRate, f.HitRate),
+			P99OverLeastLoad:    ratio(result.FirstToken.P99, l.FirstToken.P99),
+			P99OverFull:         ratio(result.FirstToken.P99, f.FirstToken.P99),
+			WastedOverLeastLoad: ratio(result.Wasted, l.Wasted),
+		})
+	}
+	return compared
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// WriteTable writes the results as text, ratios to least load (LL) and full
+// knowledge (full) beside them.
+func (r Report) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "mix\tload\tentries\tfault\tpolicy\tcalls\tnot served\thit\tbound\t/LL\t/full\twasted\t/LL\tp50 ms\tp99 ms\t/LL\t/full\tin time\tmsg\tbytes\tbefore\tafter\t")
+	for _, c := range r.Compare() {
+		_, _ = fmt.Fprintf(table, "%s\t%.2f\t%d\t%s\t%s\t%d\t%d\t%.3f\t%.3f\t%.2f\t%.2f\t%.3f\t%.2f\t%.0f\t%.0f\t%.2f\t%.2f\t%.3f\t%.1f\t%.0f\t%.3f\t%.3f\t\n",
+			c.MixName, c.Share, c.Entries, c.Fault, c.Policy, c.Calls, c.Calls-c.Served, c.HitRate, c.Bound,
+			c.HitOverLeastLoad, c.HitOverFull, c.Wasted, c.WastedOverLeastLoad, c.FirstToken.P50, c.FirstToken.P99,
+			c.P99OverLeastLoad, c.P99OverFull, c.InTime, c.Messages, c.Bytes, c.Before, c.After)
+	}
+	return table.Flush()
+}
