--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,14 @@
 BUF = $(GO) tool -modfile=tools/go.mod buf
 BIN ?= bin
 
-.PHONY: help build test generate docs generated-check format-check lint slopes
+.PHONY: help dev build test generate docs generated-check format-check lint slopes
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
+dev: ## run the whole system on loopback in one process
+	$(GO) run ./cmd/jay-dev
+
 build: ## build every binary into bin/
 	$(GO) build -o $(BIN)/ ./cmd/... ./test/knownred
 
