--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -39,6 +39,7 @@
 //	retry ID ENTRY ...              calls until the answer is whole; until then only refusals
 //	runs NAME KEY N                 how often stand-ins ran a key; NAME may end in *, KEY * counts all
 //	watch NAME / quiet NAME SINCE D no run began at an engine later than D after a marked moment
+//	busy NAME                       waits until a further run begins at a stand-in
 //	mark MOMENT                     names this moment
 //	logged NAME TEXT                waits until a process logs a text
 //	ready ENTRY D                   the entry is ready within a time
@@ -68,6 +69,7 @@
 		"runs":     (*world).cmdRuns,
 		"watch":    (*world).cmdWatch,
 		"quiet":    (*world).cmdQuiet,
+		"busy":     (*world).cmdBusy,
 		"mark":     (*world).cmdMark,
 		"logged":   (*world).cmdLogged,
 		"ready":    (*world).cmdReady,
--- a/test/scenario/site_test.go
+++ b/test/scenario/site_test.go
@@ -190,6 +190,7 @@
 model = %q
 active_version = "uno"
 versions = [{name = "uno", digest = %q}]
+concurrency = 64
 
 [[service]]
 name = %q
@@ -199,7 +200,7 @@
 }
 
 func (w *world) startEngine(i int, s size) error {
-	args := append([]string{"engine", "--vendor", s.vendor, "--version", siteDigest}, s.engineArgs...)
+	args := append([]string{"engine", "--vendor", s.vendor, "--version", siteDigest, "--max-running", "64"}, s.engineArgs...)
 	engine, err := w.run(fmt.Sprint("engine", i), "jay-standin", args...)
 	if err != nil {
 		return err
@@ -229,13 +230,17 @@
 	if err != nil {
 		return err
 	}
+	admin, err := freeAddress()
+	if err != nil {
+		return err
+	}
 	front, err := newLink(address)
 	if err != nil {
 		return err
 	}
 	w.links[name] = front
-	settings := fmt.Sprintf("name = %q\nlisten = %q\nadmin = \"127.0.0.1:0\"\nkeys = %q\nplatform = %q\ndata_centre = %q\nregion = %q\n%s",
-		name, address, w.keysDir(name), w.processes["platform"].url, siteCentre, siteRegion, backend)
+	settings := fmt.Sprintf("name = %q\nlisten = %q\nadmin = %q\nkeys = %q\nplatform = %q\ndata_centre = %q\nregion = %q\n%s",
+		name, address, admin, w.keysDir(name), w.processes["platform"].url, siteCentre, siteRegion, backend)
 	fmt.Fprintf(&w.resources, "\n[[backend_server]]\nname = %q\nagent_address = %q\ndata_centre = %q\nregion = %q\n%s",
 		name, front.address(), siteCentre, siteRegion, declared)
 	if err := w.setVM(platform.VM{Name: name, Address: front.address(), Role: "backend"}); err != nil {
@@ -280,8 +285,10 @@
 	return err
 }
 
-// seedsLine names the other entries; empty while the entry has no such setting.
-func seedsLine([]string) string { return "" }
+// seedsLine names the other entries, to be asked while the platform is down.
+func seedsLine(seeds []string) string {
+	return fmt.Sprintf("seeds = [%s]\n", strings.Join(seeds, ", "))
+}
 
 func (w *world) reserveEntry(name string) error {
 	if _, ok := w.addresses[name]; ok {
--- a/test/scenario/watch_test.go
+++ b/test/scenario/watch_test.go
@@ -71,6 +71,23 @@
 	return nil
 }
 
+func (w *world) cmdBusy(args []string) error {
+	if err := need(args, 1); err != nil {
+		return err
+	}
+	before, err := w.runsOf(args[0], "*")
+	if err != nil {
+		return err
+	}
+	return poll(func() error {
+		now, err := w.runsOf(args[0], "*")
+		if err == nil && now == before {
+			err = fmt.Errorf("no run began after the first %d", before)
+		}
+		return err
+	})
+}
+
 func (w *world) cmdMark(args []string) error {
 	if err := need(args, 1); err != nil {
 		return err
