--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -41,6 +41,7 @@
 //	watch NAME / quiet NAME SINCE D no run began at an engine later than D after a marked moment
 //	busy NAME                       waits until a further run begins at a stand-in
 //	mark MOMENT                     names this moment
+//	since MOMENT D                  no more than a time has passed since a marked moment
 //	logged NAME TEXT                waits until a process logs a text
 //	ready ENTRY D                   the entry is ready within a time
 //	freezeserving                   freezes the agent of the one engine that has work; thawserving
@@ -71,6 +72,7 @@
 		"quiet":    (*world).cmdQuiet,
 		"busy":     (*world).cmdBusy,
 		"mark":     (*world).cmdMark,
+		"since":    (*world).cmdSince,
 		"logged":   (*world).cmdLogged,
 		"ready":    (*world).cmdReady,
 		"loadmore": (*world).cmdLoadMore,
--- a/test/scenario/watch_test.go
+++ b/test/scenario/watch_test.go
@@ -96,6 +96,20 @@
 	return nil
 }
 
+func (w *world) cmdSince(args []string) error {
+	if err := need(args, 2); err != nil {
+		return err
+	}
+	bound, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	if took := time.Since(w.moments[args[0]]); took > bound {
+		return fmt.Errorf("%v passed", took)
+	}
+	return nil
+}
+
 func (w *world) cmdLogged(args []string) error {
 	if err := need(args, 2); err != nil {
 		return err
