Route by the router, join the spread, serve operators from an entry

Cause: the entry still took servers in turn and had no membership, catalog spread or operators' port. Change: picker (router and membership under one lock), probes for asking policies, spread and operators wired in, explanations forwarded to the entry that the request id names, relay.Receiver in place of the entry's own checks. Fault found on the way: 8 callers that read nothing filled the link's receive window and stopped every other answer of the same backend server until they were cut off (TestSlowReadersAreCutOffAndHarmNobody: 2.2 s instead of some ms). A stream may now hold 256 KiB, a link 256 MiB; the test passes since.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -13,6 +13,7 @@
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/charts"
 	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/relay"
 	"github.com/jayproxy/jayproxy/internal/statechart"
 	"github.com/jayproxy/jayproxy/internal/transport"
 )
@@ -38,10 +39,9 @@
 const cancelWait = 300 * time.Millisecond
 
 var (
-	errCallerGone   = errors.New("the caller went away")
-	errGivenUp      = errors.New("given up")
-	errMissingChunk = errors.New("chunks are missing")
-	errOutOfTurn    = errors.New("frame out of turn")
+	errCallerGone = errors.New("the caller went away")
+	errGivenUp    = errors.New("given up")
+	errOutOfTurn  = errors.New("frame out of turn")
 )
 
 // dialer opens streams to agents.
@@ -65,12 +65,17 @@
 	chart  *statechart.Chart
 	state  string
 	stream *transport.Stream
-	// nextSeq is the number of the chunk that is due.
-	nextSeq uint64
-	acked   uint64
-	reply   *jayv1.OfferReply
-	end     *jayv1.End
-	headed  bool
+	chunks relay.Receiver
+	acked  uint64
+	reply  *jayv1.OfferReply
+	end    *jayv1.End
+	headed bool
+	// status of a plain service's answer.
+	status uint32
+	// onReply is told of the answer to the offer before the body goes.
+	onReply    func(reply *jayv1.OfferReply)
+	acceptedAt time.Time
+	firstAt    time.Time
 	// stuck counts resumes since the last chunk.
 	stuck int
 	// deadline to the first chunk.
@@ -155,7 +160,7 @@
 	case errors.Is(err, errCallerGone), errors.Is(err, errGivenUp), ctx.Err() != nil:
 		a.cancel(err)
 	default:
-		klog.V(1).InfoS("link lost", "request", a.id, "attempt", a.number, "server", a.server, "next", a.nextSeq, "cause", err)
+		klog.V(1).InfoS("link lost", "request", a.id, "attempt", a.number, "server", a.server, "next", a.chunks.Next(), "cause", err)
 		a.stream.Abort()
 		a.fire(eventLinkLost)
 		a.reconnect(ctx)
@@ -169,10 +174,14 @@
 		a.fire(eventLinkLost)
 		return
 	}
+	if a.onReply != nil {
+		a.onReply(a.reply)
+	}
 	if !a.reply.GetAccepted() {
 		a.fire(eventRefuse)
 		return
 	}
+	a.acceptedAt = time.Now()
 	a.fire(eventAccept)
 	if err := a.sendBody(body); err != nil {
 		a.cause = err
@@ -205,11 +214,20 @@
 	return nil
 }
 
-// guard fails pending calls of the stream when the context ends.
+// guard fails pending calls of the stream when the context ends. The returned
+// function waits for a guard that has struck: its deadline must not fall on a
+// Cancel that is sent after.
 func (a *attempt) guard(ctx context.Context) func() {
-	stream := a.stream
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
-	return func() { stop() }
+	stream, struck := a.stream, make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(struck)
+		_ = stream.SetDeadline(time.Now())
+	})
+	return func() {
+		if !stop() {
+			<-struck
+		}
+	}
 }
 
 // sendBody sends the pieces. An error means that the last piece was not sent,
@@ -218,7 +236,7 @@
 	for {
 		piece, last, err := body.Next()
 		if err != nil {
-			return err
+			return errors.Join(errBody, err)
 		}
 		if last {
 			// Before the send: a send that fails may have arrived all the same,
@@ -255,7 +273,7 @@
 // chunk, or than a running stream may be silent.
 func (a *attempt) receive(ctx context.Context) (*jayv1.ServerFrame, error) {
 	until := time.Now().Add(ms(a.timeouts.StreamIdleMS))
-	if a.nextSeq == 0 && !a.headed && !a.deadline.IsZero() {
+	if a.chunks.Next() == 0 && !a.headed && !a.deadline.IsZero() {
 		// The agent ends a request at the deadline itself, with proof of what
 		// ran; its word is worth a short wait.
 		until = a.deadline.Add(cancelWait)
@@ -295,28 +313,43 @@
 		return nil
 	}
 	a.headed = true
+	a.status = head.GetStatus()
 	return gone(to.Head(head))
 }
 
 // takeChunk passes a chunk on when it is the one that is due. One that came
-// before is dropped; a later one shows a loss, which a resume repairs.
+// before is dropped; a missing one is repaired by a resume.
 func (a *attempt) takeChunk(chunk *jayv1.Chunk, to sink) error {
-	if chunk.GetSeq() < a.nextSeq {
-		return nil
+	due, err := a.chunks.Accept(chunk.GetSeq())
+	if err != nil || !due {
+		return err
 	}
-	if chunk.GetSeq() > a.nextSeq {
-		return errMissingChunk
+	if a.firstAt.IsZero() {
+		a.firstAt = time.Now()
 	}
 	if err := gone(to.Chunk(chunk.GetSeq(), chunk.GetData())); err != nil {
 		return err
 	}
-	a.nextSeq++
 	a.stuck = 0
-	if a.nextSeq-a.acked >= uint64(a.limits.AckChunks) { //nolint:gosec // a positive setting
-		a.acked = a.nextSeq
-		return a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: a.nextSeq}}})
+	next := a.chunks.Next()
+	if next-a.acked < uint64(a.limits.AckChunks) { //nolint:gosec // a positive setting
+		return nil
 	}
-	return nil
+	a.acked = next
+	return a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: next}}})
+}
+
+// firstTokenMS is the time from the acceptance to the first chunk, 0 without one.
+func (a *attempt) firstTokenMS() float64 {
+	if a.firstAt.IsZero() || a.acceptedAt.IsZero() {
+		return 0
+	}
+	return float64(a.firstAt.Sub(a.acceptedAt)) / float64(time.Millisecond)
+}
+
+// byCaller tells whether the attempt ended through the caller, not the server.
+func (a *attempt) byCaller() bool {
+	return errors.Is(a.cause, errCallerGone) || errors.Is(a.cause, errBody) || errors.Is(a.cause, context.Canceled)
 }
 
 func gone(err error) error {
@@ -327,8 +360,10 @@
 }
 
 func (a *attempt) takeEnd(end *jayv1.End) error {
-	if end.GetOutcome() == jayv1.Outcome_OUTCOME_DONE && end.GetCount() != a.nextSeq {
-		return errMissingChunk
+	if end.GetOutcome() == jayv1.Outcome_OUTCOME_DONE {
+		if err := a.chunks.End(end.GetCount()); err != nil {
+			return err
+		}
 	}
 	a.end = end
 	switch end.GetOutcome() {
@@ -399,14 +434,14 @@
 		return false
 	}
 	resume := &jayv1.Resume{
-		RequestId: a.id, Attempt: a.number, Workspace: a.workspace, Nonce: a.nonce, NextSeq: a.nextSeq,
+		RequestId: a.id, Attempt: a.number, Workspace: a.workspace, Nonce: a.nonce, NextSeq: a.chunks.Next(),
 	}
 	if err := stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Resume{Resume: resume}}); err != nil {
 		stream.Abort()
 		return false
 	}
 	a.stream = stream
-	a.acked = a.nextSeq
+	a.acked = a.chunks.Next()
 	return true
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -73,7 +74,20 @@
 	const idBytes = 10
 	var random [idBytes]byte
 	_, _ = rand.Read(random[:])
-	return "req-" + e.settings.Name + "-" + hex.EncodeToString(random[:])
+	return requestIDPrefix + e.settings.Name + "-" + hex.EncodeToString(random[:])
+}
+
+// requestIDPrefix starts every request id.
+const requestIDPrefix = "req-"
+
+// entryOf is the name of the entry that made a request id.
+func entryOf(requestID string) (string, bool) {
+	rest, ok := strings.CutPrefix(requestID, requestIDPrefix)
+	end := strings.LastIndex(rest, "-")
+	if !ok || end <= 0 {
+		return "", false
+	}
+	return rest[:end], true
 }
 
 func headerBytes(header http.Header) int {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,12 +15,12 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
-	"github.com/jayproxy/jayproxy/internal/keys"
 	"github.com/jayproxy/jayproxy/internal/metrics"
+	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/quota"
 	"github.com/jayproxy/jayproxy/internal/retry"
+	"github.com/jayproxy/jayproxy/internal/spread"
 	"github.com/jayproxy/jayproxy/internal/transport"
 )
 
@@ -35,6 +35,8 @@
 	node     *transport.Node
 	metrics  *metrics.Registry
 	picker   *picker
+	platform platform.Platform
+	spread   atomic.Pointer[spread.Service]
 	streams  *streamCount
 	explain  *explanations
 
@@ -44,6 +46,7 @@
 	budget   *retry.Budget
 
 	callers, admin *server
+	operators      *operatorServer
 	started        time.Time
 	// stopping: not ready any more. serving: the callers' port still takes requests.
 	stopping, serving atomic.Bool
@@ -76,7 +79,7 @@
 	e := &Entry{
 		settings: settings, holder: settings.Holder, creds: creds,
 		metrics: metrics.New(settings.MaxLabels),
-		picker:  &picker{choose: &roundRobin{}},
+		picker:  newPicker(settings),
 		streams: newStreamCount(settings.Limits),
 		explain: newExplanations(),
 		quota:   quota.NewLimiter(),
@@ -86,6 +89,10 @@
 	if e.holder == nil {
 		e.holder = catalog.NewHolder()
 	}
+	e.platform = settings.Platform
+	if e.platform == nil && settings.PlatformURL != "" {
+		e.platform = platform.NewClient(settings.PlatformURL, platform.ClientOptions{})
+	}
 	e.serving.Store(true)
 	e.ctx, e.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	return e
@@ -97,6 +104,9 @@
 	if err != nil {
 		return err
 	}
+	if err := e.startControl(); err != nil {
+		return err
+	}
 	headers := e.settings.Limits.HeaderBytes
 	if e.admin, err = serveHTTP(e.settings.AdminAddress, e.adminAPI(), headers); err != nil {
 		return err
@@ -106,6 +116,7 @@
 }
 
 func (e *Entry) background() {
+	e.goWith(e.watchMembers)
 	e.goWith(func(ctx context.Context) { e.creds.Watch(ctx, ms(e.settings.Timeouts.KeysReloadMS)) })
 }
 
@@ -120,6 +131,14 @@
 // CallersURL is the base URL of the callers' API.
 func (e *Entry) CallersURL() string { return e.callers.url() }
 
+// OperatorsURL is the base URL of the operators' calls, "" without a platform.
+func (e *Entry) OperatorsURL() string {
+	if e.operators == nil {
+		return ""
+	}
+	return e.operators.URL()
+}
+
 // AdminURL is the base URL of the admin pages.
 func (e *Entry) AdminURL() string { return e.admin.url() }
 
@@ -140,6 +159,9 @@
 	if err == nil {
 		err = e.streams.wait(ctx)
 	}
+	if e.operators != nil {
+		_ = e.operators.Shutdown(ctx)
+	}
 	e.Close()
 	return err
 }
@@ -148,6 +170,12 @@
 func (e *Entry) Close() {
 	e.stopping.Store(true)
 	e.cancel()
+	if service := e.spread.Load(); service != nil {
+		service.Close()
+	}
+	if e.operators != nil {
+		e.operators.Close()
+	}
 	e.callers.close()
 	e.admin.close()
 	if e.node != nil {
@@ -156,30 +184,6 @@
 	e.wg.Wait()
 }
 
-// servePeer serves a stream that another process opened.
-func (e *Entry) servePeer(_ context.Context, _ keys.Identity, stream *transport.Stream) {
-	first := &jayv1.ClientFrame{}
-	if err := stream.Receive(first); err != nil {
-		return
-	}
-	switch f := first.GetFrame().(type) {
-	case *jayv1.ClientFrame_Explain:
-		explanation, found := e.explain.get(f.Explain.GetRequestId())
-		reply := &jayv1.ExplainReply{Found: found, Explanation: explanation}
-		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Explain{Explain: reply}})
-	case *jayv1.ClientFrame_Status:
-		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Status{Status: e.Status()}})
-	}
-}
-
-// Status is what the entry tells operators about itself.
-func (e *Entry) Status() *jayv1.ProcessStatus {
-	return &jayv1.ProcessStatus{
-		Name: e.settings.Name, Role: string(keys.RoleEntry), DataCentre: e.settings.DataCentre,
-		Generation: e.holder.Current().Generation(), Leaving: e.stopping.Load(), StartedUnixMs: e.started.UnixMilli(),
-	}
-}
-
 // server is an HTTP server on a listener of its own.
 type server struct {
 	http     *http.Server
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -8,6 +8,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/routing"
 )
 
 // explainKept is the number of recent requests whose decisions are kept.
@@ -43,7 +44,7 @@
 }
 
 // decided keeps the candidates of a decision; the last decision's stay.
-func (x *explanations) decided(id string, d decision) {
+func (x *explanations) decided(id string, d routing.Decision) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if explanation := x.byID[id]; explanation != nil {
--- a/internal/entry/fakeagent_test.go
+++ b/internal/entry/fakeagent_test.go
@@ -64,7 +64,7 @@
 }
 
 func (f *fakeAgent) state() *jayv1.AgentState {
-	return &jayv1.AgentState{BackendServer: f.name, Incarnation: 1, Ready: true, Slots: 8}
+	return &jayv1.AgentState{BackendServer: f.name, Incarnation: 1, Ready: true, Slots: 8, VersionDigests: []string{"d1"}, Adapters: []string{"cone"}}
 }
 
 func (f *fakeAgent) set(change func(f *fakeAgent)) {
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -11,6 +11,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/routing"
 )
 
 const nonceBytes = 16
@@ -31,6 +32,7 @@
 	attempts uint32
 	err      *Error
 	end      *jayv1.End
+	reply    *jayv1.OfferReply
 	server   string
 }
 
@@ -49,7 +51,7 @@
 	work  *work
 	to    answer
 	table *catalog.Table
-	tries []tried
+	tries []routing.Tried
 	last  result
 	// maybeRan: an attempt ended unknown, so the request can't be called not run.
 	maybeRan bool
@@ -59,14 +61,14 @@
 	for n := 1; n <= h.entry.settings.Attempts.Max; n++ {
 		// The catalog may have moved on since the last attempt.
 		h.table = h.entry.holder.Current()
-		d, err := h.entry.picker.next(time.Now(), h.table, h.work, h.tries)
+		d, err := h.decide(ctx)
 		if err != nil {
 			break
 		}
 		d.Final = d.Final || h.declines() >= h.entry.settings.Attempts.MaxDeclines
 		a, ok := h.newAttempt(uint32(n), d) //nolint:gosec // bounded by the setting
 		if !ok {
-			h.tries = append(h.tries, tried{Server: d.Server, Refusal: jayv1.Refusal_REFUSAL_NOT_FOUND})
+			h.tries = append(h.tries, routing.Tried{Server: d.Server, Refusal: jayv1.Refusal_REFUSAL_NOT_FOUND})
 			continue
 		}
 		h.entry.explain.decided(h.work.id, d)
@@ -91,7 +93,7 @@
 	return n
 }
 
-func (h *handing) newAttempt(number uint32, d decision) (*attempt, bool) {
+func (h *handing) newAttempt(number uint32, d routing.Decision) (*attempt, bool) {
 	server, ok := h.table.BackendServer(d.Server)
 	if !ok {
 		return nil, false
@@ -101,6 +103,7 @@
 	a.workspace, a.dial = h.work.workspace.GetName(), h.entry.node
 	a.limits, a.timeouts = h.entry.settings.Attempts, h.entry.settings.Timeouts
 	a.deadline, a.detach = h.work.deadline, h.work.keepOpen
+	a.onReply = func(reply *jayv1.OfferReply) { h.entry.picker.replied(time.Now(), h.work, a.server, reply) }
 	a.nonce = make([]byte, nonceBytes)
 	_, _ = rand.Read(a.nonce)
 	return a, true
@@ -108,13 +111,12 @@
 
 // learn keeps what the attempt showed of the backend server.
 func (h *handing) learn(a *attempt) {
-	now := time.Now()
-	h.entry.picker.learn(now, a.server, a.reply.GetState())
-	h.entry.picker.learn(now, a.server, a.end.GetState())
-	t := tried{Server: a.server, Refusal: refusalOf(a), CostMS: a.reply.GetCostMs(), CachedBytes: int(a.reply.GetCachedBytes())}
+	h.entry.picker.ended(time.Now(), h.work, a)
+	t := routing.Tried{Server: a.server, Refusal: refusalOf(a), CostMS: a.reply.GetCostMs(), CachedBytes: int(a.reply.GetCachedBytes())}
 	h.tries = append(h.tries, t)
 	h.entry.explain.attempt(a, t.Refusal)
-	h.last.attempts, h.last.server, h.last.end = a.number, a.server, a.end
+	h.last.attempts, h.last.server = a.number, a.server
+	h.last.end, h.last.reply = a.end, a.reply
 	h.last.outcome = a.outcome()
 	klog.V(2).InfoS("attempt over", "request", a.id, "attempt", a.number, "server", a.server, "state", a.state, "refusal", t.Refusal)
 }
--- /dev/null
+++ b/internal/entry/probe.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/routing"
+)
+
+// probeTimeout bounds the wait for agents that are asked before a choice.
+const probeTimeout = 250 * time.Millisecond
+
+// decide chooses where the next offer goes. A policy that asks agents first
+// gets their answers; those that do not come in time are left out.
+func (h *handing) decide(ctx context.Context) (routing.Decision, error) {
+	d, err := h.entry.picker.next(time.Now(), h.table, h.work, h.tries)
+	if err != nil || len(d.Ask) == 0 {
+		return d, err
+	}
+	h.work.route.Probes = h.probe(ctx, d.Ask)
+	d, err = h.entry.picker.next(time.Now(), h.table, h.work, h.tries)
+	h.work.route.Probes = nil
+	return d, err
+}
+
+// probe asks the servers at once. The result is never nil.
+func (h *handing) probe(ctx context.Context, servers []string) []routing.Probe {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	answers := []routing.Probe{}
+	for _, name := range servers {
+		server, ok := h.table.BackendServer(name)
+		if !ok {
+			continue
+		}
+		wg.Go(func() {
+			reply, err := h.probeOne(ctx, server)
+			if err != nil {
+				return
+			}
+			h.entry.picker.probed(time.Now(), name, reply)
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, routing.Probe{Server: name, CostMS: reply.GetCostMs(), CachedBytes: int(reply.GetCachedBytes())})
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+func (h *handing) probeOne(ctx context.Context, server *jayv1.BackendServer) (*jayv1.ProbeReply, error) {
+	stream, err := h.entry.node.Open(ctx, server.GetAgentAddress(), keys.RoleAgent)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Abort()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = stream.SetDeadline(deadline)
+	}
+	question := &jayv1.ProbeRequest{
+		Pool: h.work.pool.GetName(), Chain: h.work.route.Chain,
+		PromptBytes: uint32(h.work.route.PromptBytes), Generation: h.table.Generation(), //nolint:gosec // bounded by the prompt limit
+	}
+	if err := stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Probe{Probe: question}}); err != nil {
+		return nil, err
+	}
+	frame := &jayv1.ServerFrame{}
+	if err := stream.Receive(frame); err != nil {
+		return nil, err
+	}
+	if frame.GetProbeReply() == nil {
+		return nil, errOutOfTurn
+	}
+	return frame.GetProbeReply(), nil
+}
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -37,7 +37,7 @@
 
 // retryAfter is the wait that the last refusal named, if any.
 func (h *handing) retryAfter() time.Duration {
-	return ms(int(h.last.end.GetRetryAfterMs()))
+	return ms(int(max(h.last.end.GetRetryAfterMs(), h.last.reply.GetRetryAfterMs())))
 }
 
 // bodyError is the caller's error for a body that ended early; the caller is
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/relay"
 )
 
 // errToken is a resume token that says nothing.
@@ -76,7 +77,8 @@
 	defer leave()
 	a := newAttempt(token.GetRequestId(), token.GetAttempt())
 	a.server, a.address = server.GetName(), server.GetAgentAddress()
-	a.workspace, a.nonce, a.nextSeq = call.workspace.GetName(), token.GetNonce(), next
+	a.workspace, a.nonce = call.workspace.GetName(), token.GetNonce()
+	a.chunks = relay.ReceiverAt(next)
 	a.dial, a.limits, a.timeouts = e.node, e.settings.Attempts, e.settings.Timeouts
 	a.detach = c.Request().Header.Get(HeaderResume) == resumeKeep
 	client := newCaller(c.Response(), token.GetRequestId(), ms(e.settings.Timeouts.CallerWriteMS))
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -13,15 +13,16 @@
 	DataCentre string `toml:"data_centre" validate:"required" doc:"Data centre that the VM stands in."`
 	Region     string `toml:"region" doc:"Region of the data centre."`
 
-	CallersAddress   string `toml:"callers_address" validate:"required,hostname_port" doc:"Address of the callers' HTTP API."`
-	OperatorsAddress string `toml:"operators_address" validate:"required,hostname_port" doc:"Address of the operators' remote procedure calls (mutual TLS)."`
-	AdminAddress     string `toml:"admin_address" validate:"required,hostname_port" doc:"Address of liveness, readiness, metrics and debug pages."`
-	Address          string `toml:"address" validate:"required,hostname_port" doc:"Address of the QUIC listener for the system's own processes."`
+	CallersAddress   string `toml:"callers" validate:"required,hostname_port" doc:"Address of the callers' HTTP API."`
+	OperatorsAddress string `toml:"operators" validate:"required,hostname_port" doc:"Address of the operators' remote procedure calls (mutual TLS)."`
+	AdminAddress     string `toml:"admin" validate:"required,hostname_port" doc:"Address of liveness, readiness, metrics and debug pages."`
+	Address          string `toml:"listen" validate:"required,hostname_port" doc:"Address of the QUIC listener for the system's own processes."`
 
-	KeysDir     string `toml:"keys_dir" validate:"required" doc:"Folder with ca.pem, cert.pem and key.pem; read again while running."`
-	PlatformURL string `toml:"platform_url" validate:"omitempty,url" doc:"Base URL of the platform."`
-	Policy      string `toml:"policy" doc:"Routing policy; empty takes the default."`
-	MaxLabels   int    `toml:"max_labels" validate:"gt=0" doc:"Workspaces and classes that metrics keep apart; others flow together."`
+	KeysDir     string   `toml:"keys" validate:"required" doc:"Folder with ca.pem, cert.pem and key.pem; read again while running."`
+	PlatformURL string   `toml:"platform" validate:"omitempty,url" doc:"Base URL of the platform."`
+	Seeds       []string `toml:"seeds" validate:"dive,hostname_port" doc:"Addresses of other entries to ask for the catalog while the platform can not be reached."`
+	Policy      string   `toml:"policy" doc:"Routing policy; empty takes the default."`
+	MaxLabels   int      `toml:"max_labels" validate:"gt=0" doc:"Workspaces and classes that metrics keep apart; others flow together."`
 
 	Limits   LimitSettings   `toml:"limits"`
 	Timeouts TimeoutSettings `toml:"timeouts"`
@@ -55,7 +56,6 @@
 	CallerReadMS  int `toml:"caller_read_ms" validate:"gt=0" unit:"ms" doc:"A caller that sends no byte of its body for this long is cut off."`
 	GraceMS       int `toml:"grace_ms" validate:"gte=0" unit:"ms" doc:"Time between not ready and closed listener at a stop, for the balancer."`
 	KeysReloadMS  int `toml:"keys_reload_ms" validate:"gt=0" unit:"ms" doc:"Interval of reading the keys folder again."`
-	VMListMS      int `toml:"vm_list_ms" validate:"gt=0" unit:"ms" doc:"Interval of reading the platform's list of VMs."`
 }
 
 // AttemptSettings bound the attempts of a request.
@@ -89,7 +89,7 @@
 		},
 		Timeouts: TimeoutSettings{
 			DeadlineMS: 60000, OfferMS: 3000, StreamIdleMS: 60000, CallerWriteMS: 20000, CallerReadMS: 20000,
-			GraceMS: 3000, KeysReloadMS: 10000, VMListMS: 1000,
+			GraceMS: 3000, KeysReloadMS: 10000,
 		},
 		Attempts: AttemptSettings{
 			Max: 8, MaxDeclines: 3, RetryShare: 0.1, RetryBurst: 20,
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -118,9 +118,11 @@
 	return texts(read.String())[:n]
 }
 
-// Story: a caller opens many long answers and reads none. Held in memory they
-// would bring the entry down for everybody; the caller is cut off instead.
-func TestASlowReaderIsCutOffAndHarmsNobody(t *testing.T) {
+// Story: a caller opens many long answers and reads none of them. Held in
+// memory they would bring the entry down; stuck in the link that all streams to
+// a backend server share they would stop everybody's answers.
+func TestSlowReadersAreCutOffAndHarmNobody(t *testing.T) {
+	const slow = 8
 	s := newSite(t, "b1")
 	long := strings.Repeat("x", 64<<10)
 	s.agents[0].answer = func(offer *jayv1.Offer, body []byte, emit func(string)) *jayv1.End {
@@ -132,12 +134,18 @@
 		}
 		return done()
 	}
-	e := s.entry("e1", func(settings *entry.Settings) { settings.Timeouts.CallerWriteMS = 300 })
-	slow := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
-	defer func() { _ = slow.Body.Close() }()
-	r := call(t, "POST", e.CallersURL()+chatPath, keyOther, chatStream)
-	assert.Len(t, texts(r.body), 3)
+	e := s.entry("e1", func(settings *entry.Settings) { settings.Timeouts.CallerWriteMS = 1500 })
+	for range slow {
+		response := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
+		defer func() { _ = response.Body.Close() }()
+	}
+	began := time.Now()
+	for time.Since(began) < time.Second {
+		r := call(t, "POST", e.CallersURL()+chatPath, keyOther, chatStream)
+		require.Len(t, texts(r.body), 3, "%d %s", r.status, r.body)
+		require.Less(t, time.Since(began), 1400*time.Millisecond, "held up by slow readers")
+	}
 	require.Eventually(t, func() bool {
-		return s.agents[0].seen(func(f *fakeAgent) int { return f.cancels }) == 1
-	}, 5*time.Second, 10*time.Millisecond)
+		return s.agents[0].seen(func(f *fakeAgent) int { return f.cancels }) == slow
+	}, 10*time.Second, 10*time.Millisecond)
 }
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -57,7 +57,7 @@
 }
 
 // offer makes the head of a hand-over.
-func (w *work) offer(now time.Time, number uint32, d decision, generation uint64, nonce []byte) *jayv1.Offer {
+func (w *work) offer(now time.Time, number uint32, d routing.Decision, generation uint64, nonce []byte) *jayv1.Offer {
 	return &jayv1.Offer{
 		RequestId: w.id, Attempt: number, Workspace: w.workspace.GetName(),
 		Pool: w.pool.GetName(), Service: w.service.GetName(),
--- a/internal/relay/receiver.go
+++ b/internal/relay/receiver.go
@@ -18,6 +18,10 @@
 	next uint64
 }
 
+// ReceiverAt expects the chunk with the number first: an answer that another
+// receiver began.
+func ReceiverAt(next uint64) Receiver { return Receiver{next: next} }
+
 // Accept judges the chunk with the number. True: it is the next one, pass it
 // on. False without an error: it came before and is dropped. ErrGap: one is
 // missing; a new link may resume at Next.
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -41,6 +41,13 @@
 	defaultLinkTimeout = 6 * time.Second
 	defaultIdleClose   = 30 * time.Second
 	defaultMaxStreams  = 10000
+	// streamWindow bounds what a peer may send ahead on one stream, linkWindow
+	// on all streams of a connection. A caller that does not read fills its
+	// stream's window; were the link's not far larger, a few such callers would
+	// stop every other answer from the same backend server. The memory is only
+	// taken by what is really held up.
+	streamWindow = 256 << 10
+	linkWindow   = 256 << 20
 )
 
 func (o Options) withDefaults() Options {
@@ -123,6 +130,12 @@
 		HandshakeIdleTimeout: n.options.DialTimeout,
 		MaxIdleTimeout:       n.options.IdleClose,
 		MaxIncomingStreams:   n.options.MaxStreams,
+
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         streamWindow,
+		InitialConnectionReceiveWindow: linkWindow,
+		MaxConnectionReceiveWindow:     linkWindow,
+
 		// 0-RTT data can be replayed by the network.
 		Allow0RTT: false,
 	}
