--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -22,29 +22,22 @@
 
 // startControl joins the spread of the catalog and opens the operators' port.
 func (e *Entry) startControl() error {
-	var store *catalogstore.Store
-	options := spread.Options{
+	store := catalogstore.New(e.platform, e.platform, catalogstore.Options{Check: catalog.Check})
+	service, err := spread.Start(e.ctx, spread.Options{
 		Self:       keys.Identity{Role: keys.RoleEntry, Name: e.settings.Name},
 		DataCentre: e.settings.DataCentre, Region: e.settings.Region, Address: e.node.Address(),
 		Incarnation: uint64(e.started.UnixNano()), //nolint:gosec // after 1970
-		Node:        e.node, Holder: e.holder, Seeds: e.settings.Seeds,
-		OnVMs:   e.heardVMs,
+		Settings:    e.settings.Spread, Node: e.node, Holder: e.holder, Seeds: e.settings.Seeds,
+		Store: store, VMs: e.platform, OnVMs: e.heardVMs,
 		OnNews:  func(_ keys.Identity, news []*jayv1.MemberNews) { e.picker.news(time.Now(), news) },
 		News:    func() []*jayv1.MemberNews { return e.picker.tell(time.Now()) },
 		Leaving: e.stopping.Load,
-	}
-	if e.platform != nil {
-		store = catalogstore.New(e.platform, e.platform, catalogstore.Options{Check: catalog.Check})
-		options.Store, options.VMs = store, e.platform
-	}
-	service, err := spread.Start(e.ctx, options)
+	})
 	if err != nil {
 		return err
 	}
-	e.spread.Store(service)
-	if store == nil {
-		return nil
-	}
+	e.spread = service
+	close(e.ready)
 	e.operators, err = newOperatorServer(operatorDeps{
 		Address: e.settings.OperatorsAddress, Credentials: e.creds,
 		Operator: operator.Options{Store: store, Holder: e.holder, Spread: service, Explain: e.explainAnywhere},
@@ -52,6 +45,20 @@
 	return err
 }
 
+// platformOf is the platform of the settings; without one, every call fails as
+// it does during an outage.
+func platformOf(settings Settings) platform.Platform {
+	if settings.Platform != nil {
+		return settings.Platform
+	}
+	const nowhere = "http://127.0.0.1:1"
+	url := settings.PlatformURL
+	if url == "" {
+		url = nowhere
+	}
+	return platform.NewClient(url, platform.ClientOptions{})
+}
+
 // heardVMs takes an answer of the platform's list: who may get work, and among
 // how many entries the limits are shared.
 func (e *Entry) heardVMs(list platform.VMList) {
@@ -87,8 +94,10 @@
 		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Explain{Explain: reply}})
 		return
 	}
-	if service := e.spread.Load(); service != nil {
-		service.Handle(ctx, peer, first, stream)
+	select {
+	case <-e.ready:
+		e.spread.Handle(ctx, peer, first, stream)
+	case <-ctx.Done():
 	}
 }
 
@@ -104,12 +113,11 @@
 		return explanation, nil
 	}
 	name, ok := entryOf(requestID)
-	service := e.spread.Load()
-	if !ok || name == e.settings.Name || service == nil {
+	if !ok || name == e.settings.Name {
 		return nil, operator.ErrNoExplanation
 	}
 	question := &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Explain{Explain: &jayv1.ExplainQuery{RequestId: requestID}}}
-	answer, err := service.AskEntry(ctx, name, question)
+	answer, err := e.spread.AskEntry(ctx, name, question)
 	if errors.Is(err, spread.ErrUnknownPeer) {
 		return nil, operator.ErrNoExplanation
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,9 +36,11 @@
 	metrics  *metrics.Registry
 	picker   *picker
 	platform platform.Platform
-	spread   atomic.Pointer[spread.Service]
-	streams  *streamCount
-	explain  *explanations
+	spread   *spread.Service
+	// ready is closed when spread is set; peers that come earlier wait.
+	ready   chan struct{}
+	streams *streamCount
+	explain *explanations
 
 	quotaMu  sync.Mutex
 	quota    *quota.Limiter
@@ -80,6 +82,7 @@
 		settings: settings, holder: settings.Holder, creds: creds,
 		metrics: metrics.New(settings.MaxLabels),
 		picker:  newPicker(settings),
+		ready:   make(chan struct{}),
 		streams: newStreamCount(settings.Limits),
 		explain: newExplanations(),
 		quota:   quota.NewLimiter(),
@@ -89,10 +92,7 @@
 	if e.holder == nil {
 		e.holder = catalog.NewHolder()
 	}
-	e.platform = settings.Platform
-	if e.platform == nil && settings.PlatformURL != "" {
-		e.platform = platform.NewClient(settings.PlatformURL, platform.ClientOptions{})
-	}
+	e.platform = platformOf(settings)
 	e.serving.Store(true)
 	e.ctx, e.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	return e
@@ -131,13 +131,8 @@
 // CallersURL is the base URL of the callers' API.
 func (e *Entry) CallersURL() string { return e.callers.url() }
 
-// OperatorsURL is the base URL of the operators' calls, "" without a platform.
-func (e *Entry) OperatorsURL() string {
-	if e.operators == nil {
-		return ""
-	}
-	return e.operators.URL()
-}
+// OperatorsURL is the base URL of the operators' calls.
+func (e *Entry) OperatorsURL() string { return e.operators.URL() }
 
 // AdminURL is the base URL of the admin pages.
 func (e *Entry) AdminURL() string { return e.admin.url() }
@@ -170,8 +165,8 @@
 func (e *Entry) Close() {
 	e.stopping.Store(true)
 	e.cancel()
-	if service := e.spread.Load(); service != nil {
-		service.Close()
+	if e.spread != nil {
+		e.spread.Close()
 	}
 	if e.operators != nil {
 		e.operators.Close()
--- a/internal/entry/picker.go
+++ b/internal/entry/picker.go
@@ -1,12 +1,13 @@
 package entry
 
 import (
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/membership"
@@ -30,7 +31,8 @@
 	p := &picker{members: membership.New(membership.DefaultSettings()), listed: map[string]platform.VM{}}
 	p.router = routing.New(routing.Options{
 		Policy: settings.Policy, DataCentre: settings.DataCentre, Region: settings.Region,
-		Seed: rand.Uint64(), Membership: p.members, //nolint:gosec // spreads load, guards nothing
+		// Entries differ in their random candidates and agree on the rest.
+		Seed: xxh3.HashString(settings.Name), Membership: p.members,
 	})
 	return p
 }
@@ -89,7 +91,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heard(now, server, reply.GetState())
-	p.router.Saw(now, server, w.route, int(reply.GetCachedBytes()), reply.GetState().GetIncarnation())
+	if reply.GetAccepted() || reply.GetRefusal() == jayv1.Refusal_REFUSAL_COST {
+		p.router.Saw(now, server, w.route, int(reply.GetCachedBytes()), reply.GetState().GetIncarnation())
+	}
 	if reply.GetAccepted() {
 		p.router.HandedOver(now, server, w.route, reply.GetCostMs())
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/spread"
 )
 
 // Settings of an entry. Addresses are IP:port, port 0 takes a free one.
@@ -18,17 +19,20 @@
 	AdminAddress     string `toml:"admin" validate:"required,hostname_port" doc:"Address of liveness, readiness, metrics and debug pages."`
 	Address          string `toml:"listen" validate:"required,hostname_port" doc:"Address of the QUIC listener for the system's own processes."`
 
-	KeysDir     string   `toml:"keys" validate:"required" doc:"Folder with ca.pem, cert.pem and key.pem; read again while running."`
-	PlatformURL string   `toml:"platform" validate:"omitempty,url" doc:"Base URL of the platform."`
-	Seeds       []string `toml:"seeds" validate:"dive,hostname_port" doc:"Addresses of other entries to ask for the catalog while the platform can not be reached."`
-	Policy      string   `toml:"policy" doc:"Routing policy; empty takes the default."`
-	MaxLabels   int      `toml:"max_labels" validate:"gt=0" doc:"Workspaces and classes that metrics keep apart; others flow together."`
+	KeysDir     string `toml:"keys" validate:"required" doc:"Folder with ca.pem, cert.pem and key.pem; read again while running."`
+	PlatformURL string `toml:"platform" validate:"omitempty,url" doc:"Base URL of the platform."`
+	Policy      string `toml:"policy" doc:"Routing policy; empty takes the default."`
+	MaxLabels   int    `toml:"max_labels" validate:"gt=0" doc:"Workspaces and classes that metrics keep apart; others flow together."`
 
 	Limits   LimitSettings   `toml:"limits"`
 	Timeouts TimeoutSettings `toml:"timeouts"`
 	Attempts AttemptSettings `toml:"attempts"`
 	Ledger   LedgerSettings  `toml:"ledger"`
 
+	Seeds []string `toml:"seeds" validate:"dive,hostname_port" doc:"QUIC addresses of entries to ask for the catalog while no other process is known."`
+	// Spread of the catalog between processes.
+	Spread spread.Settings `toml:"spread"`
+
 	// Holder is the catalog to serve by; nil: the entry makes its own.
 	Holder *catalog.Holder `toml:"-"`
 	// Platform replaces the client of PlatformURL, e.g. in tests.
@@ -95,6 +99,7 @@
 			Max: 8, MaxDeclines: 3, RetryShare: 0.1, RetryBurst: 20,
 			ResumeTries: 6, ResumeWaitMS: 50, ResumeWindowMS: 15000, AckChunks: 32,
 		},
+		Spread: spread.DefaultSettings(),
 		Ledger: LedgerSettings{WindowMS: 3, InFlight: 4, SettleMS: 3000},
 	}
 }
