--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -67,9 +68,6 @@
 	}
 }
 
-// requestIDPrefix marks a request id.
-const requestIDPrefix = "req-"
-
 // newRequestID carries the entry's name, so that any entry knows whom to ask
 // about the request.
 func (e *Entry) newRequestID() string {
@@ -79,6 +77,19 @@
 	return requestIDPrefix + e.settings.Name + "-" + hex.EncodeToString(random[:])
 }
 
+// requestIDPrefix starts every request id.
+const requestIDPrefix = "req-"
+
+// entryOf is the name of the entry that made a request id.
+func entryOf(requestID string) (string, bool) {
+	rest, ok := strings.CutPrefix(requestID, requestIDPrefix)
+	end := strings.LastIndex(rest, "-")
+	if !ok || end <= 0 {
+		return "", false
+	}
+	return rest[:end], true
+}
+
 func headerBytes(header http.Header) int {
 	total := 0
 	for name, values := range header {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strings"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,39 +17,32 @@
 	"github.com/jayproxy/jayproxy/internal/transport"
 )
 
-// control is the part of an entry that is not in a request's path: the spread
-// of the catalog and the operators' calls.
-type control struct {
-	spread    *spread.Service
-	operators *operatorServer
-}
+// memberTick is how often ejections and old news are looked over.
+const memberTick = 250 * time.Millisecond
 
-// startControl works without a platform: the catalog then comes from peers,
-// and operators' changes are refused.
-func startControl(ctx context.Context, e *Entry) (*control, error) {
-	service := platformOf(e.settings)
-	options := spread.Options{
-		Self: e.creds.Self(), DataCentre: e.settings.DataCentre, Region: e.settings.Region,
-		Address: e.Address(), Incarnation: uint64(e.started.UnixNano()), //nolint:gosec // after 1970
-		Settings: e.settings.Spread, Node: e.node, Holder: e.holder, Seeds: e.settings.Seeds,
+// startControl joins the spread of the catalog and opens the operators' port.
+func (e *Entry) startControl() error {
+	store := catalogstore.New(e.platform, e.platform, catalogstore.Options{Check: catalog.Check})
+	service, err := spread.Start(e.ctx, spread.Options{
+		Self:       keys.Identity{Role: keys.RoleEntry, Name: e.settings.Name},
+		DataCentre: e.settings.DataCentre, Region: e.settings.Region, Address: e.node.Address(),
+		Incarnation: uint64(e.started.UnixNano()), //nolint:gosec // after 1970
+		Settings:    e.settings.Spread, Node: e.node, Holder: e.holder, Seeds: e.settings.Seeds,
+		Store: store, VMs: e.platform, OnVMs: e.heardVMs,
+		OnNews:  func(_ keys.Identity, news []*jayv1.MemberNews) { e.picker.news(time.Now(), news) },
+		News:    func() []*jayv1.MemberNews { return e.picker.tell(time.Now()) },
 		Leaving: e.stopping.Load,
-	}
-	store := catalogstore.New(service, service, catalogstore.Options{Check: catalog.Check})
-	options.Store, options.VMs = store, service
-	c := &control{}
-	var err error
-	if c.spread, err = spread.Start(ctx, options); err != nil {
-		return nil, err
-	}
-	c.operators, err = newOperatorServer(operatorDeps{
-		Address: e.settings.OperatorsAddress, Credentials: e.creds,
-		Operator: operator.Options{Store: store, Holder: e.holder, Spread: c.spread, Explain: e.findExplanation},
 	})
 	if err != nil {
-		c.spread.Close()
-		return nil, err
+		return err
 	}
-	return c, nil
+	e.spread = service
+	close(e.ready)
+	e.operators, err = newOperatorServer(operatorDeps{
+		Address: e.settings.OperatorsAddress, Credentials: e.creds,
+		Operator: operator.Options{Store: store, Holder: e.holder, Spread: service, Explain: e.explainAnywhere},
+	})
+	return err
 }
 
 // platformOf is the platform of the settings; without one, every call fails as
@@ -66,46 +59,73 @@
 	return platform.NewClient(url, platform.ClientOptions{})
 }
 
-// handle serves the streams of the spread.
-func (c *control) handle(ctx context.Context, peer keys.Identity, first *jayv1.ClientFrame, stream *transport.Stream) {
-	c.spread.Handle(ctx, peer, first, stream)
+// heardVMs takes an answer of the platform's list: who may get work, and among
+// how many entries the limits are shared.
+func (e *Entry) heardVMs(list platform.VMList) {
+	e.picker.vms(time.Now(), list)
+	e.SetEntries(e.picker.entries())
 }
 
-func (c *control) close() {
-	if c == nil {
+// watchMembers lets ejections end and applies a new catalog's drains also while
+// no request comes.
+func (e *Entry) watchMembers(ctx context.Context) {
+	ticker := time.NewTicker(memberTick)
+	defer ticker.Stop()
+	for {
+		e.picker.tick(time.Now(), e.holder.Current())
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.holder.Next():
+		case <-ticker.C:
+		}
+	}
+}
+
+// servePeer serves a stream that another process opened.
+func (e *Entry) servePeer(ctx context.Context, peer keys.Identity, stream *transport.Stream) {
+	first := &jayv1.ClientFrame{}
+	if err := stream.Receive(first); err != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = c.operators.Shutdown(ctx)
-	c.spread.Close()
+	if first.GetExplain() != nil && peer.Role == keys.RoleEntry {
+		explanation, found := e.explain.get(first.GetExplain().GetRequestId())
+		reply := &jayv1.ExplainReply{Found: found, Explanation: explanation}
+		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Explain{Explain: reply}})
+		return
+	}
+	select {
+	case <-e.ready:
+		e.spread.Handle(ctx, peer, first, stream)
+	case <-ctx.Done():
+	}
 }
 
-// findExplanation looks here or asks the entry whose name the request id carries.
-func (e *Entry) findExplanation(ctx context.Context, requestID string) (*jayv1.Explanation, error) {
-	if explanation, found := e.explain.get(requestID); found {
+// Explain returns why a request of this entry went where it did, false when it
+// is not among the latest.
+func (e *Entry) Explain(_ context.Context, requestID string) (*jayv1.Explanation, bool) {
+	return e.explain.get(requestID)
+}
+
+// explainAnywhere asks the entry that the request id names.
+func (e *Entry) explainAnywhere(ctx context.Context, requestID string) (*jayv1.Explanation, error) {
+	if explanation, ok := e.explain.get(requestID); ok {
 		return explanation, nil
 	}
-	name := entryOf(requestID)
-	if name == e.settings.Name {
+	name, ok := entryOf(requestID)
+	if !ok || name == e.settings.Name {
 		return nil, operator.ErrNoExplanation
 	}
 	question := &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Explain{Explain: &jayv1.ExplainQuery{RequestId: requestID}}}
-	answer, err := e.control.spread.AskEntry(ctx, name, question)
+	answer, err := e.spread.AskEntry(ctx, name, question)
+	if errors.Is(err, spread.ErrUnknownPeer) {
+		return nil, operator.ErrNoExplanation
+	}
 	if err != nil {
-		return nil, eris.Wrapf(operator.ErrNoExplanation, "ask entry %q: %v", name, err)
+		return nil, eris.Wrapf(err, "ask entry %s", name)
 	}
 	if !answer.GetExplain().GetFound() {
 		return nil, operator.ErrNoExplanation
 	}
 	return answer.GetExplain().GetExplanation(), nil
 }
-
-// entryOf is the entry that made the request id.
-func entryOf(requestID string) string {
-	name := strings.TrimPrefix(requestID, requestIDPrefix)
-	if cut := strings.LastIndex(name, "-"); cut >= 0 {
-		return name[:cut]
-	}
-	return ""
-}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -32,6 +32,7 @@
 	attempts uint32
 	err      *Error
 	end      *jayv1.End
+	reply    *jayv1.OfferReply
 	server   string
 }
 
@@ -102,7 +103,7 @@
 	a.workspace, a.dial = h.work.workspace.GetName(), h.entry.node
 	a.limits, a.timeouts = h.entry.settings.Attempts, h.entry.settings.Timeouts
 	a.deadline, a.detach = h.work.deadline, h.work.keepOpen
-	a.onAccept = func() { h.handedOver(a) }
+	a.onReply = func(reply *jayv1.OfferReply) { h.entry.picker.replied(time.Now(), h.work, a.server, reply) }
 	a.nonce = make([]byte, nonceBytes)
 	_, _ = rand.Read(a.nonce)
 	return a, true
@@ -110,46 +111,16 @@
 
 // learn keeps what the attempt showed of the backend server.
 func (h *handing) learn(a *attempt) {
-	h.teach(a)
+	h.entry.picker.ended(time.Now(), h.work, a)
 	t := routing.Tried{Server: a.server, Refusal: refusalOf(a), CostMS: a.reply.GetCostMs(), CachedBytes: int(a.reply.GetCachedBytes())}
 	h.tries = append(h.tries, t)
 	h.entry.explain.attempt(a, t.Refusal)
-	h.last.attempts, h.last.server, h.last.end = a.number, a.server, a.end
+	h.last.attempts, h.last.server = a.number, a.server
+	h.last.end, h.last.reply = a.end, a.reply
 	h.last.outcome = a.outcome()
 	klog.V(2).InfoS("attempt over", "request", a.id, "attempt", a.number, "server", a.server, "state", a.state, "refusal", t.Refusal)
 }
 
-// handedOver tells the router of work that an agent took.
-func (h *handing) handedOver(a *attempt) {
-	now := time.Now()
-	h.entry.picker.with(func(r *routing.Router) {
-		h.teachReply(r, now, a)
-		r.HandedOver(now, a.server, h.work.route, a.reply.GetCostMs())
-	})
-}
-
-// teachReply passes on the exact answer to an offer.
-func (h *handing) teachReply(r *routing.Router, now time.Time, a *attempt) {
-	state := a.reply.GetState()
-	r.Learn(now, a.server, state)
-	if a.reply.GetAccepted() || a.reply.GetRefusal() == jayv1.Refusal_REFUSAL_COST {
-		r.Saw(now, a.server, h.work.route, int(a.reply.GetCachedBytes()), state.GetIncarnation())
-	}
-}
-
-// teach passes on what an attempt showed that is over.
-func (h *handing) teach(a *attempt) {
-	now := time.Now()
-	h.entry.picker.with(func(r *routing.Router) {
-		if a.reply.GetAccepted() {
-			r.Learn(now, a.server, a.end.GetState())
-			r.Finished(now, a.server, h.work.route, a.firstTokenMS())
-			return
-		}
-		h.teachReply(r, now, a)
-	})
-}
-
 // refusalOf is the agent's reason, before or after it took the work. A lost
 // link counts as an engine that is down.
 func refusalOf(a *attempt) jayv1.Refusal {
