Declare the cluster through the operators' calls

Entries now serve the operators' calls and spread the catalog; the cluster applies its declaration to one entry and waits until every entry and agent has it in force.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -59,7 +59,7 @@
 	var b strings.Builder
 	workspace := c.Options.Workspaces[0]
 	for i, e := range c.Entries() {
-		fmt.Fprintf(&b, "%-10s callers %s  admin %s\n", cluster.EntryName(i), e.CallersURL(), e.AdminURL())
+		fmt.Fprintf(&b, "%-10s callers %s  operators %s  admin %s\n", cluster.EntryName(i), e.CallersURL(), e.OperatorsURL(), e.AdminURL())
 	}
 	for i, a := range c.Agents {
 		name := cluster.EngineName(i)
@@ -74,6 +74,8 @@
 		url, cluster.Key(workspace), checkBody)
 	fmt.Fprintf(&b, "A booking that runs at most once:\n\ncurl %s/services/%s/confirm -H 'Authorization: Bearer %s' -H 'Idempotency-Key: booking-1' -d '{\"crusher\":\"cone-7\"}'\n\n",
 		url, cluster.Service, cluster.Key(workspace))
+	fmt.Fprintf(&b, "What is in force where:\n\njayctl status --entry %s --keys %s\n\n",
+		strings.TrimPrefix(c.Entries()[0].OperatorsURL(), "https://"), c.OperatorKeys())
 	fmt.Fprintln(&b, "Stop with Ctrl-C.")
 	return b.String()
 }
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -39,7 +39,8 @@
 	mu        sync.Mutex
 	entries   []*entry.Entry
 	authority *keys.Authority
-	holder    *catalog.Holder
+	// agentCatalogs are the catalogs in force at the agents, in their order.
+	agentCatalogs []*catalog.Holder
 }
 
 // Start runs a cluster until Close and puts its declaration in force.
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "make folder for keys")
 	}
-	c := &Cluster{Options: options.withDefaults(), KeysDir: dir, holder: catalog.NewHolder()}
+	c := &Cluster{Options: options.withDefaults(), KeysDir: dir}
 	if err := c.start(ctx); err != nil {
 		c.Close()
 		return nil, err
@@ -80,7 +81,7 @@
 	if err := c.startEntries(ctx); err != nil {
 		return err
 	}
-	return c.declare(ctx)
+	return c.Apply(ctx, c.Declaration())
 }
 
 // issue writes a process's keys to its folder.
@@ -143,7 +144,8 @@
 	settings.Platform = c.Platform.URL()
 	settings.DataCentre, settings.Region = c.dataCentre(i), c.Options.Region
 	settings.OpenEngine = dialect.Open
-	settings.Catalog = c.holder
+	settings.Catalog = catalog.NewHolder()
+	c.agentCatalogs = append(c.agentCatalogs, settings.Catalog)
 	backend(&settings)
 	if c.Options.Agent != nil {
 		c.Options.Agent(&settings)
@@ -185,7 +187,6 @@
 	settings.DataCentre, settings.Region = c.dataCentre(i), c.Options.Region
 	settings.Policy = c.Options.Policy
 	settings.Timeouts.GraceMS = 0
-	settings.Holder = c.holder
 	if c.Options.Entry != nil {
 		c.Options.Entry(&settings)
 	}
--- a/internal/standin/cluster/declare.go
+++ b/internal/standin/cluster/declare.go
@@ -2,13 +2,79 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
-	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/api/gen/jay/v1/jayv1connect"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+const (
+	// inForceWithin bounds the wait for a declaration to reach all processes.
+	inForceWithin = 15 * time.Second
+	inForcePause  = 20 * time.Millisecond
 )
 
-// declare puts the declaration in force in all processes.
-func (c *Cluster) declare(context.Context) error {
-	c.holder.Adopt(catalog.Build(&jayv1.Snapshot{Generation: 1, Resources: c.Declaration()}))
+// OperatorKeys is the folder of keys of the role operator.
+func (c *Cluster) OperatorKeys() string { return c.keysOf(operatorName) }
+
+// Operator is a client of the operators' calls of an entry, in the role operator.
+func (c *Cluster) Operator(entry int) (jayv1connect.OperatorServiceClient, error) {
+	creds, err := transport.LoadCredentials(c.OperatorKeys())
+	if err != nil {
+		return nil, err
+	}
+	client := &http.Client{Transport: &http.Transport{
+		TLSClientConfig:   creds.ClientTLS([]string{"h2", "http/1.1"}, keys.RoleEntry),
+		ForceAttemptHTTP2: true,
+	}}
+	return jayv1connect.NewOperatorServiceClient(client, c.Entries()[entry].OperatorsURL()), nil
+}
+
+// Apply declares resources through an entry and waits until they are in force
+// in all processes.
+func (c *Cluster) Apply(ctx context.Context, resources []*jayv1.Resource) error {
+	operator, err := c.Operator(0)
+	if err != nil {
+		return err
+	}
+	answer, err := operator.Apply(ctx, connect.NewRequest(&jayv1.ApplyRequest{
+		ChangeId: uuid.NewString(), Resources: resources,
+	}))
+	if err != nil {
+		return eris.Wrap(err, "apply declaration")
+	}
+	return c.awaitGeneration(ctx, answer.Msg.GetGeneration())
+}
+
+// awaitGeneration returns when all entries and agents have the generation in force.
+func (c *Cluster) awaitGeneration(ctx context.Context, generation uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, inForceWithin)
+	defer cancel()
+	for c.oldest() < generation {
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "generation %d is in force everywhere; the oldest has %d", generation, c.oldest())
+		case <-time.After(inForcePause):
+		}
+	}
 	return nil
 }
+
+// oldest is the lowest generation in force in any process.
+func (c *Cluster) oldest() uint64 {
+	lowest := ^uint64(0)
+	for _, e := range c.Entries() {
+		lowest = min(lowest, e.Catalog().Current().Generation())
+	}
+	for _, holder := range c.agentCatalogs {
+		lowest = min(lowest, holder.Current().Generation())
+	}
+	return lowest
+}
