--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -88,8 +88,9 @@
 	return name
 }
 
-func (s Spec) start(ctx context.Context) (*cluster.Cluster, error) {
-	blocks := int(cacheShare * float64(s.Mix.WorkingSetTokens()) / blockTokens / float64(s.Mix.Servers))
+// start sizes the caches by the working set of the calls.
+func (s Spec) start(ctx context.Context, workingSetTokens int) (*cluster.Cluster, error) {
+	blocks := int(cacheShare * float64(workingSetTokens) / blockTokens / float64(s.Mix.Servers))
 	workspaces := make([]string, s.Mix.Workspaces)
 	for i := range workspaces {
 		workspaces[i] = load.WorkspaceName(i)
@@ -109,7 +110,9 @@
 
 // Run starts a cluster, sends the load, strikes the fault and sums up.
 func Run(ctx context.Context, spec Spec) (Result, error) {
-	c, err := spec.start(ctx)
+	calls := load.Generate(spec.traffic())
+	bound := load.UnlimitedCache(calls)
+	c, err := spec.start(ctx, bound.SharedTokens)
 	if err != nil {
 		return Result{}, eris.Wrapf(err, "start cluster for %s", spec)
 	}
@@ -117,8 +120,6 @@
 	if err := awaitReady(ctx, c); err != nil {
 		return Result{}, err
 	}
-	calls := load.Generate(spec.traffic())
-	bound := load.UnlimitedCache(calls)
 	struck := make(chan error, 1)
 	faultCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/load/bound.go
+++ b/internal/load/bound.go
@@ -15,6 +15,8 @@
 	HitTokens    int
 	// Hits of each call, by its index.
 	Hits []int
+	// SharedTokens is the text that more than one call has: the working set.
+	SharedTokens int
 }
 
 // HitRate is the token-weighted hit rate that no router can exceed.
@@ -22,12 +24,13 @@
 
 // UnlimitedCache replays the calls against one cache that never evicts.
 func UnlimitedCache(calls []Call) Bound {
-	seen := map[uint64]bool{}
+	seen, shared := map[uint64]bool{}, map[uint64]bool{}
 	bound := Bound{Hits: make([]int, len(calls))}
 	for i := range calls {
 		points := BlockChain(&calls[i])
 		hit := 0
 		for hit < len(points) && seen[points[hit]] {
+			shared[points[hit]] = true
 			hit++
 		}
 		for _, point := range points[hit:] {
@@ -37,6 +40,7 @@
 		bound.HitTokens += bound.Hits[i]
 		bound.PromptTokens += PromptBytes(&calls[i]) / BytesPerToken
 	}
+	bound.SharedTokens = len(shared) * blockBytes / BytesPerToken
 	return bound
 }
 
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -92,13 +92,3 @@
 	}
 	return all
 }
-
-// WorkingSetTokens is the text that calls share: what caches together would
-// have to hold so that no shared level is ever computed twice.
-func (m Mix) WorkingSetTokens() int {
-	total := 0
-	for _, kind := range m.Kinds {
-		total += m.Workspaces * (kind.Instruction + kind.Templates*(kind.Template+kind.Documents*kind.Document))
-	}
-	return total
-}
--- a/internal/routing/trial_test.go
+++ b/internal/routing/trial_test.go
@@ -122,8 +122,9 @@
 	promptFirst5 int
 }
 
-func newTrial(mix load.Mix, policy string, entries int) *trial {
-	capacity := int(trialCacheShare * float64(mix.WorkingSetTokens()) / 16 / float64(mix.Servers))
+func newTrial(mix load.Mix, policy string, entries int, calls []load.Call) *trial {
+	workingSet := load.UnlimitedCache(calls).SharedTokens
+	capacity := int(trialCacheShare * float64(workingSet) / 16 / float64(mix.Servers))
 	t := &trial{
 		policy: policy, byName: map[string]int{}, slowServer: -1,
 		pool: &routing.PoolPolicy{Pool: "p", BytesPerToken: 4, SharedLevel: 2, RecomputeWeight: mix.RecomputeWeight},
@@ -246,7 +247,7 @@
 // hit rate at a moderate rate.
 func leastLoadRate(mix load.Mix) float64 {
 	calls := load.Generate(load.Traffic{Mix: mix, Rate: 40, Duration: 60 * time.Second, Seed: 1})
-	t := newTrial(mix, routing.PolicyLeastLoad, 3)
+	t := newTrial(mix, routing.PolicyLeastLoad, 3, calls)
 	t.run(calls)
 	missed := float64(t.prompt-t.hit) / float64(len(t.ttft))
 	return float64(mix.Servers) * trialPrefillRate / missed
@@ -263,7 +264,7 @@
 				for _, policy := range routing.Policies() {
 					b.Run(fmt.Sprintf("mix=%s/load=%.1f/entries=%d/%s", mix.Name, share, entries, policy), func(b *testing.B) {
 						for range b.N {
-							t := newTrial(mix, policy, entries)
+							t := newTrial(mix, policy, entries, calls)
 							t.run(calls)
 							b.ReportMetric(float64(t.hit)/float64(t.prompt), "hit")
 							b.ReportMetric(t.quantile(0.5), "p50ms")
