Ask the four neighbours of a prefix when in doubt; make it the default

Cause: with caches of three quarters of what is really re-read, offers to the presumed home of a shared level fell short of full knowledge.

One home for a prefix leaves queues uneven, and an entry can't know where else a copy went. Now copies lie on the first four of the order; asking those four finds any copy, whichever entry placed it, and their exact queues even the load.

Guards proved by taking them out: always ask, and a queue that raises no doubt -> TestAgentsAreAskedOnlyInDoubt; the agents' cost ignored -> TestAnswersOfAskedAgentsDecide.

--- a/internal/routing/levels.go
+++ b/internal/routing/levels.go
@@ -34,6 +34,7 @@
 	set       *Set
 	order     order
 	width     int
+	least     int
 	spill     float64
 	changedAt time.Time
 }
@@ -41,14 +42,16 @@
 // levels keeps the shared prefixes that are in use.
 type levels struct {
 	entries *simplelru.LRU[uint64, *level]
+	// neighbours is the width of a prefix that is not hot.
+	neighbours int
 }
 
-func newLevels(capacity int) levels {
+func newLevels(capacity, neighbours int) levels {
 	entries, err := simplelru.NewLRU[uint64, *level](capacity, nil)
 	if err != nil {
 		panic(err) // only for a capacity below 1
 	}
-	return levels{entries: entries}
+	return levels{entries: entries, neighbours: neighbours}
 }
 
 // of returns the level of a prefix point. The order is computed once a set,
@@ -56,7 +59,7 @@
 func (l levels) of(point uint64, set *Set) *level {
 	entry, ok := l.entries.Get(point)
 	if !ok {
-		entry = &level{width: 1}
+		entry = &level{width: l.neighbours, least: l.neighbours}
 		l.entries.Add(point, entry)
 	}
 	if entry.set != set {
@@ -80,7 +83,7 @@
 	switch {
 	case l.spill > widenAbove && l.width < min(maxWidth, l.order.length):
 		l.width++
-	case l.spill < narrowBelow && l.width > 1 && now.Sub(l.changedAt) > 10*widthHolds:
+	case l.spill < narrowBelow && l.width > l.least && now.Sub(l.changedAt) > 10*widthHolds:
 		l.width--
 	default:
 		return
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -24,7 +24,7 @@
 	for len(chosen) < n {
 		best := -1
 		for i := range c.candidates[:c.n] {
-			if taken[i] || c.candidates[i].filtered != "" {
+			if taken[i] || c.candidates[i].filtered != "" || c.candidates[i].evidence == evidenceAsked {
 				continue
 			}
 			if best < 0 || c.candidates[i].totalMS < c.candidates[best].totalMS {
@@ -39,3 +39,17 @@
 	}
 	return chosen
 }
+
+// inDoubt tells whether asking agents may pay: nobody was seen to hold the
+// shared level, or the wait at the best candidate and what it would compute
+// anew of the shared level come to more than the bound.
+func (c *choice) inDoubt(aboveMS float64) bool {
+	if c.best < 0 {
+		return c.n > 0
+	}
+	best := &c.candidates[c.best]
+	if aboveMS < 0 || best.evidence != evidenceSeen {
+		return true
+	}
+	return best.queueMS+c.missedLevelMS(best) > aboveMS
+}
--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -24,7 +24,15 @@
 	if c.level == nil || c.level.holds(cand.index) {
 		return 0
 	}
+	return placementShare * c.missedLevelMS(cand)
+}
+
+// missedLevelMS is the prefill of the part of the shared level that the
+// candidate does not hold.
+func (c *choice) missedLevelMS(cand *candidate) float64 {
+	if c.level == nil {
+		return 0
+	}
 	levelBytes := int(c.req.Chain[c.levelPoint].GetBytes())
-	missed := max(0, levelBytes-cand.cachedBytes)
-	return placementShare * float64(missed) * cand.backend.byteMS
+	return float64(max(0, levelBytes-cand.cachedBytes)) * cand.backend.byteMS
 }
--- a/internal/routing/policies.go
+++ b/internal/routing/policies.go
@@ -2,8 +2,8 @@
 
 import "slices"
 
-// Policies by name. PolicyOffers is the product's; the others are baselines,
-// earlier versions and bounds for experiments.
+// Policies by name. PolicyAskInDoubt is the product's; the others are
+// baselines, earlier versions and bounds for experiments.
 const (
 	// PolicyRandom takes any usable server.
 	PolicyRandom = "random"
@@ -21,6 +21,9 @@
 	PolicyOffers = "offers"
 	// PolicyAskFour asks four candidates for their true cost before it chooses.
 	PolicyAskFour = "ask-four"
+	// PolicyAskInDoubt asks four only when that may save time, and otherwise
+	// offers to a server that was seen to hold the prefix.
+	PolicyAskInDoubt = "ask-in-doubt"
 	// PolicyAskAll asks every server: full knowledge, a bound and not a product.
 	PolicyAskAll = "ask-all"
 )
@@ -40,8 +43,23 @@
 	// ask is the number of servers to probe first; askAll probes every one.
 	ask    int
 	askAll bool
+	// askAboveMS: no agent is asked when less than this can be saved. Negative:
+	// always ask.
+	askAboveMS float64
+	// neighbours is how many servers of a prefix's order hold it while it is
+	// not hot; 0 counts as 1.
+	neighbours int
 }
 
+// askAbove in milliseconds: a wait and a recomputation of a shared level that
+// are expected to stay below it are not worth the messages of four questions.
+const askAbove = 25
+
+// neighbours of the asking policies. Copies of a prefix that is not
+// hot lie on these first servers of its order only, so that asking them finds
+// any copy, whichever process placed it; the choice among four keeps queues even.
+const neighbours = 4
+
 var strategies = []strategy{
 	{name: PolicyRandom, decide: decideRandom},
 	{name: PolicyLeastLoad, decide: decideLeastLoad},
@@ -50,7 +68,8 @@
 	{name: PolicyBeliefs, sources: []source{fromRandom, fromBeliefs}},
 	{name: PolicyPresumption, sources: []source{fromRendezvous, fromRandom, fromBeliefs, presume}},
 	{name: PolicyOffers, sources: []source{fromRefusals, fromRendezvous, fromRandom, fromBeliefs, presume}, mayDecline: true},
-	{name: PolicyAskFour, sources: []source{fromProbes, fromRendezvous, fromRandom, fromBeliefs, presume}, ask: 4},
+	{name: PolicyAskFour, sources: []source{fromProbes, fromRendezvous, fromRandom, fromBeliefs, presume}, ask: neighbours, askAboveMS: -1, neighbours: neighbours},
+	{name: PolicyAskInDoubt, sources: []source{fromRefusals, fromProbes, fromRendezvous, fromRandom, fromBeliefs, presume}, mayDecline: true, ask: neighbours, askAboveMS: askAbove, neighbours: neighbours},
 	{name: PolicyAskAll, sources: []source{fromProbes}, askAll: true},
 }
 
@@ -65,7 +84,7 @@
 
 func strategyOf(name string) (*strategy, bool) {
 	if name == "" {
-		name = PolicyOffers
+		name = PolicyAskInDoubt
 	}
 	at := slices.IndexFunc(strategies, func(s strategy) bool { return s.name == name })
 	if at < 0 {
@@ -135,3 +154,10 @@
 		}
 	}
 }
+
+func neighboursOf(s *strategy) int {
+	if s == nil {
+		return 1
+	}
+	return max(1, s.neighbours)
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -55,7 +55,7 @@
 		random:   rand.New(rand.NewPCG(options.Seed, xxh3.HashString(options.DataCentre))),
 		backends: map[string]*backend{},
 		views:    map[string]*view{},
-		levels:   newLevels(levelEntries),
+		levels:   newLevels(levelEntries, neighboursOf(s)),
 		beliefs:  newBeliefs(beliefPrefixes),
 		pending:  map[string]promise{},
 	}
@@ -84,7 +84,7 @@
 	}
 	r.scoreAll(c)
 	c.pick()
-	if r.strategy.ask > 0 && req.Probes == nil {
+	if r.strategy.ask > 0 && req.Probes == nil && c.inDoubt(r.strategy.askAboveMS) {
 		if ask := c.cheapest(r.strategy.ask); len(ask) > 0 {
 			return Decision{Ask: ask, Candidates: c.explain(), Policy: r.strategy.name}, nil
 		}
--- a/internal/routing/sources.go
+++ b/internal/routing/sources.go
@@ -9,7 +9,7 @@
 
 // How many candidates each source gives.
 const (
-	rendezvousCandidates = 3
+	rendezvousCandidates = 4
 	beliefCandidates     = 3
 	randomCandidates     = 2
 	probeCandidates      = maxCandidates - 4
@@ -41,7 +41,7 @@
 	width := min(l.width, l.order.length)
 	key := c.req.Chain[min(c.levelPoint+1, len(c.req.Chain)-1)].GetHash()
 	var taken [orderLength]bool
-	for range min(width, count-1) {
+	for range min(width, max(l.least, count-1)) {
 		best := -1
 		for i, index := range l.order.servers[:width] {
 			if taken[i] || f.reason(c, index) != "" {
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -111,7 +111,7 @@
 
 // Options of a router.
 type Options struct {
-	// Policy by name; empty is PolicyOffers.
+	// Policy by name; empty is PolicyAskInDoubt.
 	Policy string
 	// DataCentre and Region of the process that decides.
 	DataCentre string
