--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,12 +15,12 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
-	"github.com/jayproxy/jayproxy/internal/keys"
 	"github.com/jayproxy/jayproxy/internal/metrics"
+	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/quota"
 	"github.com/jayproxy/jayproxy/internal/retry"
+	"github.com/jayproxy/jayproxy/internal/spread"
 	"github.com/jayproxy/jayproxy/internal/transport"
 )
 
@@ -35,19 +35,20 @@
 	node     *transport.Node
 	metrics  *metrics.Registry
 	picker   *picker
-	streams  *streamCount
-	explain  *explanations
+	platform platform.Platform
+	spread   *spread.Service
+	// ready is closed when spread is set; peers that come earlier wait.
+	ready   chan struct{}
+	streams *streamCount
+	explain *explanations
 
 	quotaMu  sync.Mutex
 	quota    *quota.Limiter
 	budgetMu sync.Mutex
 	budget   *retry.Budget
 
-	control *control
-	// ready is closed when control is set; peers that come earlier wait.
-	ready chan struct{}
-
 	callers, admin *server
+	operators      *operatorServer
 	started        time.Time
 	// stopping: not ready any more. serving: the callers' port still takes requests.
 	stopping, serving atomic.Bool
@@ -80,17 +81,18 @@
 	e := &Entry{
 		settings: settings, holder: settings.Holder, creds: creds,
 		metrics: metrics.New(settings.MaxLabels),
-		picker:  newPicker(settings, nil),
+		picker:  newPicker(settings),
+		ready:   make(chan struct{}),
 		streams: newStreamCount(settings.Limits),
 		explain: newExplanations(),
 		quota:   quota.NewLimiter(),
 		budget:  retry.NewBudget(settings.Attempts.RetryShare, settings.Attempts.RetryBurst),
 		started: time.Now(),
-		ready:   make(chan struct{}),
 	}
 	if e.holder == nil {
 		e.holder = catalog.NewHolder()
 	}
+	e.platform = platformOf(settings)
 	e.serving.Store(true)
 	e.ctx, e.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	return e
@@ -102,19 +104,19 @@
 	if err != nil {
 		return err
 	}
-	headers := e.settings.Limits.HeaderBytes
-	if e.admin, err = serveHTTP(e.settings.AdminAddress, e.adminAPI(), headers); err != nil {
+	if err := e.startControl(); err != nil {
 		return err
 	}
-	if e.control, err = startControl(e.ctx, e); err != nil {
+	headers := e.settings.Limits.HeaderBytes
+	if e.admin, err = serveHTTP(e.settings.AdminAddress, e.adminAPI(), headers); err != nil {
 		return err
 	}
-	close(e.ready)
 	e.callers, err = serveHTTP(e.settings.CallersAddress, e.callersAPI(), headers)
 	return err
 }
 
 func (e *Entry) background() {
+	e.goWith(e.watchMembers)
 	e.goWith(func(ctx context.Context) { e.creds.Watch(ctx, ms(e.settings.Timeouts.KeysReloadMS)) })
 }
 
@@ -129,12 +131,12 @@
 // CallersURL is the base URL of the callers' API.
 func (e *Entry) CallersURL() string { return e.callers.url() }
 
+// OperatorsURL is the base URL of the operators' calls.
+func (e *Entry) OperatorsURL() string { return e.operators.URL() }
+
 // AdminURL is the base URL of the admin pages.
 func (e *Entry) AdminURL() string { return e.admin.url() }
 
-// OperatorsURL is the base URL of the operators' calls.
-func (e *Entry) OperatorsURL() string { return e.control.operators.URL() }
-
 // Address is the QUIC listener, IP:port.
 func (e *Entry) Address() string { return e.node.Address() }
 
@@ -152,6 +154,9 @@
 	if err == nil {
 		err = e.streams.wait(ctx)
 	}
+	if e.operators != nil {
+		_ = e.operators.Shutdown(ctx)
+	}
 	e.Close()
 	return err
 }
@@ -160,35 +165,20 @@
 func (e *Entry) Close() {
 	e.stopping.Store(true)
 	e.cancel()
+	if e.spread != nil {
+		e.spread.Close()
+	}
+	if e.operators != nil {
+		e.operators.Close()
+	}
 	e.callers.close()
 	e.admin.close()
-	e.control.close()
 	if e.node != nil {
 		_ = e.node.Close()
 	}
 	e.wg.Wait()
 }
 
-// servePeer serves a stream that another process opened.
-func (e *Entry) servePeer(ctx context.Context, peer keys.Identity, stream *transport.Stream) {
-	first := &jayv1.ClientFrame{}
-	if err := stream.Receive(first); err != nil {
-		return
-	}
-	if question := first.GetExplain(); question != nil {
-		explanation, found := e.explain.get(question.GetRequestId())
-		reply := &jayv1.ExplainReply{Found: found, Explanation: explanation}
-		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Explain{Explain: reply}})
-		return
-	}
-	select {
-	case <-e.ready:
-	case <-ctx.Done():
-		return
-	}
-	e.control.handle(ctx, peer, first, stream)
-}
-
 // server is an HTTP server on a listener of its own.
 type server struct {
 	http     *http.Server
