Offer work again to a backend server whose last word is old

Cause: TestScenarios/rolling_replacement failed after the entry took the router and membership: agent1 said that it leaves, stopped and came back at the same address; the engine ran on, so no new boot showed, and its last word kept it out for ever: no work, hence no answer that could say otherwise. Ruled out: taking back at the first answer (none comes), trusting the VM list (it lags, and a process may be replaced without its VM). Change: a server's own word that it leaves counts for 10 s unless heard again; so does the news of it. A server that still leaves refuses before anything runs. Also: the scenario's settings follow the entry's renamed keys.

--- a/internal/membership/facts.go
+++ b/internal/membership/facts.go
@@ -37,7 +37,14 @@
 // the server is there, whatever the list says.
 func (f *facts) gone() bool { return f.vm == platform.VMGone && !f.aliveAt.After(f.goneAt) }
 
+// expire forgets words that are too old. A server that left and was replaced
+// under its address can't take its word back: it gets no work, so nothing is
+// heard of it, and it would stay out for ever. Offered work again it takes it,
+// or refuses before anything ran and is out for another while.
 func (f *facts) expire(now time.Time, settings Settings) {
+	if f.selfLeaving && now.Sub(f.selfAt) >= settings.SelfLife {
+		f.selfLeaving = false
+	}
 	if f.newsLeaving && !now.Before(f.newsUntil) {
 		f.newsLeaving = false
 	}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -60,6 +60,9 @@
 	// Settle is how long after a server said that it leaves its answers to the
 	// contrary still count as delayed ones.
 	Settle time.Duration
+	// SelfLife is how long a server's own word that it leaves counts without
+	// being heard again.
+	SelfLife time.Duration
 	// NewsLife is how long the word of another entry counts.
 	NewsLife time.Duration
 }
@@ -70,7 +73,7 @@
 		Streak: 3, FailureShare: 0.5, HalfLife: 10 * time.Second,
 		RecoverStreak: 3, TrustStreak: 10, Backoff: 2 * time.Second, MaxBackoff: time.Minute,
 		MaxEjectedShare: 0.34, SuspectWeight: 0.5, ProbationWeight: 0.2,
-		Settle: 5 * time.Second, NewsLife: 30 * time.Second,
+		Settle: 5 * time.Second, SelfLife: 10 * time.Second, NewsLife: 10 * time.Second,
 	}
 }
 
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -215,3 +215,19 @@
 		}
 	})
 }
+
+// After a rolling release one backend server idles for ever. Its agent said
+// that it leaves, stopped and was started again at the same address; the engine
+// ran on, so no new boot shows. Entries keep it out because of its last word,
+// offer it nothing, and so never hear that it is back.
+func TestAServerThatLeftAndCameBackUnseenIsTriedAgain(t *testing.T) {
+	m, _ := pool(2)
+	now := start
+	m.Heard(now, "b00", &jayv1.AgentState{Incarnation: 1, Leaving: true})
+	require.False(t, m.Usable("b00"))
+	now = now.Add(membership.DefaultSettings().SelfLife)
+	m.Tick(now)
+	require.True(t, m.Usable("b00"))
+	m.RefusedLeaving(now, "b00")
+	require.False(t, m.Usable("b00"), "one that is still leaving says so at once")
+}
--- a/test/scenario/site_test.go
+++ b/test/scenario/site_test.go
@@ -271,7 +271,7 @@
 			seeds = append(seeds, fmt.Sprintf("%q", addresses.quic))
 		}
 	}
-	settings := fmt.Sprintf("name = %q\ndata_centre = %q\nregion = %q\ncallers_address = %q\noperators_address = %q\nadmin_address = %q\naddress = %q\nkeys_dir = %q\nplatform_url = %q\n%s[timeouts]\ngrace_ms = 500\n",
+	settings := fmt.Sprintf("name = %q\ndata_centre = %q\nregion = %q\ncallers = %q\noperators = %q\nadmin = %q\nlisten = %q\nkeys = %q\nplatform = %q\n%s[timeouts]\ngrace_ms = 500\n",
 		name, siteCentre, siteRegion, at.callers, at.operators, at.admin, at.quic,
 		w.keysDir(name), w.processes["platform"].url, seedsLine(seeds))
 	if err := w.setVM(platform.VM{Name: name, Address: at.quic, Role: "entry"}); err != nil {
