Claim calls that may run at most once, serve plain services

Cause: a booking or claim that a caller repeats must run once, through any entries, with entries killed at each step and the store losing answers. Change: internal/ledger (pure core, committer), claims in the hand-over, one attempt without a key, bookings carried through when the caller hangs up.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/ledger"
 	"github.com/jayproxy/jayproxy/internal/metrics"
 	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/quota"
@@ -46,6 +47,7 @@
 	quota    *quota.Limiter
 	budgetMu sync.Mutex
 	budget   *retry.Budget
+	ledger   *ledger.Ledger
 
 	callers, admin *server
 	operators      *operatorServer
@@ -93,6 +95,9 @@
 		e.holder = catalog.NewHolder()
 	}
 	e.platform = platformOf(settings)
+	e.ledger = ledger.New(e.platform, ledger.Options{
+		Window: ms(settings.Ledger.WindowMS), InFlight: settings.Ledger.InFlight, Settle: ms(settings.Ledger.SettleMS),
+	})
 	e.serving.Store(true)
 	e.ctx, e.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	return e
@@ -176,6 +181,7 @@
 	if e.node != nil {
 		_ = e.node.Close()
 	}
+	e.ledger.Close()
 	e.wg.Wait()
 }
 
--- a/internal/entry/fakeagent_test.go
+++ b/internal/entry/fakeagent_test.go
@@ -27,10 +27,14 @@
 	answer func(offer *jayv1.Offer, body []byte, emit func(data string)) *jayv1.End
 	// cut aborts the link after so many chunks, as often as it says.
 	cutAfter, cuts int
+	// forget: resumes find nothing, as after a restart of the agent.
+	forget bool
 	// wrongCount is added to the count of chunks in the end.
 	wrongCount uint64
 	// cutBody aborts the link before the body is complete, as often as it says.
 	cutBody int
+	// cutReply aborts the link in place of an acceptance, as often as it says.
+	cutReply int
 	// head of a plain service's answer.
 	head *jayv1.ServiceHead
 
@@ -114,12 +118,17 @@
 			reply = refusal
 		}
 	}
-	if s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_OfferReply{OfferReply: reply}}) != nil || !reply.GetAccepted() {
+	if f.take(&f.cutReply) {
+		s.Abort()
+	} else if s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_OfferReply{OfferReply: reply}}) != nil || !reply.GetAccepted() {
 		return
 	}
-	body, ok := f.readBody(s)
-	if !ok {
-		return
+	var body []byte
+	if offer.GetHasBody() {
+		var ok bool
+		if body, ok = f.readBody(s); !ok {
+			return
+		}
 	}
 	kept := &keptStream{nonce: offer.GetNonce(), workspace: offer.GetWorkspace()}
 	kept.grown = sync.NewCond(&kept.mu)
@@ -142,14 +151,19 @@
 
 func key(id string, attempt uint32) string { return fmt.Sprintf("%s/%d", id, attempt) }
 
-func (f *fakeAgent) readBody(s *transport.Stream) ([]byte, bool) {
+// take counts a scripted fault down.
+func (f *fakeAgent) take(left *int) bool {
 	f.mu.Lock()
-	cut := f.cutBody > 0
-	if cut {
-		f.cutBody--
+	defer f.mu.Unlock()
+	if *left == 0 {
+		return false
 	}
-	f.mu.Unlock()
-	if cut {
+	*left--
+	return true
+}
+
+func (f *fakeAgent) readBody(s *transport.Stream) ([]byte, bool) {
+	if f.take(&f.cutBody) {
 		s.Abort()
 		return nil, false
 	}
@@ -170,6 +184,9 @@
 	f.mu.Lock()
 	f.resumes++
 	kept := f.kept[key(resume.GetRequestId(), resume.GetAttempt())]
+	if f.forget {
+		kept = nil
+	}
 	f.mu.Unlock()
 	if kept == nil || !bytes.Equal(kept.nonce, resume.GetNonce()) || kept.workspace != resume.GetWorkspace() {
 		end := &jayv1.End{Outcome: jayv1.Outcome_OUTCOME_UNKNOWN, Refusal: jayv1.Refusal_REFUSAL_NOT_FOUND}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -58,14 +58,14 @@
 }
 
 func (h *handing) run(ctx context.Context) result {
-	for n := 1; n <= h.entry.settings.Attempts.Max; n++ {
+	for n := 1; n <= h.maxAttempts(); n++ {
 		// The catalog may have moved on since the last attempt.
 		h.table = h.entry.holder.Current()
 		d, err := h.decide(ctx)
 		if err != nil {
 			break
 		}
-		d.Final = d.Final || h.declines() >= h.entry.settings.Attempts.MaxDeclines
+		d.Final = d.Final || h.maxAttempts() == 1 || h.declines() >= h.entry.settings.Attempts.MaxDeclines
 		a, ok := h.newAttempt(uint32(n), d) //nolint:gosec // bounded by the setting
 		if !ok {
 			h.tries = append(h.tries, routing.Tried{Server: d.Server, Refusal: jayv1.Refusal_REFUSAL_NOT_FOUND})
@@ -83,6 +83,15 @@
 	return h.exhausted()
 }
 
+// maxAttempts is one for a call that may run at most once and has no key: no
+// claim would stop a second run.
+func (h *handing) maxAttempts() int {
+	if h.work.nonRepeatable && h.work.key == "" {
+		return 1
+	}
+	return h.entry.settings.Attempts.Max
+}
+
 func (h *handing) declines() int {
 	n := 0
 	for _, t := range h.tries {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -20,13 +20,19 @@
 	}
 	defer leave()
 	defer e.leaveLimits(w.workspace.GetName())
-	if refusal := e.claim(c.Request().Context(), w); refusal != nil {
+	ctx := c.Request().Context()
+	if w.nonRepeatable {
+		// A booking that has begun is not broken off because its caller hung up:
+		// that would turn a call that ends well into one of unknown outcome.
+		ctx = context.WithoutCancel(ctx)
+	}
+	if refusal := e.take(ctx, w); refusal != nil {
 		return refusal
 	}
 	client := newCaller(c.Response(), w.id, ms(e.settings.Timeouts.CallerWriteMS))
 	client.onToken = e.tokenMeter(w)
 	to := open(client)
-	r := e.handOver(c.Request().Context(), w, to)
+	r := e.handOver(ctx, w, to)
 	e.settle(w, r)
 	e.measure(w, r)
 	to.finish(r)
@@ -77,11 +83,21 @@
 	return func() { s.leave(workspace) }, nil
 }
 
+// hold keeps a graceful stop waiting for work that no caller waits for.
+func (s *streamCount) hold() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all++
+	return func() { s.leave("") }
+}
+
 func (s *streamCount) leave(workspace string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.all--
-	s.of[workspace]--
+	if workspace != "" {
+		s.of[workspace]--
+	}
 	if s.of[workspace] == 0 {
 		delete(s.of, workspace)
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -20,7 +20,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	return e.serve(c, w, 0, func(client *caller) finisher { return &serviceSink{caller: client} })
+	return e.serve(c, w, 0, func(client *caller) finisher { return &serviceSink{caller: client, finishAnyway: w.nonRepeatable} })
 }
 
 func (e *Entry) serviceWork(c echo.Context, call *call) (*work, *Error) {
--- /dev/null
+++ b/internal/entry/service_test.go
@@ -0,0 +1,262 @@
+package entry_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/entry"
+	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/platform/platformtest"
+)
+
+const confirmPath = "/services/reservas/confirm"
+
+// serviceSite has one agent beside a plain service and a platform in memory.
+func serviceSite(t *testing.T) (*site, *fakeAgent, *platformtest.Memory) {
+	t.Helper()
+	s := newSite(t)
+	agent := s.addAgent("r1", "", "reservas")
+	agent.head = &jayv1.ServiceHead{Status: 201, Headers: []*jayv1.Header{
+		{Name: "X-Booking", Value: "17"}, {Name: "X-Jay-Outcome", Value: "forged"}, {Name: "Connection", Value: "close"},
+	}}
+	return s, agent, platformtest.New()
+}
+
+func with(p platform.Platform) func(*entry.Settings) {
+	return func(s *entry.Settings) {
+		s.Platform = p
+		s.Ledger.SettleMS = 400
+	}
+}
+
+func TestAServiceCallPassesBothWays(t *testing.T) {
+	s, agent, _ := serviceSite(t)
+	agent.answer = func(_ *jayv1.Offer, body []byte, emit func(string)) *jayv1.End {
+		for piece := range strings.SplitSeq(string(body), " ") {
+			emit(piece + ".")
+		}
+		return done()
+	}
+	e := s.entry("e1")
+	r := call(t, "PUT", e.CallersURL()+"/services/reservas/a%2Fb/c?d=1", keyQuarry, "one two", "X-Own", "kept", "Connection", "X-Drop", "X-Drop", "dropped")
+	require.Equal(t, 201, r.status, r.body)
+	assert.Equal(t, "one.two.", r.body)
+	assert.Equal(t, "17", r.header.Get("X-Booking"))
+	assert.Equal(t, "done", r.trailer.Get(entry.HeaderOutcome))
+	assert.NotEqual(t, "forged", r.header.Get(entry.HeaderOutcome))
+	offer, _ := agent.first()
+	assert.Equal(t, "/a%2Fb/c?d=1", offer.GetPath())
+	assert.Equal(t, "PUT", offer.GetMethod())
+	names := map[string]string{}
+	for _, header := range offer.GetHeaders() {
+		names[header.GetName()] = header.GetValue()
+	}
+	assert.Equal(t, "kept", names["X-Own"])
+	assert.NotContains(t, names, "X-Drop")
+	assert.NotContains(t, names, "Authorization", "the caller's key stays here")
+}
+
+// Story: a caller confirms a booking, the answer is lost on its way back, and
+// the caller sends it again with the same key, through other entries at once.
+func TestOneKeyRunsOnceThroughAllEntries(t *testing.T) {
+	s, agent, table := serviceSite(t)
+	agent.answer = paced(1, 30*time.Millisecond)
+	entries := []*entry.Entry{s.entry("e1", with(table)), s.entry("e2", with(table)), s.entry("e3", with(table))}
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	var winner, named string
+	var wg sync.WaitGroup
+	for i := range 30 {
+		wg.Go(func() {
+			r := call(t, "POST", entries[i%3].CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, "booking-9")
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[r.status]++
+			if r.status == 201 {
+				winner = r.header.Get(entry.HeaderRequestID)
+			} else {
+				named = errorOf(t, r).RequestID
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, map[int]int{201: 1, 409: 29}, statuses)
+	assert.Equal(t, winner, named, "a duplicate is told of the first request")
+	assert.Equal(t, 1, agent.ran(winner))
+	assert.Equal(t, 1, agent.seen(func(f *fakeAgent) int { return len(f.runs) }))
+	require.Eventually(t, func() bool {
+		r := call(t, "POST", entries[2].CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, "booking-9")
+		return r.status == 409 && errorOf(t, r).Outcome == "done"
+	}, time.Second, 5*time.Millisecond)
+}
+
+// Story: the platform's table is down. A confirmation that went ahead could
+// not be told from its repetition later; it is refused, and truly did not run.
+func TestWithoutTheTableACallThatMayRunOnceIsRefused(t *testing.T) {
+	s, agent, table := serviceSite(t)
+	table.SetDown(true)
+	e := s.entry("e1", with(table))
+	r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, "k")
+	assert.Equal(t, http.StatusServiceUnavailable, r.status)
+	assert.Equal(t, "2", r.header.Get("Retry-After"))
+	got := errorOf(t, r)
+	assert.Equal(t, string(entry.CodeClaimsUnavailable), got.Code)
+	assert.Equal(t, "not_run", got.Outcome)
+	assert.Zero(t, agent.seen(func(f *fakeAgent) int { return len(f.offers) }))
+	r = call(t, "POST", e.CallersURL()+"/services/reservas/other", keyQuarry, "b")
+	assert.Equal(t, 201, r.status, "calls that need no claim go on")
+}
+
+// Story: the backend server refuses the call as it shuts down, which proves
+// that it did not run. The caller is told so and repeats it with its key; its
+// own earlier claim must not stand in its way.
+func TestAKeyIsFreeAgainAfterAProvenRefusal(t *testing.T) {
+	s, agent, table := serviceSite(t)
+	refusing := true
+	agent.refuse = func(*jayv1.Offer) *jayv1.OfferReply {
+		agent.mu.Lock()
+		defer agent.mu.Unlock()
+		if refusing {
+			return &jayv1.OfferReply{Refusal: jayv1.Refusal_REFUSAL_QUEUE_FULL, RetryAfterMs: 1500}
+		}
+		return nil
+	}
+	e := s.entry("e1", with(table))
+	r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, "k")
+	assert.Equal(t, http.StatusServiceUnavailable, r.status)
+	assert.Equal(t, "not_run", r.header.Get(entry.HeaderOutcome))
+	assert.Equal(t, "2", r.header.Get("Retry-After"))
+	agent.set(func(*fakeAgent) { refusing = false })
+	r = call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, "k")
+	assert.Equal(t, 201, r.status, r.body)
+}
+
+// Story: the link is cut after the whole call was handed over and cannot be
+// resumed: the booking may stand. A second try could book twice, "not run"
+// could be a lie. Only "unknown" is true, and the key stays claimed.
+func TestACallThatWasHandedOverAndLostIsUnknownAndNeverRepeated(t *testing.T) {
+	for _, key := range []string{"k", ""} {
+		s, agent, table := serviceSite(t)
+		other := s.addAgent("r2", "", "reservas")
+		for _, a := range []*fakeAgent{agent, other} {
+			a.forget, a.cuts = true, 1
+		}
+		e := s.entry("e1", with(table))
+		r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, key)
+		assert.Equal(t, http.StatusBadGateway, r.status, r.body)
+		assert.Equal(t, "unknown", errorOf(t, r).Outcome)
+		assert.Equal(t, "false", r.header.Get("X-Should-Retry"))
+		runs := func(f *fakeAgent) int { return len(f.runs) }
+		assert.Equal(t, 1, agent.seen(runs)+other.seen(runs))
+		if key != "" {
+			r = call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, key)
+			assert.Equal(t, http.StatusConflict, r.status)
+		}
+	}
+}
+
+// Story: the link breaks while the body is on its way. Nothing can have run,
+// so the call goes to another backend server by itself.
+func TestALinkLostBeforeTheBodysEndIsProvenNotRun(t *testing.T) {
+	s, agent, table := serviceSite(t)
+	other := s.addAgent("r2", "", "reservas")
+	s.addAgent("r3", "", "reservas")
+	agent.cutBody, other.cutBody = 2, 2
+	e := s.entry("e1", with(table))
+	cutsLeft := func(f *fakeAgent) int { return f.cutBody }
+	retried := false
+	for n := 0; agent.seen(cutsLeft)+other.seen(cutsLeft) > 0; n++ {
+		require.Less(t, n, 200)
+		r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, strings.Repeat("b", 300<<10), entry.HeaderIdempotencyKey, strconv.Itoa(n))
+		require.Contains(t, []int{200, 201}, r.status, r.body)
+		retried = retried || r.header.Get(entry.HeaderAttempts) > "1"
+		id := r.header.Get(entry.HeaderRequestID)
+		ran := 0
+		for _, a := range s.agents {
+			ran += a.ran(id)
+		}
+		require.Equal(t, 1, ran)
+	}
+	assert.True(t, retried)
+}
+
+// Story: an agent takes a call that has no body, and the link breaks before its
+// word gets back. Were the call handed over with the offer, it would run there
+// and, called not run, once more elsewhere.
+func TestALostAcceptanceOfACallWithoutBodyIsProvenNotRun(t *testing.T) {
+	s, agent, table := serviceSite(t)
+	other := s.addAgent("r2", "", "reservas")
+	agent.cutReply, other.cutReply = 1, 1
+	s.addAgent("r3", "", "reservas")
+	e := s.entry("e1", with(table))
+	cutsLeft := func(f *fakeAgent) int { return f.cutReply }
+	for n := 0; agent.seen(cutsLeft)+other.seen(cutsLeft) > 0; n++ {
+		require.Less(t, n, 200)
+		r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "", entry.HeaderIdempotencyKey, strconv.Itoa(n))
+		require.Contains(t, []int{200, 201}, r.status, r.body)
+		id := r.header.Get(entry.HeaderRequestID)
+		ran := 0
+		for _, a := range s.agents {
+			ran += a.ran(id)
+		}
+		require.Equal(t, 1, ran)
+	}
+}
+
+func TestACallWithoutAKeyGetsOneAttempt(t *testing.T) {
+	s, agent, table := serviceSite(t)
+	other := s.addAgent("r2", "", "reservas")
+	full := func(*jayv1.Offer) *jayv1.OfferReply { return &jayv1.OfferReply{Refusal: jayv1.Refusal_REFUSAL_QUEUE_FULL} }
+	agent.refuse, other.refuse = full, full
+	e := s.entry("e1", with(table))
+	r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b")
+	assert.Equal(t, http.StatusServiceUnavailable, r.status)
+	assert.Equal(t, "1", r.header.Get(entry.HeaderAttempts))
+	assert.Equal(t, "not_run", errorOf(t, r).Outcome)
+}
+
+// Story: a caller hangs up while its booking is being made. Broken off, it
+// would be of unknown outcome; carried through, its key tells that it is done.
+func TestABookingIsCarriedThroughWhenItsCallerHangsUp(t *testing.T) {
+	s, agent, table := serviceSite(t)
+	started, finish := make(chan struct{}), make(chan struct{})
+	agent.answer = func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+		emit("begun")
+		close(started)
+		<-finish
+		emit("booked")
+		return done()
+	}
+	e := s.entry("e1", with(table))
+	response := open(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, "k")
+	<-started
+	require.NoError(t, response.Body.Close())
+	close(finish)
+	require.Eventually(t, func() bool {
+		r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, "k")
+		return r.status == 409 && errorOf(t, r).Outcome == "done"
+	}, 2*time.Second, 5*time.Millisecond)
+	assert.Zero(t, agent.seen(func(f *fakeAgent) int { return f.cancels }))
+}
+
+func TestALongServiceBodyIsBounded(t *testing.T) {
+	s, agent, table := serviceSite(t)
+	e := s.entry("e1", with(table), func(settings *entry.Settings) { settings.Limits.BodyBytes = 100 << 10 })
+	reader := struct{ *strings.Reader }{strings.NewReader(strings.Repeat("x", 200<<10))}
+	request, err := http.NewRequestWithContext(t.Context(), "POST", e.CallersURL()+"/services/reservas/x", reader)
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+keyQuarry)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+	assert.Zero(t, agent.seen(func(f *fakeAgent) int { return len(f.runs) }))
+}
--- a/internal/entry/sinks.go
+++ b/internal/entry/sinks.go
@@ -193,6 +193,9 @@
 type serviceSink struct {
 	*caller
 	head *jayv1.ServiceHead
+	// finishAnyway: the call goes on to its end when the caller is gone.
+	finishAnyway bool
+	gone         bool
 }
 
 // Begin forgets the head of an earlier attempt.
@@ -213,7 +216,15 @@
 		s.open()
 	}
 	s.token()
-	return s.write(data)
+	if s.gone {
+		return nil
+	}
+	err := s.write(data)
+	if err != nil && s.finishAnyway {
+		s.gone = true
+		return nil
+	}
+	return err
 }
 
 func (s *serviceSink) open() {
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -6,6 +6,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/ledger"
 	"github.com/jayproxy/jayproxy/internal/routing"
 )
 
@@ -39,6 +40,8 @@
 	// repeatable work may be started again when its outcome is unknown.
 	repeatable bool
 	key        string
+	// claim of the key, held while the call is under way.
+	claim *ledger.Claim
 }
 
 // target names the pool or service, apart from each other.
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,160 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+
+	"github.com/jayproxy/jayproxy/internal/ledger"
+	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/platform/platformtest"
+)
+
+func newLedger(t testing.TB, table platform.Table) *ledger.Ledger {
+	t.Helper()
+	l := ledger.New(table, ledger.Options{Settle: 500 * time.Millisecond})
+	t.Cleanup(l.Close)
+	return l
+}
+
+func TestAKeyIsClaimedOnceAndTellsOfTheFirst(t *testing.T) {
+	table := platformtest.New()
+	l := newLedger(t, table)
+	claim, err := l.Take(t.Context(), "quarry", "k\x00/1", "r1")
+	require.NoError(t, err)
+	_, err = newLedger(t, table).Take(t.Context(), "quarry", "k\x00/1", "r2")
+	var duplicate *ledger.DuplicateError
+	require.ErrorAs(t, err, &duplicate)
+	assert.Equal(t, "r1", duplicate.First.RequestID)
+	assert.Equal(t, ledger.StateClaimed, duplicate.First.State)
+	_, err = l.Take(t.Context(), "other", "k\x00/1", "r3")
+	require.NoError(t, err, "keys of another workspace are others")
+
+	require.NoError(t, l.Done(t.Context(), claim))
+	_, err = l.Take(t.Context(), "quarry", "k\x00/1", "r4")
+	require.ErrorAs(t, err, &duplicate)
+	assert.Equal(t, ledger.StateDone, duplicate.First.State)
+	require.Error(t, l.Release(t.Context(), claim), "what is done is not released")
+}
+
+func TestAReleasedKeyMayBeClaimedAgain(t *testing.T) {
+	l := newLedger(t, platformtest.New())
+	claim, err := l.Take(t.Context(), "quarry", "k", "r1")
+	require.NoError(t, err)
+	require.NoError(t, l.Release(t.Context(), claim))
+	_, err = l.Take(t.Context(), "quarry", "k", "r2")
+	require.NoError(t, err)
+}
+
+// Story: the platform is down. A call that went ahead without a claim could
+// run twice; it must be refused, and quickly.
+func TestNoClaimWhileTheTableIsDown(t *testing.T) {
+	table := platformtest.New()
+	table.SetDown(true)
+	l := newLedger(t, table)
+	began := time.Now()
+	_, err := l.Take(t.Context(), "quarry", "k", "r1")
+	require.ErrorIs(t, err, ledger.ErrUnavailable)
+	assert.Less(t, time.Since(began), 400*time.Millisecond)
+	table.SetDown(false)
+	require.Eventually(t, func() bool {
+		_, err := l.Take(t.Context(), "quarry", "k", "r2")
+		return err == nil
+	}, time.Second, time.Millisecond, "what was refused did not leave a claim behind")
+}
+
+// Story: a claim's answer is slow, the caller is refused as not run, and then
+// the claim turns out to be taken. Its next try would be called a duplicate of
+// a call that never was.
+func TestAClaimTakenAfterItsCallWasRefusedIsGivenBack(t *testing.T) {
+	table := &slowTable{Table: platformtest.New(), hold: make(chan struct{})}
+	l := newLedger(t, table)
+	_, err := l.Take(t.Context(), "quarry", "k", "r1")
+	require.ErrorIs(t, err, ledger.ErrUnavailable)
+	close(table.hold)
+	require.Eventually(t, func() bool {
+		_, err := l.Take(t.Context(), "quarry", "k", "r2")
+		return err == nil
+	}, 2*time.Second, 5*time.Millisecond)
+}
+
+// slowTable holds its first commit back.
+type slowTable struct {
+	platform.Table
+	hold  chan struct{}
+	first atomic.Bool
+}
+
+func (s *slowTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if s.first.CompareAndSwap(false, true) {
+		<-s.hold
+	}
+	return s.Table.Commit(ctx, txn)
+}
+
+// ratedTable grants a number of writes a second, each after a round trip, and
+// refuses the rest, as the platform does.
+type ratedTable struct {
+	platform.Table
+	limit   *rate.Limiter
+	refused atomic.Int64
+	commits atomic.Int64
+}
+
+func newRatedTable(writes float64) *ratedTable {
+	return &ratedTable{Table: platformtest.New(), limit: rate.NewLimiter(rate.Limit(writes), int(writes/10))}
+}
+
+func (r *ratedTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	const roundTrip = 2 * time.Millisecond // part of what is measured
+	select {
+	case <-time.After(roundTrip):
+	case <-ctx.Done():
+		return platform.TxnResult{}, platform.ErrUnknown
+	}
+	if !r.limit.Allow() {
+		r.refused.Add(1)
+		return platform.TxnResult{}, platform.ErrUnavailable
+	}
+	r.commits.Add(1)
+	return r.Table.Commit(ctx, txn)
+}
+
+// Measures group commit: four entries share 300 writes/s and get more claims
+// than that through. The figures stand in the note on at-most-once.
+func TestGroupCommitTakesManyClaimsAWrite(t *testing.T) {
+	const writes, entries, callers, seconds = 300, 4, 150, 2
+	table := newRatedTable(writes)
+	var taken, failed atomic.Int64
+	ctx, cancel := context.WithTimeout(t.Context(), seconds*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for e := range entries {
+		l := newLedger(t, table)
+		for c := range callers {
+			wg.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					id := fmt.Sprintf("%d-%d-%d", e, c, n)
+					if _, err := l.Take(t.Context(), "quarry", id, id); err != nil {
+						failed.Add(1)
+						continue
+					}
+					taken.Add(1)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	perSecond := float64(taken.Load()) / seconds
+	t.Logf("%.0f claims/s taken, %.1f refused/s, at %d writes/s granted (%.0f used, %.0f refused by the table a second)",
+		perSecond, float64(failed.Load())/seconds, writes, float64(table.commits.Load())/seconds, float64(table.refused.Load())/seconds)
+	assert.Greater(t, perSecond, 10.0*writes)
+	assert.Less(t, float64(failed.Load()), 0.01*float64(taken.Load()))
+}
