--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -33,7 +33,7 @@
 
 func TestStreamComesInOrderAndSaysThatItIsWhole(t *testing.T) {
 	s := newSite(t, "b1")
-	s.agents[0].answer = tokens(100)
+	s.agents[0].set(func(f *fakeAgent) { f.answer = tokens(100) })
 	e := s.entry("e1")
 	r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
 	require.Equal(t, http.StatusOK, r.status, r.body)
--- a/internal/entry/fakeagent_test.go
+++ b/internal/entry/fakeagent_test.go
@@ -143,7 +143,9 @@
 	}
 	go func() {
 		end := answer(offer, body, kept.emit)
+		f.mu.Lock()
 		end.Count = f.wrongCount
+		f.mu.Unlock()
 		kept.close(end)
 	}()
 	f.send(ctx, s, kept, 0)
@@ -203,8 +205,11 @@
 		defer close(heard)
 		f.listen(s)
 	}()
-	if f.head != nil && from == 0 {
-		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_ServiceHead{ServiceHead: f.head}})
+	f.mu.Lock()
+	head := f.head
+	f.mu.Unlock()
+	if head != nil && from == 0 {
+		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_ServiceHead{ServiceHead: head}})
 	}
 	for ctx.Err() == nil {
 		chunk, end := kept.wait(from)
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -24,9 +24,10 @@
 	t.Helper()
 	s := newSite(t)
 	agent := s.addAgent("r1", "", "reservas")
-	agent.head = &jayv1.ServiceHead{Status: 201, Headers: []*jayv1.Header{
+	head := &jayv1.ServiceHead{Status: 201, Headers: []*jayv1.Header{
 		{Name: "X-Booking", Value: "17"}, {Name: "X-Jay-Outcome", Value: "forged"}, {Name: "Connection", Value: "close"},
 	}}
+	agent.set(func(f *fakeAgent) { f.head = head })
 	return s, agent, platformtest.New()
 }
 
@@ -39,12 +40,13 @@
 
 func TestAServiceCallPassesBothWays(t *testing.T) {
 	s, agent, _ := serviceSite(t)
-	agent.answer = func(_ *jayv1.Offer, body []byte, emit func(string)) *jayv1.End {
+	scripted := func(_ *jayv1.Offer, body []byte, emit func(string)) *jayv1.End {
 		for piece := range strings.SplitSeq(string(body), " ") {
 			emit(piece + ".")
 		}
 		return done()
 	}
+	agent.set(func(f *fakeAgent) { f.answer = scripted })
 	e := s.entry("e1")
 	r := call(t, "PUT", e.CallersURL()+"/services/reservas/a%2Fb/c?d=1", keyQuarry, "one two", "X-Own", "kept", "Connection", "X-Drop", "X-Drop", "dropped")
 	require.Equal(t, 201, r.status, r.body)
@@ -68,7 +70,7 @@
 // the caller sends it again with the same key, through other entries at once.
 func TestOneKeyRunsOnceThroughAllEntries(t *testing.T) {
 	s, agent, table := serviceSite(t)
-	agent.answer = paced(1, 30*time.Millisecond)
+	agent.set(func(f *fakeAgent) { f.answer = paced(1, 30*time.Millisecond) })
 	entries := []*entry.Entry{s.entry("e1", with(table)), s.entry("e2", with(table)), s.entry("e3", with(table))}
 	var mu sync.Mutex
 	statuses := map[int]int{}
@@ -121,7 +123,7 @@
 func TestAKeyIsFreeAgainAfterAProvenRefusal(t *testing.T) {
 	s, agent, table := serviceSite(t)
 	refusing := true
-	agent.refuse = func(*jayv1.Offer) *jayv1.OfferReply {
+	scripted := func(*jayv1.Offer) *jayv1.OfferReply {
 		agent.mu.Lock()
 		defer agent.mu.Unlock()
 		if refusing {
@@ -129,6 +131,7 @@
 		}
 		return nil
 	}
+	agent.set(func(f *fakeAgent) { f.refuse = scripted })
 	e := s.entry("e1", with(table))
 	r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, "k")
 	assert.Equal(t, http.StatusServiceUnavailable, r.status)
@@ -147,7 +150,7 @@
 		s, agent, table := serviceSite(t)
 		other := s.addAgent("r2", "", "reservas")
 		for _, a := range []*fakeAgent{agent, other} {
-			a.forget, a.cuts = true, 1
+			a.set(func(f *fakeAgent) { f.forget, f.cuts = true, 1 })
 		}
 		e := s.entry("e1", with(table))
 		r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, key)
@@ -169,7 +172,8 @@
 	s, agent, table := serviceSite(t)
 	other := s.addAgent("r2", "", "reservas")
 	s.addAgent("r3", "", "reservas")
-	agent.cutBody, other.cutBody = 2, 2
+	agent.set(func(f *fakeAgent) { f.cutBody = 2 })
+	other.set(func(f *fakeAgent) { f.cutBody = 2 })
 	e := s.entry("e1", with(table))
 	cutsLeft := func(f *fakeAgent) int { return f.cutBody }
 	retried := false
@@ -194,7 +198,8 @@
 func TestALostAcceptanceOfACallWithoutBodyIsProvenNotRun(t *testing.T) {
 	s, agent, table := serviceSite(t)
 	other := s.addAgent("r2", "", "reservas")
-	agent.cutReply, other.cutReply = 1, 1
+	agent.set(func(f *fakeAgent) { f.cutReply = 1 })
+	other.set(func(f *fakeAgent) { f.cutReply = 1 })
 	s.addAgent("r3", "", "reservas")
 	e := s.entry("e1", with(table))
 	cutsLeft := func(f *fakeAgent) int { return f.cutReply }
@@ -214,8 +219,11 @@
 func TestACallWithoutAKeyGetsOneAttempt(t *testing.T) {
 	s, agent, table := serviceSite(t)
 	other := s.addAgent("r2", "", "reservas")
-	full := func(*jayv1.Offer) *jayv1.OfferReply { return &jayv1.OfferReply{Refusal: jayv1.Refusal_REFUSAL_QUEUE_FULL} }
-	agent.refuse, other.refuse = full, full
+	full := func(*jayv1.Offer) *jayv1.OfferReply {
+		return &jayv1.OfferReply{Refusal: jayv1.Refusal_REFUSAL_QUEUE_FULL}
+	}
+	agent.set(func(f *fakeAgent) { f.refuse = full })
+	other.set(func(f *fakeAgent) { f.refuse = full })
 	e := s.entry("e1", with(table))
 	r := call(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b")
 	assert.Equal(t, http.StatusServiceUnavailable, r.status)
@@ -228,13 +236,14 @@
 func TestABookingIsCarriedThroughWhenItsCallerHangsUp(t *testing.T) {
 	s, agent, table := serviceSite(t)
 	started, finish := make(chan struct{}), make(chan struct{})
-	agent.answer = func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+	scripted := func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
 		emit("begun")
 		close(started)
 		<-finish
 		emit("booked")
 		return done()
 	}
+	agent.set(func(f *fakeAgent) { f.answer = scripted })
 	e := s.entry("e1", with(table))
 	response := open(t, "POST", e.CallersURL()+confirmPath, keyQuarry, "b", entry.HeaderIdempotencyKey, "k")
 	<-started
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -19,8 +19,8 @@
 // half a sentence; with a resume at the wrong place a word twice.
 func TestALinkLostInMidStreamLosesAndDoublesNothing(t *testing.T) {
 	s := newSite(t, "b1")
-	s.agents[0].answer = tokens(20)
-	s.agents[0].cutAfter, s.agents[0].cuts = 4, 5
+	s.agents[0].set(func(f *fakeAgent) { f.answer = tokens(20) })
+	s.agents[0].set(func(f *fakeAgent) { f.cutAfter, f.cuts = 4, 5 })
 	e := s.entry("e1")
 	r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
 	require.Equal(t, http.StatusOK, r.status, r.body)
@@ -38,10 +38,11 @@
 // A stream that just ended would look like a complete, short answer.
 func TestAStreamThatCannotBeCompletedEndsInAnErrorEvent(t *testing.T) {
 	s := newSite(t, "b1")
-	s.agents[0].answer = func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+	scripted := func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
 		emit(`{"choices":[{"delta":{"content":"half"}}]}`)
 		return &jayv1.End{Outcome: jayv1.Outcome_OUTCOME_UNKNOWN, Error: "engine broke"}
 	}
+	s.agents[0].set(func(f *fakeAgent) { f.answer = scripted })
 	e := s.entry("e1")
 	r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
 	require.NoError(t, r.err)
@@ -57,7 +58,7 @@
 // caller for ever.
 func TestAnAnswerThatLacksItsTailIsNotCalledDone(t *testing.T) {
 	s := newSite(t, "b1")
-	s.agents[0].wrongCount = 1
+	s.agents[0].set(func(f *fakeAgent) { f.wrongCount = 1 })
 	e := s.entry("e1")
 	r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
 	assert.Contains(t, r.body, "event: error\n")
@@ -66,7 +67,7 @@
 
 func TestACallerThatGoesAwayFreesTheSlot(t *testing.T) {
 	s := newSite(t, "b1")
-	s.agents[0].answer = paced(1000, 5*time.Millisecond)
+	s.agents[0].set(func(f *fakeAgent) { f.answer = paced(1000, 5*time.Millisecond) })
 	e := s.entry("e1")
 	response := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
 	_, err := response.Body.Read(make([]byte, 10))
@@ -82,7 +83,7 @@
 // another workspace's key it must learn nothing, not even that the stream exists.
 func TestACallerResumesAtAnotherEntry(t *testing.T) {
 	s := newSite(t, "b1")
-	s.agents[0].answer = paced(40, 2*time.Millisecond)
+	s.agents[0].set(func(f *fakeAgent) { f.answer = paced(40, 2*time.Millisecond) })
 	first, second := s.entry("e1"), s.entry("e2")
 	response := open(t, "POST", first.CallersURL()+chatPath, keyQuarry, chatStream, entry.HeaderResume, "keep")
 	token := response.Header.Get(entry.HeaderResumeToken)
@@ -125,7 +126,7 @@
 	const slow = 8
 	s := newSite(t, "b1")
 	long := strings.Repeat("x", 64<<10)
-	s.agents[0].answer = func(offer *jayv1.Offer, body []byte, emit func(string)) *jayv1.End {
+	scripted := func(offer *jayv1.Offer, body []byte, emit func(string)) *jayv1.End {
 		if offer.GetWorkspace() == "other" {
 			return tokens(3)(offer, body, emit)
 		}
@@ -134,6 +135,7 @@
 		}
 		return done()
 	}
+	s.agents[0].set(func(f *fakeAgent) { f.answer = scripted })
 	e := s.entry("e1", func(settings *entry.Settings) { settings.Timeouts.CallerWriteMS = 1500 })
 	for range slow {
 		response := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
