Test that a queue raises doubt and that an answer ends a presumption

The test now makes the busy holder the best known. Run with the guard taken out: fails; with presumption taken out, and with absent answers ignored: TestPresumptionEndsWithAnAnswer fails.

--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -239,10 +239,40 @@
 	require.NoError(t, err)
 	assert.Equal(t, holder, seen.Server)
 	assert.False(t, seen.Final, "the agent may still decline")
-	r.Learn(epoch, holder, state(1, 400))
+	for _, server := range servers(set.Len()) {
+		if server.Name != holder {
+			r.Learn(epoch, server.Name, state(1, 0))
+			r.Saw(epoch, server.Name, req, 0, 1)
+		}
+	}
+	r.Learn(epoch, holder, state(1, 100))
 	busy, err := r.Choose(epoch, req, pool, set, nil)
 	require.NoError(t, err)
-	assert.Len(t, busy.Ask, 4)
+	assert.Len(t, busy.Ask, 4, "its queue is worth a question although it is the best known")
+}
+
+// An entry presumes that a prefix's own servers hold it, and one of them says
+// that it does not: the next request must not count on it again.
+func TestPresumptionEndsWithAnAnswer(t *testing.T) {
+	r := routing.New(option(routing.PolicyPresumption, 1))
+	set := routing.NewSet("p", servers(12))
+	req := document(1, 1)
+	first, err := r.Choose(epoch, req, pool, set, nil)
+	require.NoError(t, err)
+	evidence := func() string {
+		decision, err := r.Choose(epoch, req, pool, set, nil)
+		require.NoError(t, err)
+		for _, candidate := range decision.Candidates {
+			if candidate.GetBackendServer() == first.Server {
+				return candidate.GetEvidence()
+			}
+		}
+		return ""
+	}
+	assert.Equal(t, "presumed", evidence())
+	r.Learn(epoch, first.Server, state(1, 0))
+	r.Saw(epoch, first.Server, req, 0, 1)
+	assert.Equal(t, "none", evidence())
 }
 
 // The agents' exact answers decide: here the holder of the prefix has a queue
