--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -41,6 +41,13 @@
 	defaultLinkTimeout = 6 * time.Second
 	defaultIdleClose   = 30 * time.Second
 	defaultMaxStreams  = 10000
+	// streamWindow bounds what a peer may send ahead on one stream, linkWindow
+	// on all streams of a connection. A caller that does not read fills its
+	// stream's window; were the link's not far larger, a few such callers would
+	// stop every other answer from the same backend server. The memory is only
+	// taken by what is really held up.
+	streamWindow = 256 << 10
+	linkWindow   = 256 << 20
 )
 
 func (o Options) withDefaults() Options {
@@ -142,6 +149,11 @@
 		// A search for the largest packet sends some ten packets of up to 1.4 KB
 		// on each new connection, more than a node may spend on control in seconds.
 		DisablePathMTUDiscovery: true,
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         streamWindow,
+		InitialConnectionReceiveWindow: linkWindow,
+		MaxConnectionReceiveWindow:     linkWindow,
+
 		// 0-RTT data can be replayed by the network.
 		Allow0RTT: false,
 	}
