--- a/cmd/jay-load/experiment.go
+++ b/cmd/jay-load/experiment.go
@@ -2,67 +2,165 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/experiment"
+	"github.com/jayproxy/jayproxy/internal/load"
 )
 
+// experimentFlags are what the experiment commands have in common.
+type experimentFlags struct {
+	plan   experiment.Plan
+	faults []string
+	out    string
+}
+
 func experimentCommand() *cobra.Command {
-	plan := experiment.DefaultPlan()
-	var faults []string
-	out := "out"
+	f := &experimentFlags{plan: experiment.DefaultPlan(), out: "out"}
 	cmd := &cobra.Command{
 		Use:   "experiment",
 		Short: "Compare routing policies over in-process clusters",
 		Args:  cobra.NoArgs,
+		PersistentPreRun: func(*cobra.Command, []string) {
+			// The clusters' processes log much that says nothing of an experiment.
+			klog.LogToStderr(false)
+			klog.SetOutput(io.Discard)
+			f.plan.Progress = os.Stderr
+			for _, fault := range f.faults {
+				f.plan.Faults = append(f.plan.Faults, experiment.Fault(fault))
+			}
+		},
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			report, err := f.plan.Run(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return f.write(report, report)
+		},
+	}
+	f.register(cmd)
+	cmd.AddCommand(f.carriedCommand(), f.greedyCommand(), f.overheadCommand())
+	return cmd
+}
+
+func (f *experimentFlags) register(cmd *cobra.Command) {
+	flags := cmd.PersistentFlags()
+	flags.StringSliceVar(&f.plan.Mixes, "mix", f.plan.Mixes, "mixes: association, darovnica")
+	flags.StringSliceVar(&f.plan.Policies, "policy", f.plan.Policies, "routing policies")
+	flags.Float64SliceVar(&f.plan.Shares, "load", f.plan.Shares, "loads, as shares of what least load can carry")
+	flags.IntSliceVar(&f.plan.Entries, "entries", f.plan.Entries, "numbers of entries")
+	flags.StringSliceVar(&f.faults, "fault", nil, fmt.Sprintf("faults to inject, one a run; none when empty: %q", experiment.Faults()))
+	flags.Uint64Var(&f.plan.Seed, "seed", f.plan.Seed, "seed of load and engines")
+	flags.DurationVar(&f.plan.WarmUp, "warm-up", f.plan.WarmUp, "time to fill the caches, not counted")
+	flags.DurationVar(&f.plan.Measured, "measured", f.plan.Measured, "time that is counted")
+	flags.Float64Var(&f.plan.Prefill, "prefill", f.plan.Prefill, "prompt tokens that an engine computes a second")
+	flags.IntVar(&f.plan.Parallel, "parallel", f.plan.Parallel, "runs at once, each with its own cluster")
+	flags.StringVar(&f.out, "out", f.out, "folder for results.json and report.html")
+}
+
+func (f *experimentFlags) carriedCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "carried",
+		Short: "Find the highest load at which 95 in 100 first tokens come in time",
+		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			klog.SetOutput(discard{})
-			plan.Progress = os.Stderr
-			for _, fault := range faults {
-				plan.Faults = append(plan.Faults, experiment.Fault(fault))
+			report, carried, err := f.plan.Ladder(cmd.Context())
+			if err != nil {
+				return err
+			}
+			for _, c := range carried {
+				fmt.Printf("%s %s: %.2f of least load's (%.1f calls/s)\n", c.Mix, c.Policy, c.Share, c.Rate)
 			}
-			report, err := plan.Run(cmd.Context())
+			return f.write(report, carried)
+		},
+	}
+}
+
+func (f *experimentFlags) greedyCommand() *cobra.Command {
+	factor := 10.0
+	cmd := &cobra.Command{
+		Use:   "greedy",
+		Short: "Compare the others' first tokens with and without a greedy workspace",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			greeds, results, err := f.plan.RunGreedy(cmd.Context(), factor)
 			if err != nil {
 				return err
 			}
-			if err := report.WriteTable(os.Stdout); err != nil {
+			for _, g := range greeds {
+				fmt.Printf("%s %s: others' p99 %.0f ms without, %.0f ms with a workspace at %.0f times its share\n",
+					g.Mix, g.Policy, g.Without, g.With, g.Factor)
+			}
+			return f.write(experiment.Report{Seed: f.plan.Seed, Results: results}, greeds)
+		},
+	}
+	cmd.Flags().Float64Var(&factor, "factor", factor, "share of the greedy workspace, as a multiple")
+	return cmd
+}
+
+func (f *experimentFlags) overheadCommand() *cobra.Command {
+	rate, length := 200.0, 10*time.Second
+	cmd := &cobra.Command{
+		Use:   "overhead",
+		Short: "Measure what entry and agent add to calling an engine directly",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			mix, ok := load.Mixes()[f.plan.Mixes[0]]
+			if !ok {
+				return eris.Errorf("unknown mix %q", f.plan.Mixes[0])
+			}
+			o, err := experiment.MeasureOverhead(cmd.Context(), mix, rate, length, f.plan.Seed)
+			if err != nil {
 				return err
 			}
-			return write(report, out)
+			fmt.Printf("%d calls at %.0f/s: direct p50 %.2f p99 %.2f ms, through p50 %.2f p99 %.2f ms, added p50 %.2f p99 %.2f ms, %.0f requests/s per core\n",
+				o.Calls, o.Rate, o.Direct.P50, o.Direct.P99, o.Through.P50, o.Through.P99, o.AddedP50, o.AddedP99, o.RequestsPerCore)
+			return writeJSON(f.out, o)
 		},
 	}
-	flags := cmd.Flags()
-	flags.StringSliceVar(&plan.Mixes, "mix", plan.Mixes, "mixes: association, darovnica")
-	flags.StringSliceVar(&plan.Policies, "policy", plan.Policies, "routing policies")
-	flags.Float64SliceVar(&plan.Shares, "load", plan.Shares, "loads, as shares of what least load can carry")
-	flags.IntSliceVar(&plan.Entries, "entries", plan.Entries, "numbers of entries")
-	flags.StringSliceVar(&faults, "fault", nil, "faults to inject, one a run; none when empty")
-	flags.Uint64Var(&plan.Seed, "seed", plan.Seed, "seed of load and engines")
-	flags.DurationVar(&plan.WarmUp, "warm-up", plan.WarmUp, "time to fill the caches, not counted")
-	flags.DurationVar(&plan.Measured, "measured", plan.Measured, "time that is counted")
-	flags.Float64Var(&plan.Prefill, "prefill", plan.Prefill, "prompt tokens that an engine computes a second")
-	flags.IntVar(&plan.Parallel, "parallel", plan.Parallel, "runs at once, each with its own cluster")
-	flags.StringVar(&out, "out", out, "folder for results.json and report.html")
+	cmd.Flags().Float64Var(&rate, "rate", rate, "calls a second")
+	cmd.Flags().DurationVar(&length, "length", length, "time of each part")
 	return cmd
 }
 
-// discard drops the log of the clusters' processes.
-type discard struct{}
+const (
+	folderMode = 0o755
+	fileMode   = 0o644
+)
 
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
+// write prints the table and leaves JSON and the report in the output folder.
+func (f *experimentFlags) write(report experiment.Report, results any) error {
+	if err := report.WriteTable(os.Stdout); err != nil {
+		return err
+	}
+	if err := writeJSON(f.out, results); err != nil {
+		return err
+	}
+	file, err := os.Create(filepath.Join(f.out, "report.html"))
+	if err != nil {
+		return eris.Wrap(err, "create report")
+	}
+	if err := report.WriteHTML(file); err != nil {
+		return err
+	}
+	return eris.Wrap(file.Close(), "write report")
+}
 
-func write(report experiment.Report, dir string) error {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+func writeJSON(dir string, value any) error {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return eris.Wrap(err, "make output folder")
 	}
-	text, err := json.MarshalIndent(report, "", " ")
+	text, err := json.MarshalIndent(value, "", " ")
 	if err != nil {
 		return eris.Wrap(err, "encode results")
 	}
-	return eris.Wrap(os.WriteFile(filepath.Join(dir, "results.json"), text, 0o644), "write results")
+	return eris.Wrap(os.WriteFile(filepath.Join(dir, "results.json"), text, fileMode), "write results")
 }
--- a/cmd/jay-load/main.go
+++ b/cmd/jay-load/main.go
@@ -25,13 +25,9 @@
 
 func command() *cobra.Command {
 	cmd := &cobra.Command{Use: "jay-load", Short: "Open-loop load and experiments", SilenceUsage: true}
-	cmd.AddCommand(experimentCommand())
+	cmd.AddCommand(runCommand(), experimentCommand())
 	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(logFlags)
-	// Clusters log much that says nothing of an experiment.
-	_ = logFlags.Set("stderrthreshold", "FATAL")
-	_ = logFlags.Set("logtostderr", "false")
-	_ = logFlags.Set("alsologtostderr", "false")
 	cmd.PersistentFlags().AddGoFlagSet(logFlags)
 	return cmd
 }
--- a/internal/experiment/table.go
+++ b/internal/experiment/table.go
@@ -79,3 +79,10 @@
 	}
 	return table.Flush()
 }
+
+func plural(entries int) string {
+	if entries == 1 {
+		return "1 entry"
+	}
+	return fmt.Sprintf("%d entries", entries)
+}
