--- /dev/null
+++ b/internal/catalogstore/store_test.go
@@ -0,0 +1,249 @@
+package catalogstore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/catalogstore"
+	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/platform/platformtest"
+)
+
+func service(name string, concurrency uint32) *jayv1.Resource {
+	return &jayv1.Resource{Kind: &jayv1.Resource_Service{Service: &jayv1.Service{Name: name, Concurrency: concurrency}}}
+}
+
+// put is a proposal that declares one service.
+func put(id, name string, concurrency uint32) catalogstore.Proposal {
+	return catalogstore.Proposal{
+		ChangeID: id, Digest: []byte(fmt.Sprint(name, concurrency)), Operator: "ana",
+		Edit: func(table *catalog.Table) (catalog.Difference, error) {
+			return catalog.Diff(table, []*jayv1.Resource{service(name, concurrency)}, false), nil
+		},
+	}
+}
+
+func isCatalogWrite(txn platform.Txn) bool { return len(txn.Puts) > 0 }
+
+// failOnce fails the next write with the fault and lets the others pass.
+func failOnce(p *platformtest.Memory, fault platformtest.Fault, before func()) {
+	var failed atomic.Bool
+	p.OnCommit(func(txn platform.Txn) platformtest.Fault {
+		if !isCatalogWrite(txn) || !failed.CompareAndSwap(false, true) {
+			return platformtest.Pass
+		}
+		if before != nil {
+			before()
+		}
+		return fault
+	})
+}
+
+func concurrencyOf(t require.TestingT, store *catalogstore.Store, name string) uint32 {
+	table, err := store.Load(context.Background())
+	require.NoError(t, err)
+	declared, _ := table.Service(name)
+	return declared.GetConcurrency()
+}
+
+// Two operators' changes seem to flip back. Ana's apply is accepted, its answer
+// is lost; Ivo changes the same service; Ana's tool repeats her apply under
+// the same id. Without the row of the change id the repeat would undo Ivo's.
+func TestRepeatAfterALostAnswerIsAcceptedOnce(t *testing.T) {
+	p := platformtest.New()
+	ana := catalogstore.New(p, p, catalogstore.Options{Attempts: 1})
+	ivo := catalogstore.New(p, p, catalogstore.Options{})
+	failOnce(p, platformtest.LostAnswer, nil)
+	_, err := ana.Accept(t.Context(), put("a", "claims-portal", 3))
+	require.ErrorIs(t, err, platform.ErrUnknown)
+	_, err = ivo.Accept(t.Context(), put("b", "claims-portal", 5))
+	require.NoError(t, err)
+
+	again, err := ana.Accept(t.Context(), put("a", "claims-portal", 3))
+	require.NoError(t, err)
+	assert.Equal(t, uint64(1), again.Generation)
+	assert.True(t, again.Changed)
+	assert.Equal(t, uint32(5), concurrencyOf(t, ana, "claims-portal"))
+}
+
+// An apply answers by itself although the table's answer was lost, whether the
+// write took effect or not.
+func TestLostAnswersAreSettled(t *testing.T) {
+	for name, fault := range map[string]platformtest.Fault{"after the write": platformtest.LostAnswer, "before the write": platformtest.LostRequest} {
+		t.Run(name, func(t *testing.T) {
+			p := platformtest.New()
+			store := catalogstore.New(p, p, catalogstore.Options{})
+			failOnce(p, fault, nil)
+			accepted, err := store.Accept(t.Context(), put("a", "claims-portal", 3))
+			require.NoError(t, err)
+			assert.Equal(t, uint64(1), accepted.Generation)
+			head, err := store.Head(t.Context())
+			require.NoError(t, err)
+			assert.Equal(t, uint64(1), head)
+		})
+	}
+}
+
+// An operator is told "nothing was done", applies something else, and both are
+// in force: the first answer was lost after the write, and the outage that
+// followed was reported as if it spoke of the whole apply.
+func TestOutageAfterALostAnswerIsUnknown(t *testing.T) {
+	p := platformtest.New()
+	store := catalogstore.New(p, p, catalogstore.Options{})
+	p.OnCommit(func(platform.Txn) platformtest.Fault {
+		p.SetDownLater()
+		return platformtest.LostAnswer
+	})
+	_, err := store.Accept(t.Context(), put("a", "claims-portal", 3))
+	require.ErrorIs(t, err, platform.ErrUnknown)
+	require.NotErrorIs(t, err, platform.ErrUnavailable)
+}
+
+// One id for two changes must not report the second as accepted.
+func TestChangeIDOfAnotherChangeIsRefused(t *testing.T) {
+	p := platformtest.New()
+	store := catalogstore.New(p, p, catalogstore.Options{})
+	_, err := store.Accept(t.Context(), put("a", "claims-portal", 3))
+	require.NoError(t, err)
+	_, err = store.Accept(t.Context(), put("a", "claims-portal", 4))
+	require.ErrorIs(t, err, catalogstore.ErrChangeIDReused)
+	_, err = store.Accept(t.Context(), put("", "claims-portal", 4))
+	require.ErrorIs(t, err, catalogstore.ErrNoChangeID)
+}
+
+// Ivo's change vanishes: both operators read generation 1, both write. With
+// the expected generation the second is refused; without it both are kept.
+func TestRacingOperators(t *testing.T) {
+	p := platformtest.New()
+	ana := catalogstore.New(p, p, catalogstore.Options{})
+	ivo := catalogstore.New(p, p, catalogstore.Options{})
+	_, err := ana.Accept(t.Context(), put("0", "reservas-app", 1))
+	require.NoError(t, err)
+	failOnce(p, platformtest.Pass, func() {
+		_, err := ivo.Accept(context.Background(), put("b", "rulebook-cache", 2))
+		require.NoError(t, err)
+	})
+	accepted, err := ana.Accept(t.Context(), put("a", "claims-portal", 3))
+	require.NoError(t, err)
+	assert.Equal(t, uint64(3), accepted.Generation)
+	assert.Equal(t, uint32(2), concurrencyOf(t, ana, "rulebook-cache"))
+	assert.Equal(t, uint32(3), concurrencyOf(t, ana, "claims-portal"))
+
+	stale := put("c", "claims-portal", 9)
+	stale.ExpectGeneration = 2
+	_, err = ana.Accept(t.Context(), stale)
+	var conflict *catalogstore.ConflictError
+	require.ErrorAs(t, err, &conflict)
+	assert.Equal(t, uint64(3), conflict.Head)
+}
+
+func TestSameContentMakesNoGeneration(t *testing.T) {
+	p := platformtest.New()
+	store := catalogstore.New(p, p, catalogstore.Options{})
+	_, err := store.Accept(t.Context(), put("a", "claims-portal", 3))
+	require.NoError(t, err)
+	again, err := store.Accept(t.Context(), put("b", "claims-portal", 3))
+	require.NoError(t, err)
+	assert.False(t, again.Changed)
+	assert.Equal(t, uint64(1), again.Generation)
+}
+
+// A process that was away while changes were trimmed must not skip them: it
+// gets a snapshot and the changes after it, and the same table as the others.
+func TestTrimmedChangesAreReplacedByASnapshot(t *testing.T) {
+	p := platformtest.New()
+	now := time.Unix(1_800_000_000, 0)
+	options := catalogstore.Options{SnapshotEvery: 4, KeepChanges: time.Hour, Now: func() time.Time { return now }}
+	store := catalogstore.New(p, p, options)
+	away, err := store.Load(t.Context())
+	require.NoError(t, err)
+	for i := range uint32(10) {
+		accepted, err := store.Accept(t.Context(), put(fmt.Sprint(i), fmt.Sprint("s", i%3), i+1))
+		require.NoError(t, err)
+		require.NoError(t, store.Compact(t.Context(), accepted.Table))
+		now = now.Add(40 * time.Minute)
+	}
+	delta, err := store.After(t.Context(), away.Generation())
+	require.NoError(t, err)
+	require.NotNil(t, delta.GetSnapshot())
+	back, err := away.Forward(delta)
+	require.NoError(t, err)
+	inForce, err := store.Load(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, uint64(10), back.Generation())
+	assert.True(t, equalTables(inForce, back))
+	_, err = store.Accept(t.Context(), put("9", "s0", 10))
+	require.NoError(t, err, "the id of a young change is still known")
+	snapshot, err := store.LoadSnapshot(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, uint64(8), snapshot.Generation())
+}
+
+func equalTables(a, b *catalog.Table) bool {
+	return a.Generation() == b.Generation() &&
+		catalog.Diff(a, b.Snapshot().GetResources(), true).Empty()
+}
+
+// Whatever the platform loses, each change that was reported accepted is in
+// the catalog once, each refused one not at all, and every reader that goes
+// forward by any path arrives at the same table.
+func TestAcceptanceUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := platformtest.New()
+		faults := rapid.SliceOfN(rapid.SampledFrom([]platformtest.Fault{
+			platformtest.Pass, platformtest.Pass, platformtest.LostAnswer, platformtest.LostRequest, platformtest.Unavailable,
+		}), 30, 30).Draw(t, "faults")
+		next := 0
+		p.OnCommit(func(platform.Txn) platformtest.Fault {
+			next++
+			return faults[next%len(faults)]
+		})
+		stores := []*catalogstore.Store{
+			catalogstore.New(p, p, catalogstore.Options{SnapshotEvery: 3, KeepChanges: time.Nanosecond, Attempts: 2}),
+			catalogstore.New(p, p, catalogstore.Options{SnapshotEvery: 3, Attempts: 2}),
+		}
+		reader := catalog.Build(&jayv1.Snapshot{})
+		outcome := map[string]error{}
+		for i, who := range rapid.SliceOfN(rapid.IntRange(0, 1), 1, 12).Draw(t, "operators") {
+			id := fmt.Sprint("c", i)
+			accepted, err := stores[who].Accept(context.Background(), put(id, id, 1))
+			outcome[id] = err
+			if accepted.Table != nil && rapid.Bool().Draw(t, "compact") {
+				_ = stores[who].Compact(context.Background(), accepted.Table)
+			}
+			if rapid.Bool().Draw(t, "read") {
+				delta, err := stores[who].After(context.Background(), reader.Generation())
+				require.NoError(t, err)
+				reader, err = reader.Forward(delta)
+				require.NoError(t, err)
+			}
+		}
+		p.OnCommit(nil)
+		for id, err := range outcome {
+			present := concurrencyOf(t, stores[0], id) == 1
+			switch {
+			case err == nil:
+				require.True(t, present, "accepted change %s is gone", id)
+			case !errors.Is(err, platform.ErrUnknown):
+				require.False(t, present, "change %s was refused (%v) and is in force", id, err)
+			}
+		}
+		delta, err := stores[1].After(context.Background(), reader.Generation())
+		require.NoError(t, err)
+		reader, err = reader.Forward(delta)
+		require.NoError(t, err)
+		table, err := stores[0].Load(context.Background())
+		require.NoError(t, err)
+		require.True(t, equalTables(table, reader))
+	})
+}
--- a/internal/platform/platformtest/memory.go
+++ b/internal/platform/platformtest/memory.go
@@ -35,6 +35,8 @@
 	objects map[string][]byte
 	vms     platform.VMList
 	down    bool
+	// downLater: the outage starts after the commit under way.
+	downLater bool
 	// Reads and Writes count the calls of the table service.
 	reads, writes int
 	onCommit      func(txn platform.Txn) Fault
@@ -54,6 +56,13 @@
 	m.down = down
 }
 
+// SetDownLater starts an outage after the commit under way; for use in a fault.
+func (m *Memory) SetDownLater() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.downLater = true
+}
+
 // OnCommit installs the fault of each commit; it is called without the lock
 // held, so it may itself commit, e.g. as a racing writer. Nil removes it.
 func (m *Memory) OnCommit(fault func(txn platform.Txn) Fault) {
@@ -133,6 +142,7 @@
 		return platform.TxnResult{}, platform.ErrUnknown
 	}
 	result := m.apply(txn)
+	m.down, m.downLater = m.down || m.downLater, false
 	if fault == LostAnswer {
 		return platform.TxnResult{}, platform.ErrUnknown
 	}
