Give each run of the scenarios its own loopback address and ports

Cause: TestScenarios/leaving failed once: two scenarios had drawn the same port. Change: every run has a loopback address of its own and hands out each port once.

--- a/test/scenario/site_test.go
+++ b/test/scenario/site_test.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/hex"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -85,16 +85,25 @@
 }
 
 // Ports of the processes under test stand below those that the system hands
-// out, so that nothing takes one while its owner is down.
+// out, so that nothing takes one while its owner is down. Each run of the suite
+// has a loopback address of its own and hands out every port once: two
+// scenarios, or two runs on one machine, never get the same.
 const (
 	firstPort = 20000
 	ports     = 10000
+	// octet bounds a part of the loopback address.
+	octet = 250
 )
 
-// freeAddress finds a port that is free for TCP and UDP.
+var (
+	loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/octet%octet, 1+os.Getpid()%octet)
+	nextPort atomic.Int32
+)
+
+// freeAddress hands out an address that is free for TCP and UDP.
 func freeAddress() (string, error) {
 	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		address := fmt.Sprintf("%s:%d", loopback, firstPort+nextPort.Add(1)%ports)
 		tcp, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
