Carry small changes in digests, end exchanges without a reset, measure routing slopes

Change: a digest carries the changes that its receiver is known to lack, if they fit one packet; an agent that was told lately tells nobody; a stream side that has ended is not reset.

--- a/internal/spread/core.go
+++ b/internal/spread/core.go
@@ -182,6 +182,17 @@
 	return c.heard(now, state, generation)
 }
 
+// generationOf is the generation last heard from a peer, 0 when none was.
+func (c *Core) generationOf(peer keys.Identity) uint64 {
+	if state := c.entries[peer]; state != nil {
+		return state.generation
+	}
+	if state := c.agents[peer]; state != nil {
+		return state.generation
+	}
+	return 0
+}
+
 // fresh tells whether the peer was heard lately: the stamp of each of
 // thousands of messages a second then costs a map look-up.
 func (c *Core) fresh(now time.Time, from keys.Identity) bool {
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
@@ -85,7 +87,14 @@
 		return nil, eris.Wrap(err, "end question")
 	}
 	answer := &jayv1.ServerFrame{}
-	return answer, stream.Receive(answer)
+	if err := stream.Receive(answer); err != nil {
+		return nil, err
+	}
+	// Read to the end: giving up a stream that is over would cost a packet.
+	if err := stream.Receive(&jayv1.ServerFrame{}); !errors.Is(err, io.EOF) {
+		klog.V(1).InfoS("Answer not ended", "peer", peer.ID.String(), "err", err)
+	}
+	return answer, nil
 }
 
 func (s *Service) digest() *jayv1.GossipDigest {
@@ -104,7 +113,9 @@
 }
 
 func (s *Service) tell(ctx context.Context, to Peer) {
-	answer, err := s.ask(ctx, to, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Gossip{Gossip: s.digest()}})
+	digest := s.digest()
+	digest.Changes = s.lacking(to.ID)
+	answer, err := s.ask(ctx, to, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Gossip{Gossip: digest}})
 	if err == nil && to.ID.Name != "" && answer.GetGossip().GetFrom() != to.ID.Name {
 		err = errWrongPeer
 	}
@@ -115,8 +126,31 @@
 	s.heardDigest(keys.Identity{Role: to.ID.Role, Name: answer.GetGossip().GetFrom()}, answer.GetGossip())
 }
 
+// lacking returns the changes that a peer is known to lack, none when they are
+// too many or too long for one packet: the peer then pulls.
+func (s *Service) lacking(peer keys.Identity) []*jayv1.Change {
+	const onePacket = 900
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	generation := s.core.generationOf(peer)
+	if generation == 0 {
+		return nil
+	}
+	delta := s.log.since(generation, s.options.Holder.Current())
+	if proto.Size(delta) > onePacket {
+		return nil
+	}
+	return delta.GetChanges()
+}
+
 // heardDigest takes a digest of a peer whose identity was verified by its link.
 func (s *Service) heardDigest(from keys.Identity, digest *jayv1.GossipDigest) {
+	if changes := digest.GetChanges(); len(changes) > 0 {
+		// What does not fit on the table in force is left to a pull.
+		if err := s.adopt(&jayv1.CatalogDelta{Changes: changes}); err != nil {
+			klog.V(1).InfoS("Changes of a digest not taken", "peer", from.String(), "err", err)
+		}
+	}
 	if s.options.OnNews != nil && len(digest.GetNews()) > 0 {
 		s.options.OnNews(from, digest.GetNews())
 	}
@@ -236,11 +270,13 @@
 func (s *Service) Handle(_ context.Context, peer keys.Identity, first *jayv1.ClientFrame, stream *transport.Stream) bool {
 	switch {
 	case first.GetGossip() != nil:
+		// First take, then answer: the answer tells the sender that what it sent
+		// is in force here, and it needs not tell it again.
+		s.heardDigest(peer, first.GetGossip())
 		answer := &jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Gossip{Gossip: s.digest()}}
 		if err := stream.Send(answer); err != nil {
 			klog.V(1).InfoS("Digest not answered", "peer", peer.String(), "err", err)
 		}
-		s.heardDigest(peer, first.GetGossip())
 		return true
 	case first.GetCatalogPull() != nil:
 		s.servePull(peer, first.GetCatalogPull(), stream)
--- a/internal/spread/tick.go
+++ b/internal/spread/tick.go
@@ -169,6 +169,11 @@
 	}
 	c.nextDigest = now.Add(c.settings.AgentInterval)
 	c.forgetSilent(now)
+	if now.Sub(c.heardEntryAt) < c.settings.AgentInterval {
+		// Some entry looks after this agent. A digest to another one would cost
+		// a handshake, ten times as many bytes as the digest itself.
+		return nil
+	}
 	entries := c.addressed()
 	if len(entries) == 0 {
 		return nil
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -58,6 +58,8 @@
 
 	deadlineMu   sync.Mutex
 	readDeadline time.Time
+	// ended: the peer's side was read to its end.
+	ended atomic.Bool
 }
 
 func newStream(s *quic.Stream, stats *Stats, linkTimeout time.Duration) *Stream {
@@ -148,6 +150,7 @@
 // readFault tells a lost link from the caller's own deadline and other faults.
 func (s *Stream) readFault(err error) error {
 	if errors.Is(err, io.EOF) {
+		s.ended.Store(true)
 		return io.EOF
 	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -163,15 +166,21 @@
 
 // CloseSend ends the sending side; the peer reads io.EOF.
 func (s *Stream) CloseSend() error {
-	s.stopHeartbeat()
+	if s.stopHeartbeat() {
+		return nil
+	}
 	return s.quic.Close()
 }
 
-// Abort gives the stream up in both directions; the peer's calls fail.
+// Abort gives the stream up in both directions; the peer's calls fail. A side
+// that has ended already stays as it is, which costs no packet.
 func (s *Stream) Abort() {
-	s.quic.CancelRead(abortCode)
-	s.quic.CancelWrite(abortCode)
-	s.stopHeartbeat()
+	if !s.ended.Load() {
+		s.quic.CancelRead(abortCode)
+	}
+	if !s.stopHeartbeat() {
+		s.quic.CancelWrite(abortCode)
+	}
 }
 
 // finish ends both sides after a handler. What the peer still sends, such as
@@ -186,11 +195,14 @@
 	s.quic.CancelRead(abortCode)
 }
 
-func (s *Stream) stopHeartbeat() {
+// stopHeartbeat tells whether the sending side had ended before.
+func (s *Stream) stopHeartbeat() (ended bool) {
 	s.sendMu.Lock()
 	defer s.sendMu.Unlock()
+	ended = s.sendDone
 	s.sendDone = true
 	s.beat.Stop()
+	return ended
 }
 
 // SetDeadline bounds all pending and later calls; zero removes the bound.
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -52,6 +52,7 @@
 	var list []measurement
 	list = append(list, transportMeasurements()...)
 	list = append(list, catalogMeasurements()...)
+	list = append(list, routingMeasurements()...)
 	list = append(list, controlMeasurements()...)
 	return list
 }
