--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUF = $(GO) tool -modfile=tools/go.mod buf
 BIN ?= bin
 
-.PHONY: help dev build test generate docs generated-check format-check lint slopes
+.PHONY: self-check help dev build test generate docs generated-check format-check lint slopes
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -33,3 +33,6 @@
 lint: ## run the linters
 	$(LINT) run ./...
 	$(BUF) lint
+
+self-check: ## serve one request from end to end through each entry of a small cluster
+	$(GO) run ./cmd/jay-dev --self-check
