--- a/internal/entry/picker.go
+++ b/internal/entry/picker.go
@@ -162,11 +162,13 @@
 	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
 }
 
-// probed takes in an agent's answer to a probe.
-func (p *picker) probed(now time.Time, server string, reply *jayv1.ProbeReply) {
+// probed takes in an agent's answer to a probe: what it says of the prompt is
+// as exact as an answer to an offer.
+func (p *picker) probed(now time.Time, w *work, server string, reply *jayv1.ProbeReply) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heard(now, server, reply.GetState())
+	p.router.Saw(now, server, w.route, int(reply.GetCachedBytes()), reply.GetState().GetIncarnation())
 }
 
 // vms takes an answer of the platform's list.
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -43,7 +43,7 @@
 			if err != nil {
 				return
 			}
-			h.entry.picker.probed(time.Now(), name, reply)
+			h.entry.picker.probed(time.Now(), h.work, name, reply)
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, routing.Probe{Server: name, CostMS: reply.GetCostMs(), CachedBytes: int(reply.GetCachedBytes())})
