Keep the interval of an agent's own digests at 10 s

Cause: TestEntriesThatReachOnlyAgentsAdoptFromThem: with 15 s, entries that restart in an outage of the table and reach only agents got the configuration after 15.5 s, above the test's bound of 15 s. Back at 10 s it holds.

--- a/internal/spread/settings.go
+++ b/internal/spread/settings.go
@@ -49,7 +49,7 @@
 		SuspectFor:       15 * time.Second,
 		VMInterval:       time.Second,
 		VMReadsPerSecond: 100,
-		AgentInterval:    15 * time.Second,
+		AgentInterval:    10 * time.Second,
 		StartWait:        2 * time.Second,
 	}
 }
