--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -6,6 +6,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/ledger"
 	"github.com/jayproxy/jayproxy/internal/routing"
 )
 
@@ -39,6 +40,8 @@
 	// repeatable work may be started again when its outcome is unknown.
 	repeatable bool
 	key        string
+	// claim of the key, held while the call is under way.
+	claim *ledger.Claim
 }
 
 // target names the pool or service, apart from each other.
@@ -57,7 +60,7 @@
 }
 
 // offer makes the head of a hand-over.
-func (w *work) offer(now time.Time, number uint32, d decision, generation uint64, nonce []byte) *jayv1.Offer {
+func (w *work) offer(now time.Time, number uint32, d routing.Decision, generation uint64, nonce []byte) *jayv1.Offer {
 	return &jayv1.Offer{
 		RequestId: w.id, Attempt: number, Workspace: w.workspace.GetName(),
 		Pool: w.pool.GetName(), Service: w.service.GetName(),
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -55,7 +55,7 @@
 		random:   rand.New(rand.NewPCG(options.Seed, xxh3.HashString(options.DataCentre))),
 		backends: map[string]*backend{},
 		views:    map[string]*view{},
-		levels:   newLevels(levelEntries),
+		levels:   newLevels(levelEntries, neighboursOf(s)),
 		beliefs:  newBeliefs(beliefPrefixes),
 		pending:  map[string]promise{},
 	}
@@ -84,7 +84,7 @@
 	}
 	r.scoreAll(c)
 	c.pick()
-	if r.strategy.ask > 0 && req.Probes == nil {
+	if r.strategy.ask > 0 && req.Probes == nil && c.inDoubt(r.strategy.askAboveMS) {
 		if ask := c.cheapest(r.strategy.ask); len(ask) > 0 {
 			return Decision{Ask: ask, Candidates: c.explain(), Policy: r.strategy.name}, nil
 		}
@@ -126,6 +126,9 @@
 		return decision, ErrNoServer
 	}
 	best := &c.candidates[c.best]
+	// Until the answer to the offer tells the queue, the work counts as there,
+	// so that requests that come together do not all go to the same server.
+	best.backend.offeredMS += best.prefillMS
 	decision.Server = best.backend.name
 	decision.Incarnation = best.backend.signals.Incarnation
 	decision.ExpectedMS = best.queueMS + best.prefillMS
@@ -203,22 +206,21 @@
 	b := r.backend(server)
 	for _, point := range req.Chain {
 		r.beliefs.put(point.GetHash(), holder{
-			server: b, seen: now, incarnation: incarnation,
+			server: b, seen: now.UnixNano(), incarnation: incarnation,
 			absent: int(point.GetBytes()) > cachedBytes,
 		})
 	}
 }
 
 // HandedOver takes in that a server accepted the request and promised its
-// first token in expectedMS: its prefill counts into the server's queue until
-// the next report, and its prompt will be cached there.
+// first token in expectedMS. The state that came with the acceptance, learned
+// before, counts the request; its prompt will be cached there.
 func (r *Router) HandedOver(now time.Time, server string, req *Request, expectedMS float64) {
 	b := r.backend(server)
 	b.inFlight++
-	b.prefillMS += float64(max(0, req.PromptBytes-r.cachedAt(now, b, req))) * b.byteMS
 	r.pending[req.ID] = promise{backend: b, expectedMS: expectedMS}
 	for _, point := range req.Chain {
-		r.beliefs.put(point.GetHash(), holder{server: b, seen: now, incarnation: b.signals.Incarnation})
+		r.beliefs.put(point.GetHash(), holder{server: b, seen: now.UnixNano(), incarnation: b.signals.Incarnation})
 	}
 }
 
@@ -233,14 +235,3 @@
 		b.observe(now, made.expectedMS, firstTokenMS)
 	}
 }
-
-func (r *Router) cachedAt(now time.Time, b *backend, req *Request) int {
-	for i := len(req.Chain) - 1; i >= 0; i-- {
-		for _, h := range r.beliefs.holders(req.Chain[i].GetHash()) {
-			if h.server == b && !h.absent && h.valid(now) {
-				return int(req.Chain[i].GetBytes())
-			}
-		}
-	}
-	return 0
-}
