Let the agent answer offers from its exact cache index

Cause: the agent told entries that nothing was cached. Weighed: hashing the prompt's blocks before the reply (exact for new prompts, but the offer carries no text) against learning the blocks at submission and answering by chain point; the latter costs nothing on the way to the first token.

Recomputed tokens count what was submitted here before and is computed again. Each offer's generation reaches the spread.

--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -69,7 +69,7 @@
 	if a.model == nil || len(req.GetChain()) == 0 {
 		return reply
 	}
-	cached := a.model.cachedBytes(time.Now(), req.GetChain())
+	cached, _ := a.model.cache.look(time.Now(), req.GetChain())
 	reply.CachedBytes = uint32(cached)
 	reply.CostMs = a.schedule.cost(admission.Request{
 		Class:  jayv1.Class_CLASS_STANDARD,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -88,6 +88,8 @@
 	a.goRun(func() { a.schedule.loop() })
 	if a.model != nil {
 		a.goRun(func() { a.model.poll(a.ctx) })
+		a.goRun(func() { a.model.cache.follow(a.ctx) })
+		a.goRun(func() { a.model.cache.repair(a.ctx) })
 	}
 	klog.InfoS("agent started", "backendServer", settings.Name, "address", a.Address(), "admin", a.AdminURL())
 	return a, nil
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -39,6 +39,15 @@
 	}
 }
 
+// heardGeneration passes on by which generation a peer routed.
+func (a *Agent) heardGeneration(peer keys.Identity, generation uint64) {
+	select {
+	case <-a.ready:
+		a.spread.Heard(peer, generation)
+	default: // Still starting; the next message tells it again.
+	}
+}
+
 // status is what the debug page tells of the process.
 func (a *Agent) status() *jayv1.ProcessStatus {
 	return &jayv1.ProcessStatus{
--- /dev/null
+++ b/internal/agent/engine_test.go
@@ -0,0 +1,110 @@
+package agent_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/agent"
+	"github.com/jayproxy/jayproxy/internal/engine/dialect"
+	"github.com/jayproxy/jayproxy/internal/prefix"
+	standin "github.com/jayproxy/jayproxy/internal/standin/engine"
+	"github.com/jayproxy/jayproxy/internal/standin/engine/sim"
+)
+
+// standinBench is an agent beside a stand-in of a vendor's engine.
+func standinBench(t *testing.T, vendor string) (*bench, *standin.Engine) {
+	t.Helper()
+	started, err := standin.Start(standin.Options{Vendor: vendor, Engine: sim.Options{
+		Versions: []string{digest}, PrefillTokensPerSecond: 1e6, DecodeStep: time.Millisecond, OutputTokens: 4,
+	}})
+	require.NoError(t, err)
+	t.Cleanup(started.Close)
+	b := newBench(t, func(s *agent.Settings) {
+		s.Engine.Vendor, s.Engine.URL = vendor, started.URL()
+		s.OpenEngine = dialect.Open
+	})
+	return b, started
+}
+
+// chat is an offer with its body: a rulebook of some 8 KiB and a document.
+func chat(t *testing.T, id, workspace, document string) (*jayv1.Offer, string) {
+	t.Helper()
+	type message struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	body, err := json.Marshal(map[string]any{"stream": true, "max_tokens": 4, "messages": []message{
+		{"system", strings.Repeat("rule of the charity. ", 400)}, {"user", document},
+	}})
+	require.NoError(t, err)
+	parts, err := prefix.Render(body)
+	require.NoError(t, err)
+	offer := modelOffer(id)
+	offer.Workspace = workspace
+	chain := prefix.Chain(prefix.Seed{Workspace: workspace, Model: "m", VersionDigest: digest}, parts)
+	offer.Chain, offer.PromptBytes = chain.Points, uint32(chain.Bytes)
+	return offer, string(body)
+}
+
+// A request would be sent for a prefix that nobody holds: the engine has
+// crashed and come back cold, or the text belongs to another workspace.
+func TestOnlyWhatTheEngineHasCachedNowIsClaimed(t *testing.T) {
+	for _, vendor := range []string{standin.Merle, standin.Pica} {
+		t.Run(vendor, func(t *testing.T) {
+			b, engine := standinBench(t, vendor)
+			offer, body := chat(t, "r1", "w1", "first")
+			got := readAnswer(t, b.accepted(offer, body))
+			require.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome(), got.end.GetError())
+
+			cached := func(workspace string) uint32 {
+				asked, _ := chat(t, "ask", workspace, "second")
+				s := b.open()
+				defer func() { _ = s.CloseSend() }()
+				send(t, s, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Probe{Probe: &jayv1.ProbeRequest{
+					Pool: "p1", Chain: asked.GetChain(), PromptBytes: asked.GetPromptBytes(),
+				}}})
+				return receive(t, s).GetProbeReply().GetCachedBytes()
+			}
+			require.Eventually(t, func() bool { return cached("w1") > 8000 }, 5*time.Second, 10*time.Millisecond)
+			assert.Zero(t, cached("w2"))
+
+			before := b.probe().GetIncarnation()
+			engine.Crash(0)
+			require.Eventually(t, func() bool { return b.probe().GetIncarnation() > before }, 5*time.Second, 10*time.Millisecond)
+			assert.Zero(t, cached("w1"))
+
+			offer, body = chat(t, "r2", "w1", "third")
+			offer.Incarnation = before // The entry believes in the engine's old cache.
+			require.Eventually(t, func() bool { return b.probe().GetReady() }, 5*time.Second, 10*time.Millisecond)
+			got = readAnswer(t, b.accepted(offer, body))
+			require.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome(), got.end.GetError())
+			assert.Zero(t, got.end.GetUsage().GetCachedTokens())
+			assert.Greater(t, got.end.GetUsage().GetRecomputedTokens(), uint32(1900))
+		})
+	}
+}
+
+// A caller's answer would stop in silence when the engine dies under it.
+func TestEngineCrashInTheMiddleEndsInAnError(t *testing.T) {
+	for _, vendor := range []string{standin.Merle, standin.Pica} {
+		t.Run(vendor, func(t *testing.T) {
+			b, engine := standinBench(t, vendor)
+			offer, body := chat(t, "r1", "w1", "long")
+			body = strings.Replace(body, `"max_tokens":4`, `"max_tokens":100000`, 1)
+			s := b.accepted(offer, body)
+			require.NotEmpty(t, receive(t, s).GetChunk().GetData())
+			engine.Crash(0)
+			got := readAnswer(t, s)
+			assert.Equal(t, jayv1.Outcome_OUTCOME_UNKNOWN, got.end.GetOutcome())
+			assert.NotEmpty(t, got.end.GetError())
+			assert.EqualValues(t, len(got.chunks)+1, got.end.GetCount(), fmt.Sprint(got.seqs))
+		})
+	}
+}
--- a/internal/agent/enginestate.go
+++ b/internal/agent/enginestate.go
@@ -22,7 +22,8 @@
 // modelBackend is the model engine beside the agent with what is known of it.
 type modelBackend struct {
 	engine engine.Engine
-	poll0  time.Duration
+	cache  *engineCache
+	every  time.Duration
 
 	mu    sync.Mutex
 	up    bool
@@ -30,12 +31,12 @@
 }
 
 func newModelBackend(e engine.Engine, s Settings) *modelBackend {
-	return &modelBackend{engine: e, poll0: millis(s.Engine.PollMS)}
+	return &modelBackend{engine: e, cache: newEngineCache(e, time.Now()), every: millis(s.Engine.PollMS)}
 }
 
 // poll reads the engine's state until the context ends.
 func (m *modelBackend) poll(ctx context.Context) {
-	ticker := time.NewTicker(m.poll0)
+	ticker := time.NewTicker(m.every)
 	defer ticker.Stop()
 	for {
 		m.read(ctx)
@@ -55,6 +56,7 @@
 		m.markDown(err)
 		return
 	}
+	m.cache.sawIncarnation(state.Incarnation)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if state.Incarnation < m.state.Incarnation {
@@ -96,14 +98,9 @@
 func (m *modelBackend) describe(state *jayv1.AgentState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	state.Incarnation = m.state.Incarnation
+	state.Incarnation = max(m.state.Incarnation, m.cache.incarnation())
+	state.CacheSurvivalMs = float64(m.cache.survival(time.Now())) / float64(time.Millisecond)
 	state.VersionDigests = m.state.Versions
 	state.Adapters = m.state.Adapters
 	state.Ready = m.up && len(m.state.Versions) > 0
 }
-
-func (m *modelBackend) cachedBytes(_ time.Time, _ []*jayv1.PrefixPoint) int { return 0 }
-
-func (m *modelBackend) submitted(_ time.Time, _ *work, _ engine.Request) {}
-
-func (m *modelBackend) finished(_ time.Time, _ *work, _ engine.Usage) {}
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -29,7 +29,7 @@
 		return
 	}
 	defer func() { _ = stream.Close() }()
-	a.model.submitted(time.Now(), w, req)
+	a.goRun(func() { a.model.cache.submitted(w.offer.GetChain(), req) })
 	err = a.relayEngine(w, stream, prefill)
 	if err == nil {
 		return
@@ -118,7 +118,7 @@
 	w.mu.Lock()
 	queueWait := w.queueWait
 	w.mu.Unlock()
-	a.model.finished(time.Now(), w, event.Usage)
+	a.model.cache.sawIncarnation(origin.Incarnation())
 	// The slot goes first, so that the state sent with the end counts it as free.
 	a.schedule.done(w.id)
 	a.end(w, eventFinish, &jayv1.End{
@@ -134,11 +134,11 @@
 	})
 }
 
-// recomputed is how many prompt tokens the index held to be cached when the
-// offer came and the engine computed all the same.
+// recomputed is how many prompt tokens had been submitted here before, and were
+// no longer cached.
 func (a *Agent) recomputed(w *work, usage engine.Usage) int {
-	believed := a.tokens(w.offer.GetPool(), w.cachedBytes)
-	return max(0, int(believed)-usage.CachedTokens)
+	known := a.tokens(w.offer.GetPool(), w.knownBytes)
+	return max(0, int(known)-usage.CachedTokens)
 }
 
 // prefillTimer tells the scheduler once when a prompt is computed.
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -82,7 +82,7 @@
 	if a.model == nil {
 		return
 	}
-	w.cachedBytes = a.model.cachedBytes(now, w.offer.GetChain())
+	w.cachedBytes, w.knownBytes = a.model.cache.look(now, w.offer.GetChain())
 	w.missedTokens = a.tokens(w.offer.GetPool(), int(w.offer.GetPromptBytes())-w.cachedBytes)
 }
 
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -41,6 +41,7 @@
 	}
 	switch frame := first.GetFrame().(type) {
 	case *jayv1.ClientFrame_Offer:
+		a.heardGeneration(peer, frame.Offer.GetGeneration())
 		a.serveOffer(ctx, frame.Offer, s)
 	case *jayv1.ClientFrame_Resume:
 		a.serveResume(ctx, frame.Resume, s)
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -42,8 +42,10 @@
 	release context.CancelFunc
 	// offered is when the offer was accepted here.
 	offered time.Time
-	// cachedBytes of the chain and missedTokens when the offer was accepted.
+	// cachedBytes of the chain, knownBytes that were submitted here before, and
+	// missedTokens when the offer came.
 	cachedBytes  int
+	knownBytes   int
 	missedTokens float64
 
 	mu        sync.Mutex
--- a/internal/cacheindex/alias.go
+++ b/internal/cacheindex/alias.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// KnownBytes is how much of a prompt's start was submitted here before, as far
+// back as the table reaches.
+func (a *Aliases) KnownBytes(chain []*jayv1.PrefixPoint) int {
+	known := 0
+	for _, point := range chain {
+		if entry, ok := a.entries.Peek(point.GetHash()); ok {
+			known = int(entry.bytes)
+		}
+	}
+	return known
+}
+
 // Len is the number of points known.
 func (a *Aliases) Len() int { return a.entries.Len() }
 
--- a/internal/cacheindex/events.go
+++ b/internal/cacheindex/events.go
@@ -34,6 +34,7 @@
 		return
 	}
 	x.SawIncarnation(event.Incarnation)
+	x.blind = false
 	if x.next == 0 {
 		x.begin(now, event)
 	}
@@ -107,9 +108,11 @@
 	x.drain(now)
 }
 
-// Lost tells that the engine itself says that events were lost, or that the
-// stream of events was opened anew.
+// Lost tells that the stream of events can't be continued where it was.
+// Nothing is claimed until one arrives again: without removals, all that was
+// ever stored would seem to be there still.
 func (x *Index) Lost(now time.Time) {
+	x.blind = true
 	x.doubt(now)
 	x.next = 0
 	x.held = map[uint64]dated{}
@@ -188,6 +191,7 @@
 	x.blocks = blocks
 	x.stats.Snapshots++
 	x.doubtAt = 0
+	x.blind = false
 	for _, event := range x.journal {
 		if event.Seq > snapshot.Seq {
 			x.change(event)
--- a/internal/cacheindex/index.go
+++ b/internal/cacheindex/index.go
@@ -94,9 +94,11 @@
 	// snapshot that is a little older does not undo it.
 	journal      []dated
 	wantSnapshot bool
-	sweptAt      time.Time
-	survival     survivalMeter
-	stats        Stats
+	// blind: no event has come since the stream of events was lost.
+	blind    bool
+	sweptAt  time.Time
+	survival survivalMeter
+	stats    Stats
 }
 
 // New makes an index of an engine of which nothing is known.
@@ -114,6 +116,7 @@
 	x.held = map[uint64]dated{}
 	x.heldSince = time.Time{}
 	x.doubtAt = 0
+	x.blind = false
 	x.journal = nil
 	x.wantSnapshot = x.options.Repair == Resync
 	x.survival = survivalMeter{}
@@ -134,6 +137,9 @@
 // NeedsSnapshot tells whether a snapshot would repair the picture.
 func (x *Index) NeedsSnapshot() bool { return x.wantSnapshot }
 
+// Next is the sequence number of the event that is due; 0 while none has come.
+func (x *Index) Next() uint64 { return x.next }
+
 // Len is the number of blocks held, claimed or not.
 func (x *Index) Len() int { return len(x.blocks) }
 
@@ -145,6 +151,9 @@
 // evicts what was used longest ago, so these have outlived any removal whose
 // event is missing.
 func (x *Index) Has(now time.Time, block engine.BlockHash) bool {
+	if x.blind {
+		return false
+	}
 	used, ok := x.blocks[block]
 	return ok && (x.doubtAt == 0 || x.confirmed(now, used))
 }
--- a/internal/cacheindex/index_test.go
+++ b/internal/cacheindex/index_test.go
@@ -119,6 +119,17 @@
 	assert.True(t, x.Has(at(40), 10), "the engine has just computed it")
 }
 
+// The stream of events ends and can't be continued; blocks are evicted unseen.
+func TestNothingIsClaimedWithoutEvents(t *testing.T) {
+	x := newIndex(cacheindex.Forget)
+	apply(x, stored(1, 1, 10))
+	x.Lost(epoch)
+	x.Used(epoch, []engine.BlockHash{10})
+	assert.False(t, x.Has(epoch, 10))
+	apply(x, stored(1, 900, 11))
+	assert.True(t, x.Has(epoch, 11))
+}
+
 // The removal of a block arrives after the engine has computed it again, and
 // the event of that is lost: a hot prefix would count as missing.
 func TestRemovalBeforeTheLastUseIsOldNews(t *testing.T) {
