Introduce a process to its peers rarely, meet strangers rarely

Cause: control of an entry still 2.6 KB/s plus 69 bytes a second for each entry of the fleet (go run ./test/slopes -only '^control', 4 to 32 entries). One exchange of digests cost 288 bytes in 5 packets, two thirds of its frames being name, address and data centre that the peer knows; a handshake costs 6.5 KB, and one with an entry that is no neighbour came every 10 s. Ruled out: QUIC datagrams (saves two of five packets, loses the answer), one home entry an agent (an agent whose home died would lag until the VM list shows it). Change: a digest carries who speaks only at first, after a failure and every ten minutes; interval 2 s, three neighbours, a stranger every 60 s.

--- a/internal/spread/core.go
+++ b/internal/spread/core.go
@@ -75,6 +75,8 @@
 	toldAt     time.Time
 	heardAt    time.Time
 	failedAt   time.Time
+	// introducedAt is when the peer was last told who this process is.
+	introducedAt time.Time
 	// inFlight: a digest is on its way.
 	inFlight bool
 	// pullFailed at, so that the next pull tries another peer first.
@@ -193,6 +195,26 @@
 	return 0
 }
 
+// introduceEvery is how often a peer hears again who the process is.
+const introduceEvery = 10 * time.Minute
+
+// introductionDue tells whether the peer should hear who this process is, and
+// takes it as done.
+func (c *Core) introductionDue(now time.Time, peer keys.Identity) bool {
+	state := c.entries[peer]
+	if state == nil {
+		state = c.agents[peer]
+	}
+	if state == nil {
+		return true
+	}
+	if !state.introducedAt.IsZero() && now.Sub(state.introducedAt) < introduceEvery {
+		return false
+	}
+	state.introducedAt = now
+	return true
+}
+
 // fresh tells whether the peer was heard lately: the stamp of each of
 // thousands of messages a second then costs a map look-up.
 func (c *Core) fresh(now time.Time, from keys.Identity) bool {
@@ -257,6 +279,7 @@
 	if state != nil {
 		state.inFlight = false
 		state.failedAt = now
+		state.introducedAt = time.Time{}
 		c.overlayDirty = true
 	}
 	return nil
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -97,12 +97,9 @@
 	return answer, nil
 }
 
+// digest is what changes; introduce adds what does not.
 func (s *Service) digest() *jayv1.GossipDigest {
-	digest := &jayv1.GossipDigest{
-		From: s.options.Self.Name, Generation: s.options.Holder.Current().Generation(),
-		Incarnation: s.options.Incarnation, DataCentre: s.options.DataCentre, Address: s.options.Address,
-		Region: s.options.Region,
-	}
+	digest := &jayv1.GossipDigest{Generation: s.options.Holder.Current().Generation()}
 	if s.options.News != nil {
 		digest.News = s.options.News()
 	}
@@ -112,9 +109,28 @@
 	return digest
 }
 
+// introduce adds who the process is and where it is reached. That is most of a
+// digest's bytes, so a peer hears it rarely; its link says who speaks anyway.
+func (s *Service) introduce(digest *jayv1.GossipDigest) {
+	digest.Incarnation = s.options.Incarnation
+	digest.DataCentre, digest.Region = s.options.DataCentre, s.options.Region
+	digest.Address = s.options.Address
+}
+
+// introductionDue tells whether the peer should hear who the process is: at
+// first, after a failure, since the peer may have been replaced, and now and then.
+func (s *Service) introductionDue(to Peer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return to.ID.Name == "" || s.core.introductionDue(s.options.Now(), to.ID)
+}
+
 func (s *Service) tell(ctx context.Context, to Peer) {
 	digest := s.digest()
 	digest.Changes = s.lacking(to.ID)
+	if s.introductionDue(to) {
+		s.introduce(digest)
+	}
 	answer, err := s.ask(ctx, to, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Gossip{Gossip: digest}})
 	if err == nil && to.ID.Name != "" && answer.GetGossip().GetFrom() != to.ID.Name {
 		err = errWrongPeer
@@ -273,7 +289,12 @@
 		// First take, then answer: the answer tells the sender that what it sent
 		// is in force here, and it needs not tell it again.
 		s.heardDigest(peer, first.GetGossip())
-		answer := &jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Gossip{Gossip: s.digest()}}
+		digest := s.digest()
+		digest.From = s.options.Self.Name
+		if first.GetGossip().GetAddress() != "" {
+			s.introduce(digest)
+		}
+		answer := &jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Gossip{Gossip: digest}}
 		if err := stream.Send(answer); err != nil {
 			klog.V(1).InfoS("Digest not answered", "peer", peer.String(), "err", err)
 		}
--- a/internal/spread/settings.go
+++ b/internal/spread/settings.go
@@ -37,8 +37,8 @@
 // DefaultSettings are right for a few entries up to several hundred.
 func DefaultSettings() Settings {
 	return Settings{
-		Interval:         time.Second,
-		FanOut:           4,
+		Interval:         2 * time.Second,
+		FanOut:           3,
 		PushGap:          50 * time.Millisecond,
 		Pollers:          2,
 		PollInterval:     time.Second,
--- a/internal/spread/tick.go
+++ b/internal/spread/tick.go
@@ -68,15 +68,16 @@
 	return actions
 }
 
-// digest tells one neighbour after the other, one per interval, and every
-// tenth time an entry that is none: a split of the overlay heals that way.
+// digest tells one neighbour after the other, one per interval, and now and
+// then an entry that is none: a split of the overlay heals that way. Such an
+// entry costs a handshake, some 7 KB.
 func (c *Core) digest(now time.Time) []Action {
 	if now.Before(c.nextDigest) {
 		return nil
 	}
 	c.nextDigest = now.Add(c.settings.Interval)
 	candidates := c.neighbours
-	const strangerEvery = 10
+	const strangerEvery = 30
 	c.rotation++
 	if len(candidates) == 0 || c.rotation%strangerEvery == 0 {
 		candidates = c.addressed()
