--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -151,6 +152,7 @@
 		require.NoError(t, err)
 		assert.Equal(t, first.Server, second.Server)
 		assert.ElementsMatch(t, first.Ask, second.Ask)
+		assert.Equal(t, len(list) == 1 || !strings.HasPrefix(policy, "ask"), len(first.Ask) == 0)
 	})
 }
 
@@ -239,10 +241,40 @@
 	require.NoError(t, err)
 	assert.Equal(t, holder, seen.Server)
 	assert.False(t, seen.Final, "the agent may still decline")
-	r.Learn(epoch, holder, state(1, 400))
+	for _, neighbour := range cold.Ask {
+		if neighbour != holder {
+			r.Learn(epoch, neighbour, state(1, 0))
+			r.Saw(epoch, neighbour, req, 0, 1)
+		}
+	}
+	r.Learn(epoch, holder, state(1, 100))
 	busy, err := r.Choose(epoch, req, pool, set, nil)
 	require.NoError(t, err)
-	assert.Len(t, busy.Ask, 4)
+	assert.Len(t, busy.Ask, 4, "its queue is worth a question although it is the best known")
+}
+
+// An entry presumes that a prefix's own servers hold it, and one of them says
+// that it does not: the next request must not count on it again.
+func TestPresumptionEndsWithAnAnswer(t *testing.T) {
+	r := routing.New(option(routing.PolicyPresumption, 1))
+	set := routing.NewSet("p", servers(12))
+	req := document(1, 1)
+	first, err := r.Choose(epoch, req, pool, set, nil)
+	require.NoError(t, err)
+	evidence := func() string {
+		decision, err := r.Choose(epoch, req, pool, set, nil)
+		require.NoError(t, err)
+		for _, candidate := range decision.Candidates {
+			if candidate.GetBackendServer() == first.Server {
+				return candidate.GetEvidence()
+			}
+		}
+		return ""
+	}
+	assert.Equal(t, "presumed", evidence())
+	r.Learn(epoch, first.Server, state(1, 0))
+	r.Saw(epoch, first.Server, req, 0, 1)
+	assert.Equal(t, "none", evidence())
 }
 
 // The agents' exact answers decide: here the holder of the prefix has a queue
@@ -317,3 +349,23 @@
 	}
 	return &routing.Request{ID: "fresh", Chain: chain, Levels: []int{2, 10, 19}, PromptBytes: 20480}
 }
+
+// BenchmarkBeliefMemory reports the memory of one remembered prefix point when
+// the table is full, in bytes.
+func BenchmarkBeliefMemory(b *testing.B) {
+	const points = 1 << 16
+	var before, after runtime.MemStats
+	for range b.N {
+		r := routing.New(option("", 1))
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range points / 20 {
+			r.Saw(epoch, "runner-0", fresh(i), 1<<20, 1)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/points, "bytes/point")
+		b.ReportMetric(0, "ns/op")
+		runtime.KeepAlive(r)
+	}
+}
