Add leases, the rollout planner and an entry's share of control work

Cause: loads of model versions and adapters must go on when their holder dies, never take a pool below its declared number of ready backend servers, and never be undone by a holder whose lease has lapsed.

Ways weighed: expiry times in the row (need clocks that agree) against a row that stands still on the reader's own clock: chosen. One lease for the fleet against one per pool with two candidates each in rendezvous order: chosen, the work spreads and the reads of the table follow the pools, not the entries.

Change: internal/lease (pure, chart lease.toml, clock that counts suspension), internal/orders (pure planner), internal/control (shell, chart order.toml).

Not shown by a test: a pending order left out of the ready count (the fake agents report themselves not ready while they load).

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,245 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/control"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/lease"
+	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/platform/platformtest"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+// fakeAgent answers probes and carries orders out as an engine does, in its own
+// time and out of service meanwhile. It keeps every order that it was given.
+type fakeAgent struct {
+	name string
+	node *transport.Node
+	load time.Duration
+
+	mu       sync.Mutex
+	versions []string
+	loading  int
+	orders   []*jayv1.Order
+}
+
+func (a *fakeAgent) state() *jayv1.AgentState {
+	return &jayv1.AgentState{BackendServer: a.name, Ready: a.loading == 0, VersionDigests: slices.Clone(a.versions)}
+}
+
+func (a *fakeAgent) serve(_ context.Context, _ keys.Identity, stream *transport.Stream) {
+	first := &jayv1.ClientFrame{}
+	if stream.Receive(first) != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	order := first.GetOrder()
+	if order == nil {
+		_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_ProbeReply{ProbeReply: &jayv1.ProbeReply{State: a.state()}}})
+		return
+	}
+	a.orders = append(a.orders, order)
+	a.loading++
+	time.AfterFunc(a.load, func() { a.finish(order) })
+	_ = stream.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_OrderReply{OrderReply: &jayv1.OrderReply{Done: true, FenceSeen: order.GetFence(), State: a.state()}}})
+}
+
+func (a *fakeAgent) finish(order *jayv1.Order) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.loading--
+	switch order.GetKind() {
+	case jayv1.OrderKind_ORDER_KIND_LOAD_VERSION:
+		if !slices.Contains(a.versions, order.GetDigest()) {
+			a.versions = append(a.versions, order.GetDigest())
+		}
+	case jayv1.OrderKind_ORDER_KIND_UNLOAD_VERSION:
+		a.versions = slices.DeleteFunc(a.versions, func(d string) bool { return d == order.GetDigest() })
+	}
+}
+
+// site is one pool of fake agents and the entries that look after it.
+type site struct {
+	t         *testing.T
+	authority *keys.Authority
+	table     *platformtest.Memory
+	holder    *catalog.Holder
+	agents    []*fakeAgent
+}
+
+func (s *site) listen(role keys.Role, name string, handler transport.Handler) *transport.Node {
+	dir := filepath.Join(s.t.TempDir(), name)
+	cert, err := s.authority.Issue(keys.Identity{Role: role, Name: name}, time.Hour)
+	require.NoError(s.t, err)
+	require.NoError(s.t, cert.Save(dir))
+	creds, err := transport.LoadCredentials(dir)
+	require.NoError(s.t, err)
+	node, err := transport.Listen(transport.Options{Address: "127.0.0.1:0"}, creds, handler)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = node.Close() })
+	return node
+}
+
+func newSite(t *testing.T, servers int) *site {
+	authority, err := keys.NewAuthority(time.Hour)
+	require.NoError(t, err)
+	s := &site{t: t, authority: authority, table: platformtest.New(), holder: catalog.NewHolder()}
+	for i := range servers {
+		agent := &fakeAgent{name: fmt.Sprint("b", i), versions: []string{"old"}, load: 60 * time.Millisecond}
+		agent.node = s.listen(keys.RoleAgent, agent.name, agent.serve)
+		s.agents = append(s.agents, agent)
+	}
+	return s
+}
+
+func (s *site) declare(generation uint64, minReady uint32, active string, versions ...string) {
+	pool := &jayv1.Pool{Name: "p", Model: "m", ActiveVersion: active, MinReady: minReady}
+	for _, v := range versions {
+		pool.Versions = append(pool.Versions, &jayv1.ModelVersion{Name: v, Digest: v})
+	}
+	snapshot := &jayv1.Snapshot{Generation: generation, Resources: []*jayv1.Resource{{Kind: &jayv1.Resource_Pool{Pool: pool}}}}
+	for _, agent := range s.agents {
+		snapshot.Resources = append(snapshot.Resources, &jayv1.Resource{Kind: &jayv1.Resource_BackendServer{BackendServer: &jayv1.BackendServer{
+			Name: agent.name, Pool: "p", AgentAddress: agent.node.Address(), DataCentre: "dc", Region: "r",
+		}}})
+	}
+	s.holder.Adopt(catalog.Build(snapshot))
+}
+
+func quickSettings() control.Settings {
+	settings := control.DefaultSettings()
+	settings.Interval, settings.ProbeInterval = 20*time.Millisecond, 5*time.Millisecond
+	settings.Lease = lease.Settings{TTL: 1500 * time.Millisecond, Margin: 500 * time.Millisecond, Renew: 200 * time.Millisecond, Watch: 200 * time.Millisecond}
+	return settings
+}
+
+// ownTable is one entry's way to the table, cut when the entry dies.
+type ownTable struct {
+	platform.Table
+	cut atomic.Bool
+}
+
+func (o *ownTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if o.cut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return o.Table.Get(ctx, keys...)
+}
+
+func (o *ownTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if o.cut.Load() {
+		return platform.TxnResult{}, platform.ErrUnavailable
+	}
+	return o.Table.Commit(ctx, txn)
+}
+
+// fakeEntry is an entry that can die without giving its leases back.
+type fakeEntry struct {
+	*control.Service
+	table *ownTable
+}
+
+func (e *fakeEntry) die() {
+	e.table.cut.Store(true)
+	e.Close()
+}
+
+func (s *site) entry(ctx context.Context, name string, candidates ...string) *fakeEntry {
+	table := &ownTable{Table: s.table}
+	node := s.listen(keys.RoleEntry, name, func(context.Context, keys.Identity, *transport.Stream) {})
+	service, err := control.Start(ctx, control.Options{
+		Name: name, Boot: "1", Settings: quickSettings(), Node: node, Holder: s.holder, Table: table,
+		Candidates: func(string, int) []string { return candidates }, Clock: time.Now,
+	})
+	require.NoError(s.t, err)
+	s.t.Cleanup(service.Close)
+	return &fakeEntry{Service: service, table: table}
+}
+
+func (s *site) count(ok func(*fakeAgent) bool) int {
+	n := 0
+	for _, agent := range s.agents {
+		agent.mu.Lock()
+		if ok(agent) {
+			n++
+		}
+		agent.mu.Unlock()
+	}
+	return n
+}
+
+func loaded(digests ...string) func(*fakeAgent) bool {
+	return func(a *fakeAgent) bool {
+		have := slices.Clone(a.versions)
+		slices.Sort(have)
+		return a.loading == 0 && slices.Equal(have, digests)
+	}
+}
+
+// A new version is declared and rolled out; the entry that holds the lease dies
+// half way. Callers must never meet fewer ready backend servers than declared,
+// another entry must finish the rollout, and no backend server may see an
+// order of the first holder after one of the second.
+func TestRolloutGoesOnWhenItsHolderDies(t *testing.T) {
+	s := newSite(t, 6)
+	s.declare(1, 4, "old", "old", "new")
+	first := s.entry(t.Context(), "entry-1", "entry-1", "entry-2")
+	second := s.entry(t.Context(), "entry-2", "entry-1", "entry-2")
+	lowest := len(s.agents)
+	watch := func(done func() bool) func() bool {
+		return func() bool {
+			lowest = min(lowest, s.count(func(a *fakeAgent) bool { return a.loading == 0 }))
+			return done()
+		}
+	}
+	half := func() bool { return s.count(loaded("new", "old")) >= 2 }
+	require.Eventually(t, watch(half), 10*time.Second, 2*time.Millisecond)
+	holder := append(first.Leases(), second.Leases()...)
+	assert.Equal(t, []string{"pool/p"}, holder)
+	if len(second.Leases()) > 0 {
+		second.die()
+	} else {
+		first.die()
+	}
+	require.Eventually(t, watch(func() bool { return s.count(loaded("new", "old")) == 6 }), 10*time.Second, 2*time.Millisecond)
+	s.declare(2, 4, "new", "new")
+	require.Eventually(t, watch(func() bool { return s.count(loaded("new")) == 6 }), 10*time.Second, 2*time.Millisecond)
+	assert.GreaterOrEqual(t, lowest, 4, "ready backend servers")
+	for _, agent := range s.agents {
+		highest, seq := uint64(0), uint64(0)
+		for _, order := range agent.orders {
+			require.GreaterOrEqual(t, order.GetFence(), highest)
+			require.True(t, order.GetFence() > highest || order.GetSeq() > seq)
+			highest, seq = order.GetFence(), order.GetSeq()
+		}
+	}
+}
+
+// The platform is down for long: leases run out and nobody may give orders,
+// since nobody can know who holds the lease. Work goes on after it.
+func TestNoOrdersWithoutALease(t *testing.T) {
+	s := newSite(t, 2)
+	s.declare(1, 0, "old", "old")
+	service := s.entry(t.Context(), "entry-1", "entry-1")
+	require.Eventually(t, func() bool { return len(service.Leases()) == 1 }, 5*time.Second, 5*time.Millisecond)
+	s.table.SetDown(true)
+	require.Eventually(t, func() bool { return len(service.Leases()) == 0 }, 5*time.Second, 5*time.Millisecond)
+	s.declare(2, 0, "old", "old", "new")
+	require.Never(t, func() bool { return s.count(func(a *fakeAgent) bool { return len(a.orders) > 0 }) > 0 }, 300*time.Millisecond, 5*time.Millisecond)
+	s.table.SetDown(false)
+	require.Eventually(t, func() bool { return s.count(loaded("new", "old")) == 2 }, 10*time.Second, 5*time.Millisecond)
+}
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,35 @@
+package control
+
+import (
+	"time"
+
+	"github.com/jayproxy/jayproxy/internal/lease"
+)
+
+// Settings of the share of control work.
+type Settings struct {
+	Lease lease.Settings `toml:"lease"`
+	// Candidates of the live entries contend for the lease of a pool.
+	Candidates int `toml:"candidates" validate:"min=1,max=8" unit:"entries" doc:"entries that contend for the lease of one pool"`
+	// Interval between two looks at candidates and pools.
+	Interval time.Duration `toml:"interval" validate:"min=10000000" unit:"duration" doc:"time between two looks at pools and leases"`
+	// ProbeInterval between two probes of backend servers of one pool.
+	ProbeInterval time.Duration `toml:"probe_interval" validate:"min=1000000" unit:"duration" doc:"time between two probes of a pool's backend servers by its lease holder"`
+	// ProbeTimeout bounds one probe or order.
+	ProbeTimeout time.Duration `toml:"probe_timeout" validate:"min=10000000" unit:"duration" doc:"bound of one probe or order"`
+	// StaleAfter an observation no longer counts.
+	StaleAfter time.Duration `toml:"stale_after" validate:"min=100000000" unit:"duration" doc:"age above which the observation of a backend server counts for nothing"`
+	// MaxLoads of a pool at once.
+	MaxLoads int `toml:"max_loads" validate:"min=1,max=64" unit:"backend servers" doc:"backend servers of a pool that load from the weight store at once"`
+	// OrderTimeout: an order whose effect does not show is planned anew.
+	OrderTimeout time.Duration `toml:"order_timeout" validate:"min=1000000000" unit:"duration" doc:"time after which an order whose effect does not show is planned anew"`
+}
+
+// DefaultSettings probe a pool of 12 within 3 s and one of 300 within a minute.
+func DefaultSettings() Settings {
+	return Settings{
+		Lease: lease.DefaultSettings(), Candidates: 2, Interval: time.Second,
+		ProbeInterval: 200 * time.Millisecond, ProbeTimeout: time.Second, StaleAfter: 90 * time.Second,
+		MaxLoads: 2, OrderTimeout: 10 * time.Minute,
+	}
+}
--- /dev/null
+++ b/internal/lease/keeper.go
@@ -0,0 +1,103 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/platform"
+)
+
+const (
+	keeperTick   = 200 * time.Millisecond
+	tableTimeout = 2 * time.Second
+)
+
+// Keeper contends for one lease and renews it until Close. Safe for concurrent use.
+type Keeper struct {
+	table  platform.Table
+	clock  platform.Clock
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu    sync.Mutex
+	lease *Lease
+}
+
+// Keep starts to contend. clock is BootClock but in tests.
+func Keep(ctx context.Context, table platform.Table, name, holder string, settings Settings, clock platform.Clock) *Keeper {
+	k := &Keeper{table: table, clock: clock, done: make(chan struct{}), lease: New(name, holder, settings)}
+	ctx, k.cancel = context.WithCancel(ctx)
+	go k.run(ctx)
+	return k
+}
+
+// Held returns the fencing number while the holder may act; ask before each act.
+func (k *Keeper) Held() (fence uint64, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease.Held(k.clock())
+}
+
+// Close gives the lease back and stops. The holder must have stopped to act.
+func (k *Keeper) Close(ctx context.Context) {
+	k.cancel()
+	<-k.done
+	k.mu.Lock()
+	action := k.lease.Release(k.clock())
+	k.mu.Unlock()
+	if action == nil {
+		return
+	}
+	if _, err := k.table.Commit(ctx, *action.Commit); err != nil {
+		klog.V(1).InfoS("Lease not given back; it lapses", "lease", k.lease.name, "err", err)
+	}
+}
+
+func (k *Keeper) run(ctx context.Context) {
+	defer close(k.done)
+	ticker := time.NewTicker(keeperTick)
+	defer ticker.Stop()
+	for {
+		k.step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (k *Keeper) step(ctx context.Context) {
+	k.mu.Lock()
+	action := k.lease.Tick(k.clock())
+	k.mu.Unlock()
+	if action == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	if action.Commit != nil {
+		result, err := k.table.Commit(ctx, *action.Commit)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.lease.CommitDone(k.clock(), result, err)
+		return
+	}
+	k.read(ctx)
+}
+
+func (k *Keeper) read(ctx context.Context) {
+	rows, err := k.table.Get(ctx, k.lease.Key())
+	var row *platform.Row
+	if len(rows) > 0 {
+		row = &rows[0]
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.lease.ReadDone(k.clock(), row, err); err != nil {
+		klog.ErrorS(err, "Lease not understood", "lease", k.lease.name)
+	}
+}
--- a/internal/spread/status.go
+++ b/internal/spread/status.go
@@ -32,6 +32,22 @@
 	s.then(func(now time.Time) []Action { return s.core.HeadRead(now, generation) })
 }
 
+// Candidates returns the first live entries in rendezvous order under the key,
+// by name; this entry counts as live.
+func (s *Service) Candidates(key string, count int) []string {
+	s.mu.Lock()
+	live := append(s.core.live(s.options.Now()), s.core.self)
+	s.mu.Unlock()
+	var names []string
+	for _, peer := range rank(key, live) {
+		if len(names) == count {
+			break
+		}
+		names = append(names, peer.ID.Name)
+	}
+	return names
+}
+
 // AskEntry sends one frame to another entry by its name and returns the answer.
 func (s *Service) AskEntry(ctx context.Context, name string, question *jayv1.ClientFrame) (*jayv1.ServerFrame, error) {
 	id := keys.Identity{Role: keys.RoleEntry, Name: name}
