Run an entry's share of rollouts, and probe settled pools seldom

Cause: leases and orders had no process that runs them. Probing each pool five times a second for good would cost a lease holder of a pool of 270 a new connection per probe, ten times the control budget.

Change: the entry starts internal/control, tells its leases in its status and gives them back at a graceful stop. A pool in which nothing is to be done is probed once in 5 s; a change of its declaration or an order under way brings the fast cycle back.

Measured: go test -race ./internal/entry ./internal/control ./internal/dev passes.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -123,6 +123,7 @@
 func quickSettings() control.Settings {
 	settings := control.DefaultSettings()
 	settings.Interval, settings.ProbeInterval = 20*time.Millisecond, 5*time.Millisecond
+	settings.SettledInterval = 50 * time.Millisecond
 	settings.Lease = lease.Settings{TTL: 1500 * time.Millisecond, Margin: 500 * time.Millisecond, Renew: 200 * time.Millisecond, Watch: 200 * time.Millisecond}
 	return settings
 }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -21,7 +21,7 @@
 const LeasePrefix = "pool/"
 
 // releaseTimeout bounds giving leases back at the end.
-const releaseTimeout = 2 * time.Second
+const releaseTimeout = 500 * time.Millisecond
 
 // Options of the service.
 type Options struct {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -15,6 +15,8 @@
 	Interval time.Duration `toml:"interval" validate:"min=10000000" unit:"duration" doc:"time between two looks at pools and leases"`
 	// ProbeInterval between two probes of backend servers of one pool.
 	ProbeInterval time.Duration `toml:"probe_interval" validate:"min=1000000" unit:"duration" doc:"time between two probes of a pool's backend servers by its lease holder"`
+	// SettledInterval is the same in a pool in which nothing is to be done.
+	SettledInterval time.Duration `toml:"settled_interval" validate:"min=1000000" unit:"duration" doc:"time between two probes in a pool in which nothing is to be done"`
 	// ProbeTimeout bounds one probe or order.
 	ProbeTimeout time.Duration `toml:"probe_timeout" validate:"min=10000000" unit:"duration" doc:"bound of one probe or order"`
 	// StaleAfter an observation no longer counts.
@@ -25,11 +27,12 @@
 	OrderTimeout time.Duration `toml:"order_timeout" validate:"min=1000000000" unit:"duration" doc:"time after which an order whose effect does not show is planned anew"`
 }
 
-// DefaultSettings probe a pool of 12 within 3 s and one of 300 within a minute.
+// DefaultSettings look at a pool of 12 within 3 s and at one of 300 within a
+// minute after a change, and at a settled pool of 12 within a minute.
 func DefaultSettings() Settings {
 	return Settings{
 		Lease: lease.DefaultSettings(), Candidates: 2, Interval: time.Second,
-		ProbeInterval: 200 * time.Millisecond, ProbeTimeout: time.Second, StaleAfter: 90 * time.Second,
+		ProbeInterval: 200 * time.Millisecond, SettledInterval: 5 * time.Second, ProbeTimeout: time.Second, StaleAfter: 90 * time.Second,
 		MaxLoads: 2, OrderTimeout: 10 * time.Minute,
 	}
 }
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -42,6 +42,10 @@
 	pending  map[string]pending
 	// refused holds the time before which a server that refused gets no order.
 	refused map[string]time.Time
+	// quiet counts probes since anything was to be done or was declared anew.
+	quiet     int
+	declared  *jayv1.Pool
+	nextProbe time.Time
 }
 
 // refusedPause keeps an agent that refuses from being asked without end.
@@ -94,7 +98,9 @@
 		if fence != w.fence {
 			w.begin(fence)
 		}
-		w.step(ctx)
+		if w.probeDue() {
+			w.step(ctx)
+		}
 	}
 }
 
@@ -108,6 +114,23 @@
 	w.refused = map[string]time.Time{}
 }
 
+// probeDue is true at each interval while something is to be done or was not
+// yet looked at, and seldom in a settled pool: most probes of a large pool cost
+// a new connection.
+func (w *worker) probeDue() bool {
+	now := w.options.Clock()
+	table := w.options.Holder.Current()
+	if pool, _ := table.Pool(w.pool); pool != w.declared {
+		w.declared, w.quiet = pool, 0
+	}
+	settled := w.quiet > len(table.BackendServersOfPool(w.pool))
+	if settled && now.Before(w.nextProbe) {
+		return false
+	}
+	w.nextProbe = now.Add(w.options.Settings.SettledInterval)
+	return true
+}
+
 // step observes one backend server and gives the orders that are due.
 func (w *worker) step(ctx context.Context) {
 	table := w.options.Holder.Current()
@@ -123,7 +146,12 @@
 		state.Servers = append(state.Servers, w.view(server))
 		addresses[server.GetName()] = server.GetAgentAddress()
 	}
-	for _, order := range orders.Plan(state) {
+	plan := orders.Plan(state)
+	w.quiet++
+	if len(plan) > 0 || len(w.pending) > 0 {
+		w.quiet = 0
+	}
+	for _, order := range plan {
 		// Asked before each order: this process may have been stopped since the
 		// last line, and another may hold the lease by now. Between here and the
 		// agent only the gate there can tell.
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -31,13 +31,16 @@
 		Store: store, VMs: e.platform, OnVMs: e.heardVMs,
 		OnNews:  func(_ keys.Identity, news []*jayv1.MemberNews) { e.picker.news(time.Now(), news) },
 		News:    func() []*jayv1.MemberNews { return e.picker.tell(time.Now()) },
-		Leaving: e.stopping.Load,
+		Leaving: e.stopping.Load, Process: e.tellLeases,
 	})
 	if err != nil {
 		return err
 	}
 	e.spread = service
 	close(e.ready)
+	if err := e.startRollouts(); err != nil {
+		return err
+	}
 	e.operators, err = newOperatorServer(operatorDeps{
 		Address: e.settings.OperatorsAddress, Credentials: e.creds,
 		Operator: operator.Options{Store: store, Holder: e.holder, Spread: service, Explain: e.explainAnywhere},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/control"
 	"github.com/jayproxy/jayproxy/internal/ledger"
 	"github.com/jayproxy/jayproxy/internal/metrics"
 	"github.com/jayproxy/jayproxy/internal/platform"
@@ -51,6 +52,7 @@
 
 	callers, admin *server
 	operators      *operatorServer
+	rollouts       atomic.Pointer[control.Service]
 	started        time.Time
 	// stopping: not ready any more. serving: the callers' port still takes requests.
 	stopping, serving atomic.Bool
@@ -162,6 +164,7 @@
 	if e.operators != nil {
 		_ = e.operators.Shutdown(ctx)
 	}
+	e.stopRollouts()
 	e.Close()
 	return err
 }
@@ -170,6 +173,7 @@
 func (e *Entry) Close() {
 	e.stopping.Store(true)
 	e.cancel()
+	e.stopRollouts()
 	if e.spread != nil {
 		e.spread.Close()
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/control"
 	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/spread"
 )
@@ -32,6 +33,8 @@
 	Seeds []string `toml:"seeds" validate:"dive,hostname_port" doc:"QUIC addresses of entries to ask for the catalog while no other process is known."`
 	// Spread of the catalog between processes.
 	Spread spread.Settings `toml:"spread"`
+	// Control is the entry's share of rollouts.
+	Control control.Settings `toml:"control"`
 
 	// Holder is the catalog to serve by; nil: the entry makes its own.
 	Holder *catalog.Holder `toml:"-"`
@@ -99,7 +102,7 @@
 			Max: 8, MaxDeclines: 3, RetryShare: 0.1, RetryBurst: 20,
 			ResumeTries: 6, ResumeWaitMS: 50, ResumeWindowMS: 15000, AckChunks: 32,
 		},
-		Spread: spread.DefaultSettings(),
+		Spread: spread.DefaultSettings(), Control: control.DefaultSettings(),
 		Ledger: LedgerSettings{WindowMS: 3, InFlight: 4, SettleMS: 3000},
 	}
 }
