Add the order gate: later orders are never undone by earlier ones

Cause: orders reached no engine yet, and engines that ignore fencing numbers need a gate that survives the agent. Weighed: keeping the floor in the agent's memory (lost with it), asking the lease holder (it may be the one that is paused), a row in the table written before the order is passed; the last. For an order with an unknown outcome: passing the next at once (the first may take effect after it), never (stuck), or after a settle time, or at once when the engine has started anew; the latter. Without a table, orders pass only to engines declared to check fencing.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,6 +42,7 @@
 	schedule *schedule
 	model    *modelBackend   // nil beside a plain service
 	service  *serviceBackend // nil beside a model engine
+	orders   *orderDesk
 	spread   *spread.Service
 	ready    chan struct{} // closed when spread is set
 	leaving  atomic.Bool
@@ -76,6 +77,7 @@
 		a.stop()
 		return nil, err
 	}
+	a.orders = newOrderDesk(a)
 	if err := a.listen(creds); err != nil {
 		a.stop()
 		return nil, err
@@ -90,6 +92,7 @@
 		a.goRun(func() { a.model.poll(a.ctx) })
 		a.goRun(func() { a.model.cache.follow(a.ctx) })
 		a.goRun(func() { a.model.cache.repair(a.ctx) })
+		a.goRun(func() { a.orders.watch(a.ctx) })
 	}
 	klog.InfoS("agent started", "backendServer", settings.Name, "address", a.Address(), "admin", a.AdminURL())
 	return a, nil
--- a/internal/agent/fake_test.go
+++ b/internal/agent/fake_test.go
@@ -125,6 +125,12 @@
 	return nil
 }
 
+func (f *fakeEngine) ordered() []engine.Order {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]engine.Order(nil), f.orders...)
+}
+
 func (f *fakeEngine) ExportKV(context.Context, []engine.BlockHash) ([]byte, error) {
 	return nil, engine.ErrUnsupported
 }
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -47,6 +47,8 @@
 		a.serveResume(ctx, frame.Resume, s)
 	case *jayv1.ClientFrame_Probe:
 		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_ProbeReply{ProbeReply: a.probe(frame.Probe)}})
+	case *jayv1.ClientFrame_Order:
+		a.serveOrder(ctx, frame.Order, s)
 	case *jayv1.ClientFrame_Explain:
 		_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Explain{Explain: &jayv1.ExplainReply{}}})
 	default:
