Bound what the agent holds, and prove "not run" over cuts at every step

Cause: bodies of service calls have no size in their offer and were bounded one by one only; answers that lost their readers were bounded each, not together. Weighed: a size in the offer (an entry may not know it) against counting what arrives; the latter. Ended answers: refusing new work when full against letting the oldest go; the latter, since they have waited longest. Change: queue.bytes bounds all bodies, replay.total_bytes all ended answers.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,9 +46,11 @@
 	spread   *spread.Service
 	ready    chan struct{} // closed when spread is set
 	leaving  atomic.Bool
-	wg       sync.WaitGroup
-	mu       sync.Mutex
-	closed   bool
+	// bodyBytes that all attempts hold together.
+	bodyBytes atomic.Int64
+	wg        sync.WaitGroup
+	mu        sync.Mutex
+	closed    bool
 }
 
 // Start runs an agent until Shutdown or Close. The context bounds the start only.
@@ -65,7 +67,7 @@
 		started:  time.Now(),
 		catalog:  settings.Catalog,
 		metrics:  metrics.New(maxMetricLabels),
-		works:    newRegistry(),
+		works:    newRegistry(settings.Replay.TotalBytes),
 		ready:    make(chan struct{}),
 	}
 	if a.catalog == nil {
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -189,13 +189,17 @@
 	return callPath == cleaned || callPath == cleaned+"/"
 }
 
-// takeBody adds a part of the body.
+// takeBody adds a part of the body. What all attempts hold together is bounded
+// here, since the body of a plain service's call has no size in its offer.
 func (a *Agent) takeBody(w *work, data *jayv1.Data, s *transport.Stream) error {
+	size := len(data.GetData())
 	w.mu.Lock()
 	receiving := w.state == stateReceiving
-	tooLong := len(w.body)+len(data.GetData()) > a.settings.Queue.BodyBytes
-	if receiving && !tooLong {
+	tooLong := len(w.body)+size > a.settings.Queue.BodyBytes
+	full := a.bodyBytes.Load()+int64(size) > int64(a.settings.Queue.Bytes)
+	if receiving && !tooLong && !full {
 		w.body = append(w.body, data.GetData()...)
+		a.bodyBytes.Add(int64(size))
 	}
 	w.mu.Unlock()
 	switch {
@@ -203,6 +207,11 @@
 		return nil // Refused while the rest of the body was on its way.
 	case tooLong:
 		a.end(w, eventCancel, &jayv1.End{Refusal: jayv1.Refusal_REFUSAL_INVALID, Error: "body too large"})
+	case full:
+		a.end(w, eventRefuse, &jayv1.End{
+			Refusal: jayv1.Refusal_REFUSAL_QUEUE_FULL, Error: "too many bodies wait, nothing ran",
+			RetryAfterMs: uint32(engineDownRetry.Milliseconds()),
+		})
 	case data.GetLast():
 		a.bodyComplete(w, s)
 	}
@@ -261,6 +270,7 @@
 	state := w.current()
 	end.Outcome = outcomeOf(state)
 	w.mu.Lock()
+	a.bodyBytes.Add(-int64(len(w.body)))
 	w.body = nil
 	handed := w.handed
 	w.mu.Unlock()
@@ -271,6 +281,7 @@
 	end.State = a.state()
 	a.observeEnd(w, end)
 	w.box.finish(end)
+	a.works.keep(w.id, w.box.bytes())
 	klog.V(1).InfoS("attempt ended", "request", w.offer.GetRequestId(), "attempt", w.offer.GetAttempt(),
 		"workspace", w.offer.GetWorkspace(), "backendServer", a.settings.Name, "outcome", state,
 		"refusal", end.GetRefusal().String(), "error", end.GetError())
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -185,7 +185,7 @@
 	switch {
 	case order.GetBackendServer() != d.agent.settings.Name || d.agent.model == nil:
 		return errOrderInvalid
-	case d.table == nil && !(declared && server.GetChecksFencing()):
+	case d.table == nil && (!declared || !server.GetChecksFencing()):
 		return ordergate.ErrNoFloor
 	}
 	p := &pendingOrder{order: order, done: make(chan error, 1)}
--- a/internal/agent/outbox.go
+++ b/internal/agent/outbox.go
@@ -95,6 +95,13 @@
 	return o.link, nil
 }
 
+// bytes that the kept chunks take.
+func (o *outbox) bytes() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buffer.Bytes()
+}
+
 // holds tells whether the link is still the one that sends.
 func (o *outbox) holds(link int) bool {
 	o.mu.Lock()
--- /dev/null
+++ b/internal/agent/outcome_test.go
@@ -0,0 +1,159 @@
+package agent_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/agent"
+	"github.com/jayproxy/jayproxy/internal/transport"
+)
+
+// runs counts how often a service was asked for each request.
+type runs struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (r *runs) serve(w http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	r.count[req.Header.Get("X-Request-Id")]++
+	r.mu.Unlock()
+	_, _ = io.Copy(w, req.Body)
+}
+
+func (r *runs) of(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count[id]
+}
+
+// handOverUntil goes through the steps of a hand-over and cuts the link after
+// the given one. It returns what the entry may conclude.
+func handOverUntil(b *bench, offer *jayv1.Offer, step int) jayv1.Outcome {
+	s := b.open()
+	defer s.Abort()
+	steps := []func(*transport.Stream) error{
+		func(s *transport.Stream) error { return s.Send(offerFrame(offer)) },
+		func(s *transport.Stream) error {
+			frame := &jayv1.ServerFrame{}
+			err := s.Receive(frame)
+			if err == nil && !frame.GetOfferReply().GetAccepted() {
+				return fmt.Errorf("refused: %s", frame.GetOfferReply().GetRefusal())
+			}
+			return err
+		},
+		func(s *transport.Stream) error { return s.Send(bodyFrame("book", false)) },
+		func(s *transport.Stream) error { return s.Send(bodyFrame("ing", true)) },
+	}
+	for i, do := range steps {
+		if i == step {
+			return jayv1.Outcome_OUTCOME_NOT_RUN // The last part of the body was not sent.
+		}
+		if do(s) != nil {
+			return jayv1.Outcome_OUTCOME_NOT_RUN
+		}
+	}
+	if step == len(steps) {
+		return jayv1.Outcome_OUTCOME_UNKNOWN
+	}
+	for {
+		frame := &jayv1.ServerFrame{}
+		if s.Receive(frame) != nil {
+			return jayv1.Outcome_OUTCOME_UNKNOWN
+		}
+		if end := frame.GetEnd(); end != nil {
+			return end.GetOutcome()
+		}
+	}
+}
+
+// A booking that was reported as "not run" is made again, and the crusher is
+// promised twice. Links are cut at every step of the hand-over, the queue
+// overflows, and deadlines pass while requests wait.
+func TestNotRunIsTrueWhereverTheLinkIsCut(t *testing.T) {
+	const requests, workers = 600, 12
+	counted := &runs{count: map[string]int{}}
+	b := serviceBench(t, counted.serve, func(s *agent.Settings) { s.Queue.Slots, s.Queue.Length = 2, 6 })
+	outcomes := make([]jayv1.Outcome, requests)
+	var group sync.WaitGroup
+	for worker := range workers {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(uint64(worker), 3))
+			for i := worker; i < requests; i += workers {
+				offer := callOffer(fmt.Sprint("r", i), http.MethodPost, "/bookings")
+				offer.NonRepeatable = true
+				offer.Class = jayv1.Class(1 + random.IntN(3))
+				offer.DeadlineMs = uint32(1 + random.IntN(50))
+				outcomes[i] = handOverUntil(b, offer, random.IntN(7))
+			}
+		})
+	}
+	group.Wait()
+	require.Eventually(t, func() bool { return b.probe().GetRunning() == 0 }, 5*time.Second, 5*time.Millisecond)
+	tally := map[jayv1.Outcome]int{}
+	for i, outcome := range outcomes {
+		tally[outcome]++
+		count := counted.of(fmt.Sprint("r", i))
+		assert.LessOrEqual(t, count, 1, "r%d ran more than once", i)
+		if outcome == jayv1.Outcome_OUTCOME_NOT_RUN {
+			assert.Zero(t, count, "r%d was reported as not run", i)
+		}
+		if outcome == jayv1.Outcome_OUTCOME_DONE {
+			assert.Equal(t, 1, count, "r%d was reported as done", i)
+		}
+	}
+	t.Log(tally)
+	assert.Len(t, tally, 3, "the cuts must lead to every outcome")
+}
+
+// Memory would grow without bound: many callers send large bodies at once.
+func TestBodiesAreBoundedTogether(t *testing.T) {
+	counted := &runs{count: map[string]int{}}
+	b := serviceBench(t, counted.serve, func(s *agent.Settings) { s.Queue.Bytes = 4096 })
+	first, reply := b.offer(callOffer("r1", http.MethodPost, "/x"))
+	require.True(t, reply.GetAccepted())
+	send(t, first, bodyFrame(strings.Repeat("x", 4000), false))
+	require.Eventually(t, func() bool {
+		s, reply := b.offer(callOffer(fmt.Sprint("r", time.Now().UnixNano()), http.MethodPost, "/x"))
+		require.True(t, reply.GetAccepted())
+		send(t, s, bodyFrame(strings.Repeat("y", 200), true))
+		got := readAnswer(t, s)
+		return got.end.GetOutcome() == jayv1.Outcome_OUTCOME_NOT_RUN && got.end.GetRefusal() == jayv1.Refusal_REFUSAL_QUEUE_FULL
+	}, 5*time.Second, 5*time.Millisecond)
+	send(t, first, bodyFrame("", true))
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, readAnswer(t, first).end.GetOutcome())
+	got := readAnswer(t, b.accepted(callOffer("r3", http.MethodPost, "/x"), strings.Repeat("z", 4000)))
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
+}
+
+// Many links are lost at once: what is kept for the readers stays in bounds,
+// and the answers that ended last are still there.
+func TestKeptAnswersAreBoundedTogether(t *testing.T) {
+	b := newBench(t, func(s *agent.Settings) { s.Replay.TotalBytes = 8192 })
+	b.engine.set(func(f *fakeEngine) { f.script = words(strings.Repeat("x", 1000)) })
+	var offers []*jayv1.Offer
+	for i := range 20 {
+		offer := modelOffer(fmt.Sprint("r", i))
+		offers = append(offers, offer)
+		s := b.accepted(offer, "{}")
+		require.NotNil(t, receive(t, s).GetChunk())
+		s.Abort()
+	}
+	resume := func(i int) answer {
+		s := b.open()
+		send(t, s, resumeFrame(offers[i], 0))
+		return readAnswer(t, s)
+	}
+	assert.Equal(t, jayv1.Refusal_REFUSAL_NOT_FOUND, resume(0).end.GetRefusal())
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, resume(19).end.GetOutcome())
+}
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -14,18 +14,27 @@
 // registry holds the attempts whose answer can still be asked for, and the
 // ids of those that were accepted before.
 type registry struct {
+	// maxKept bounds the bytes of ended answers that wait for their readers.
+	maxKept int
+
 	mu      sync.Mutex
 	works   map[string]*work
 	past    *simplelru.LRU[string, struct{}]
 	changed chan struct{}
+	// ended answers, the oldest first, and the bytes that they keep.
+	ended []string
+	kept  map[string]int
+	total int
 }
 
-func newRegistry() *registry {
+func newRegistry(maxKept int) *registry {
 	past, err := simplelru.NewLRU[string, struct{}](rememberedAttempts, nil)
 	if err != nil {
 		panic(err) // Only a size below 1 is refused.
 	}
-	return &registry{works: map[string]*work{}, past: past, changed: make(chan struct{})}
+	return &registry{
+		maxKept: maxKept, works: map[string]*work{}, past: past, changed: make(chan struct{}), kept: map[string]int{},
+	}
 }
 
 // add registers an attempt; false when the id was accepted before.
@@ -60,11 +69,31 @@
 	r.drop(id)
 }
 
+// keep notes that an attempt has ended and how much of its answer is kept. When
+// many links are lost at once, the answers that have waited longest go first.
+func (r *registry) keep(id string, bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.works[id] == nil {
+		return
+	}
+	r.ended = append(r.ended, id)
+	r.kept[id] = bytes
+	r.total += bytes
+	for len(r.ended) > 0 && (r.total > r.maxKept || r.works[r.ended[0]] == nil) {
+		oldest := r.ended[0]
+		r.ended = r.ended[1:]
+		r.drop(oldest)
+	}
+}
+
 func (r *registry) drop(id string) {
 	w, ok := r.works[id]
 	if !ok {
 		return
 	}
+	r.total -= r.kept[id]
+	delete(r.kept, id)
 	w.release()
 	delete(r.works, id)
 	close(r.changed)
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -54,7 +54,7 @@
 type QueueSettings struct {
 	Slots        int     `toml:"slots" validate:"min=1" unit:"requests" doc:"Requests that run at once, unless the catalog says otherwise."`
 	Length       int     `toml:"length" validate:"min=1" unit:"requests" doc:"Requests that may wait, unless the catalog says otherwise."`
-	Bytes        int     `toml:"bytes" validate:"min=1024" unit:"bytes" doc:"Bodies that waiting requests may hold together."`
+	Bytes        int     `toml:"bytes" validate:"min=1024" unit:"bytes" doc:"Bodies that requests may hold together."`
 	BodyBytes    int     `toml:"body_bytes" validate:"min=1" unit:"bytes" doc:"Largest body of one request."`
 	BodyMS       int     `toml:"body_ms" validate:"min=1" unit:"ms" doc:"How long an accepted request may take to send its body."`
 	Floor        float64 `toml:"floor" validate:"gt=0,lt=0.5" unit:"share" doc:"Share of the work that each lower class gets at least."`
@@ -63,9 +63,10 @@
 
 // ReplaySettings bound what is kept for readers that are slow or cut off.
 type ReplaySettings struct {
-	Bytes    int `toml:"bytes" validate:"min=1024" unit:"bytes" doc:"Answer kept for resume, for each request."`
-	RetainMS int `toml:"retain_ms" validate:"min=1" unit:"ms" doc:"How long an answer waits for its reader to come back."`
-	StallMS  int `toml:"stall_ms" validate:"min=1" unit:"ms" doc:"How long a full buffer holds the engine's stream back before the answer ends in an error."`
+	Bytes      int `toml:"bytes" validate:"min=1024" unit:"bytes" doc:"Answer kept for resume, for each request."`
+	TotalBytes int `toml:"total_bytes" validate:"min=1024" unit:"bytes" doc:"Ended answers kept for readers that lost their link, together."`
+	RetainMS   int `toml:"retain_ms" validate:"min=1" unit:"ms" doc:"How long an answer waits for its reader to come back."`
+	StallMS    int `toml:"stall_ms" validate:"min=1" unit:"ms" doc:"How long a full buffer holds the engine's stream back before the answer ends in an error."`
 }
 
 // Default returns the settings that a file is read over.
@@ -78,7 +79,7 @@
 			Slots: 8, Length: 64, Bytes: 64 << 20, BodyBytes: 8 << 20, BodyMS: 10_000,
 			Floor: 0.1, PrefillGuess: 8000,
 		},
-		Replay:      ReplaySettings{Bytes: 1 << 20, RetainMS: 30_000, StallMS: 10_000},
+		Replay:      ReplaySettings{Bytes: 1 << 20, TotalBytes: 32 << 20, RetainMS: 30_000, StallMS: 10_000},
 		Spread:      spread.DefaultSettings(),
 		DrainMS:     60_000,
 		KeyReloadMS: 5_000,
