Compute the capacity page from measured slopes

Change: internal/capacity (line fit, sizes, rows with verdicts, page), test/capacity, slopes of index, relay and claims.

--- a/Makefile
+++ b/Makefile
@@ -21,11 +21,16 @@
 generate: ## regenerate api/gen from the schema files
 	$(BUF) generate
 
+slopes: ## measure the slopes of docs/CAPACITY.md (about six minutes) and compute the page
+	$(GO) run ./test/slopes -out docs/slopes.json
+	$(GO) run ./test/capacity
+
 docs: ## regenerate the pages that are computed from the code
 	$(GO) run ./test/settingsdoc
+	$(GO) run ./test/capacity
 
 generated-check: generate docs ## fail when committed generated code or pages are not up to date
-	git diff --exit-code --stat -- api/gen docs/operating/settings.md
+	git diff --exit-code --stat -- api/gen docs/operating/settings.md docs/CAPACITY.md
 
 format-check: ## fail when a file is not formatted
 	@files=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$files" ]; then echo "not formatted: $$files"; exit 1; fi
--- /dev/null
+++ b/internal/capacity/model.go
@@ -0,0 +1,229 @@
+package capacity
+
+import "fmt"
+
+// Verdict on a row.
+type Verdict string
+
+// The verdicts. NoBound rows are told for their own sake.
+const (
+	Holds    Verdict = "holds"
+	Short    Verdict = "falls short"
+	NotKnown Verdict = "not known"
+	NoBound  Verdict = ""
+)
+
+// Row is one figure of a role at the size of two years.
+type Row struct {
+	Role string
+	What string
+	// Value in Unit; Known is false when a slope it needs was not measured.
+	Value float64
+	Unit  string
+	Known bool
+	// Bound in Unit; 0: none.
+	Bound float64
+	// From is how the value was worked out, with the slopes' names.
+	From      string
+	Mechanism string
+}
+
+// Verdict compares the value with its bound.
+func (r Row) Verdict() Verdict {
+	switch {
+	case !r.Known:
+		return NotKnown
+	case r.Bound == 0:
+		return NoBound
+	case r.Value <= r.Bound:
+		return Holds
+	}
+	return Short
+}
+
+// Roles of the page, in its order.
+const (
+	RoleEntry    = "entry"
+	RoleAgent    = "agent"
+	RoleHolder   = "lease holder (an entry's share)"
+	RoleOperator = "operators' calls (an entry)"
+	RolePlatform = "platform"
+)
+
+// builder collects rows over a set of slopes.
+type builder struct {
+	sizes  Sizes
+	slopes Set
+	rows   []Row
+}
+
+// Rows works out every figure of the page.
+func Rows(sizes Sizes, slopes Set) []Row {
+	b := &builder{sizes: sizes, slopes: slopes}
+	b.entry()
+	b.agent()
+	b.holder()
+	b.operators()
+	b.platform()
+	return b.rows
+}
+
+// term is one product of a row: the slope's value per unit, or its fixed part
+// plus the slope at a count, times a factor.
+type term struct {
+	slope string
+	// at: the line's value at this count; perUnit: the slope alone.
+	at      float64
+	perUnit bool
+	factor  float64
+}
+
+// sum adds terms up. It is not known when a slope is missing.
+func (b *builder) sum(row Row, terms ...term) {
+	row.Known = true
+	for _, t := range terms {
+		slope, ok := b.slopes[t.slope]
+		if !ok {
+			row.Known = false
+			row.From += fmt.Sprintf(" (%s not measured)", t.slope)
+			continue
+		}
+		value := slope.PerUnit
+		if !t.perUnit {
+			value = slope.Fixed + slope.PerUnit*t.at
+		}
+		row.Value += value * t.factor
+	}
+	b.rows = append(b.rows, row)
+}
+
+const (
+	megabyte    = 1 << 20
+	nanoseconds = 1e-9
+	percent     = 100
+)
+
+func (b *builder) entry() {
+	s := b.sizes
+	b.sum(Row{Role: RoleEntry, What: "memory: catalog, two tables during a swap", Unit: "MB", Bound: s.MemoryBytes / megabyte,
+		From: fmt.Sprintf("%.0f objects x catalog_object_memory x 2", s.objects()), Mechanism: "immutable table, swapped whole"},
+		term{slope: "catalog_object_memory", at: s.objects(), factor: 2.0 / megabyte})
+	b.sum(Row{Role: RoleEntry, What: "memory: what was heard of backend servers", Unit: "MB", Bound: s.MemoryBytes / megabyte,
+		From: fmt.Sprintf("%.0f servers x route_server_memory", s.BackendServers), Mechanism: "in-band state, no polling"},
+		term{slope: "route_server_memory", perUnit: true, factor: s.BackendServers / megabyte})
+	b.sum(Row{Role: RoleEntry, What: "memory: beliefs", Unit: "MB", Bound: s.MemoryBytes / megabyte,
+		From: "65,536 points, the table's bound, x route_belief_memory", Mechanism: "bounded table, oldest out"},
+		term{slope: "route_belief_memory", perUnit: true, factor: 65536.0 / megabyte})
+	const ends = 2
+	b.sum(Row{Role: RoleEntry, What: "memory: idle connections to the data centre's agents", Unit: "MB", Bound: s.MemoryBytes / megabyte,
+		From: fmt.Sprintf("%.0f connections x connection_idle_bytes / 2 ends", s.serversPerDC()), Mechanism: "opened on use, dropped after 30 s without a packet"},
+		term{slope: "connection_idle_bytes", perUnit: true, factor: s.serversPerDC() / ends / megabyte})
+	b.sum(Row{Role: RoleEntry, What: "control memory, sum of the above", Unit: "MB", Bound: s.MemoryBytes / megabyte,
+		From: "sum", Mechanism: ""},
+		term{slope: "catalog_object_memory", at: s.objects(), factor: 2.0 / megabyte},
+		term{slope: "route_server_memory", perUnit: true, factor: s.BackendServers / megabyte},
+		term{slope: "route_belief_memory", perUnit: true, factor: 65536.0 / megabyte},
+		term{slope: "connection_idle_bytes", perUnit: true, factor: s.serversPerDC() / ends / megabyte})
+	b.sum(Row{Role: RoleEntry, What: "control bytes (gossip, catalog, homes of agents)", Unit: "bytes/s", Bound: s.BytesPerSec,
+		From: fmt.Sprintf("control_entry_bytes at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "digests to three neighbours, changes inside them, two home entries an agent"},
+		term{slope: "control_entry_bytes", at: s.entriesPerDC(), factor: 1})
+	b.sum(Row{Role: RoleEntry, What: "control CPU, gossip", Unit: "% of a core", Bound: s.CoreShare * percent,
+		From: fmt.Sprintf("control_cpu at %.0f entries", s.entriesPerDC()), Mechanism: "as above"},
+		term{slope: "control_cpu", at: s.entriesPerDC(), factor: percent})
+	b.sum(Row{Role: RoleEntry, What: "control CPU, adopting changes", Unit: "% of a core", Bound: s.CoreShare * percent,
+		From:      fmt.Sprintf("%.3f changes/s x catalog_change_cpu at %.0f objects", s.changesPerSecond(), s.objects()),
+		Mechanism: "whole table built anew"},
+		term{slope: "catalog_change_cpu", at: s.objects(), factor: s.changesPerSecond() * nanoseconds * percent})
+	b.sum(Row{Role: RoleEntry, What: "routing decisions (request path)", Unit: "% of a core",
+		From:      fmt.Sprintf("%.0f requests/s x route_decision_cpu at %.0f servers", s.requestsPerEntry(), s.serversPerDC()),
+		Mechanism: "constant number of candidates"},
+		term{slope: "route_decision_cpu", at: s.serversPerDC(), factor: s.requestsPerEntry() * nanoseconds * percent})
+	b.sum(Row{Role: RoleEntry, What: "one routing decision", Unit: "microseconds", Bound: 10,
+		From: fmt.Sprintf("route_decision_cpu at %.0f servers", s.serversPerDC()), Mechanism: "as above"},
+		term{slope: "route_decision_cpu", at: s.serversPerDC(), factor: 1e-3})
+	const repliesPerRequest = 2.4
+	b.sum(Row{Role: RoleEntry, What: "in-band state (request path, apart from control)", Unit: "bytes/s",
+		From:      fmt.Sprintf("%.0f requests/s x 2.4 answers x answer_state_bytes at one version", s.requestsPerEntry()),
+		Mechanism: "rides on answers that flow anyway"},
+		term{slope: "answer_state_bytes", at: 1, factor: s.requestsPerEntry() * repliesPerRequest})
+	b.sum(Row{Role: RoleEntry, What: "open streams, memory (request path)", Unit: "MB",
+		From:      fmt.Sprintf("%.0f streams by Little's law x (connection_open_bytes - connection_idle_bytes) / 2 ends", s.openStreamsPerEntry()),
+		Mechanism: "one QUIC stream a request"},
+		term{slope: "connection_open_bytes", perUnit: true, factor: s.openStreamsPerEntry() / ends / megabyte},
+		term{slope: "connection_idle_bytes", perUnit: true, factor: -s.openStreamsPerEntry() / ends / megabyte})
+	b.sum(Row{Role: RoleEntry, What: "a change in force in a data centre", Unit: "s", Bound: s.ChangeSeconds,
+		From: fmt.Sprintf("control_spread_seconds at %.0f entries", s.entriesPerDC()), Mechanism: "two pollers a data centre, gossip, push to agents"},
+		term{slope: "control_spread_seconds", at: s.entriesPerDC(), factor: 1})
+}
+
+func (b *builder) agent() {
+	s := b.sizes
+	b.sum(Row{Role: RoleAgent, What: "memory: index of cached blocks", Unit: "MB", Bound: s.MemoryBytes / megabyte,
+		From: fmt.Sprintf("%.0f blocks x index_block_memory", s.blocksPerServer()), Mechanism: "exact index beside the engine"},
+		term{slope: "index_block_memory", at: s.blocksPerServer(), factor: 1.0 / megabyte})
+	b.sum(Row{Role: RoleAgent, What: "CPU: cache events", Unit: "% of a core", Bound: s.CoreShare * percent,
+		From: fmt.Sprintf("%.0f events/s x index_event_cpu", s.eventsPerServer()), Mechanism: "events end at the agent"},
+		term{slope: "index_event_cpu", at: s.blocksPerServer(), factor: s.eventsPerServer() * nanoseconds * percent})
+	const ends = 2
+	b.sum(Row{Role: RoleAgent, What: "memory: connections of the data centre's entries", Unit: "MB", Bound: s.MemoryBytes / megabyte,
+		From: fmt.Sprintf("%.0f connections x connection_idle_bytes / 2 ends", s.entriesPerDC()), Mechanism: "dropped when idle"},
+		term{slope: "connection_idle_bytes", perUnit: true, factor: s.entriesPerDC() / ends / megabyte})
+	b.sum(Row{Role: RoleAgent, What: "memory: catalog, two tables during a swap", Unit: "MB", Bound: s.MemoryBytes / megabyte,
+		From: fmt.Sprintf("%.0f objects x catalog_object_memory x 2", s.objects()), Mechanism: "immutable table"},
+		term{slope: "catalog_object_memory", at: s.objects(), factor: 2.0 / megabyte})
+	b.sum(Row{Role: RoleAgent, What: "control bytes", Unit: "bytes/s", Bound: s.BytesPerSec,
+		From: fmt.Sprintf("control_agent_bytes at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "told by two home entries"},
+		term{slope: "control_agent_bytes", at: s.entriesPerDC(), factor: 1})
+	b.sum(Row{Role: RoleAgent, What: "control CPU, adopting changes", Unit: "% of a core", Bound: s.CoreShare * percent,
+		From: fmt.Sprintf("%.3f changes/s x catalog_change_cpu", s.changesPerSecond()), Mechanism: "whole table built anew"},
+		term{slope: "catalog_change_cpu", at: s.objects(), factor: s.changesPerSecond() * nanoseconds * percent})
+	b.sum(Row{Role: RoleAgent, What: "relay replay buffers (request path)", Unit: "MB",
+		From:      fmt.Sprintf("%.0f open streams x relay_chunk_memory at 64 chunks kept", s.requestsPerServer()*s.TokensPerSec/s.RequestsPerSec*s.SecondsBetweenTokens),
+		Mechanism: "bounded bytes a request"},
+		term{slope: "relay_chunk_memory", at: 64, factor: s.requestsPerServer() * s.TokensPerSec / s.RequestsPerSec * s.SecondsBetweenTokens / megabyte})
+}
+
+func (b *builder) holder() {
+	s := b.sizes
+	const renewSeconds = 5
+	leases := s.Models
+	b.rows = append(b.rows,
+		Row{Role: RoleHolder, What: "lease renewals, all pools", Unit: "writes/s", Value: leases / renewSeconds, Known: true, Bound: s.PlatformWrites,
+			From: fmt.Sprintf("%.0f leases, one a pool, renewed every 5 s", leases), Mechanism: "fenced lease a pool"},
+		Row{Role: RoleHolder, What: "orders after a pool's new version, all its servers", Unit: "orders", Value: s.BackendServers / s.Models, Known: true,
+			From: "one load and one unload a server, a few at a time", Mechanism: "planner keeps min_ready"})
+}
+
+func (b *builder) operators() {
+	s := b.sizes
+	b.sum(Row{Role: RoleOperator, What: "a whole catalog to a caller", Unit: "MB",
+		From: fmt.Sprintf("catalog_snapshot_bytes at %.0f objects", s.objects()), Mechanism: "list by kind"},
+		term{slope: "catalog_snapshot_bytes", at: s.objects(), factor: 1.0 / megabyte})
+	b.sum(Row{Role: RoleOperator, What: "watches, bytes a watcher", Unit: "bytes/s",
+		From: fmt.Sprintf("%.3f changes/s x catalog_change_bytes at one object", s.changesPerSecond()), Mechanism: "changes, not tables"},
+		term{slope: "catalog_change_bytes", at: 1, factor: s.changesPerSecond()})
+}
+
+func (b *builder) platform() {
+	s := b.sizes
+	b.sum(Row{Role: RolePlatform, What: "reads: heads polled and list of VMs", Unit: "reads/s", Bound: s.PlatformReads,
+		From: fmt.Sprintf("%.0f data centres x control_platform_reads; the list's reads are bounded at 100/s over the fleet", s.DataCentres), Mechanism: "two pollers a data centre"},
+		term{slope: "control_platform_reads", at: s.entriesPerDC(), factor: s.DataCentres})
+	b.rows = append(b.rows, Row{Role: RolePlatform, What: "writes: changes accepted", Unit: "writes/s", Value: s.changesPerSecond(), Known: true,
+		Bound: s.PlatformWrites, From: "one transaction a change", Mechanism: "transaction on the head row"})
+	b.claims()
+	b.sum(Row{Role: RolePlatform, What: "herd: all entries of a data centre restart, snapshots read", Unit: "MB",
+		From:      fmt.Sprintf("%.0f entries x catalog_snapshot_bytes", s.entriesPerDC()),
+		Mechanism: "table or object store once each, else peers"},
+		term{slope: "catalog_snapshot_bytes", at: s.objects(), factor: s.entriesPerDC() / megabyte})
+}
+
+// claims that group commit carries within half of the platform's writes.
+func (b *builder) claims() {
+	row := Row{Role: RolePlatform, What: "claims of non-repeatable calls that fit into half of the writes", Unit: "claims/s",
+		From: fmt.Sprintf("%.0f writes/s / writes_per_claim; one entry's groups, smaller where calls are spread thin", b.sizes.PlatformWrites/2), Mechanism: "group commit"}
+	if slope, ok := b.slopes["writes_per_claim"]; ok && slope.PerUnit > 0 {
+		row.Known, row.Value = true, b.sizes.PlatformWrites/2/slope.PerUnit
+	}
+	b.rows = append(b.rows, row)
+}
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -53,6 +53,7 @@
 	list = append(list, transportMeasurements()...)
 	list = append(list, catalogMeasurements()...)
 	list = append(list, routingMeasurements()...)
+	list = append(list, agentMeasurements()...)
 	list = append(list, controlMeasurements()...)
 	return list
 }
