--- a/cmd/jay-dev/main.go
+++ b/cmd/jay-dev/main.go
@@ -3,28 +3,16 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
-	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/cli"
 	"github.com/jayproxy/jayproxy/internal/dev"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := command().ExecuteContext(ctx)
-	stop()
-	klog.Flush()
-	if err != nil {
-		os.Exit(1)
-	}
-}
+func main() { cli.Main(command()) }
 
 func command() *cobra.Command {
 	options := dev.Options{Out: os.Stdout}
@@ -50,8 +38,6 @@
 	flags.IntVar(&options.Entries, "entries", 2, "entries")
 	flags.StringVar(&options.Policy, "policy", "", "routing policy; empty takes the default")
 	flags.BoolVar(&selfCheck, "self-check", false, "send one request through every part, print what came back and exit")
-	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(logFlags)
-	flags.AddGoFlagSet(logFlags)
+	cli.AddLogFlags(cmd)
 	return cmd
 }
--- a/cmd/jay-load/main.go
+++ b/cmd/jay-load/main.go
@@ -3,31 +3,16 @@
 package main
 
 import (
-	"context"
-	"flag"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/spf13/cobra"
-	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/cli"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := command().ExecuteContext(ctx)
-	stop()
-	klog.Flush()
-	if err != nil {
-		os.Exit(1)
-	}
-}
+func main() { cli.Main(command()) }
 
 func command() *cobra.Command {
 	cmd := &cobra.Command{Use: "jay-load", Short: "Open-loop load and experiments", SilenceUsage: true}
 	cmd.AddCommand(runCommand(), experimentCommand())
-	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(logFlags)
-	cmd.PersistentFlags().AddGoFlagSet(logFlags)
+	cli.AddLogFlags(cmd)
 	return cmd
 }
--- a/cmd/jay-standin/main.go
+++ b/cmd/jay-standin/main.go
@@ -4,22 +4,14 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"github.com/jayproxy/jayproxy/internal/cli"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := rootCommand().ExecuteContext(ctx); err != nil {
-		os.Exit(1)
-	}
-}
+func main() { cli.Main(rootCommand()) }
 
 func rootCommand() *cobra.Command {
 	root := &cobra.Command{
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -12,8 +12,8 @@
 // needs no notation of its own for them.
 type Settings struct {
 	Name       string `toml:"name" validate:"required" unit:"" doc:"Name of the backend server, as declared in the catalog and in the agent's certificate."`
-	Listen     string `toml:"listen" validate:"required,hostname_port" unit:"ip:port" doc:"Address for the other processes (QUIC over UDP)."`
-	Admin      string `toml:"admin" validate:"required,hostname_port" unit:"ip:port" doc:"Address for liveness, readiness, metrics and the debug page (HTTP)."`
+	Listen     string `toml:"listen" validate:"required,ip_port" unit:"ip:port" doc:"Address for the other processes (QUIC over UDP)."`
+	Admin      string `toml:"admin" validate:"required,ip_port" unit:"ip:port" doc:"Address for liveness, readiness, metrics and the debug page (HTTP)."`
 	Keys       string `toml:"keys" validate:"required" unit:"folder" doc:"Folder with ca.pem, cert.pem and key.pem; read again while running."`
 	Platform   string `toml:"platform" validate:"omitempty,url" unit:"URL" doc:"The platform's service. Without it, orders pass only to engines that check fencing themselves."`
 	DataCentre string `toml:"data_centre" unit:"" doc:"Data centre of this VM."`
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -15,10 +15,10 @@
 	DataCentre string `toml:"data_centre" validate:"required" doc:"Data centre that the VM stands in."`
 	Region     string `toml:"region" doc:"Region of the data centre."`
 
-	CallersAddress   string `toml:"callers" validate:"required,hostname_port" doc:"Address of the callers' HTTP API."`
-	OperatorsAddress string `toml:"operators" validate:"required,hostname_port" doc:"Address of the operators' remote procedure calls (mutual TLS)."`
-	AdminAddress     string `toml:"admin" validate:"required,hostname_port" doc:"Address of liveness, readiness, metrics and debug pages."`
-	Address          string `toml:"listen" validate:"required,hostname_port" doc:"Address of the QUIC listener for the system's own processes."`
+	CallersAddress   string `toml:"callers" validate:"required,ip_port" doc:"Address of the callers' HTTP API."`
+	OperatorsAddress string `toml:"operators" validate:"required,ip_port" doc:"Address of the operators' remote procedure calls (mutual TLS)."`
+	AdminAddress     string `toml:"admin" validate:"required,ip_port" doc:"Address of liveness, readiness, metrics and debug pages."`
+	Address          string `toml:"listen" validate:"required,ip_port" doc:"Address of the QUIC listener for the system's own processes."`
 
 	KeysDir     string `toml:"keys" validate:"required" doc:"Folder with ca.pem, cert.pem and key.pem; read again while running."`
 	PlatformURL string `toml:"platform" validate:"omitempty,url" doc:"Base URL of the platform."`
@@ -30,7 +30,7 @@
 	Attempts AttemptSettings `toml:"attempts"`
 	Ledger   LedgerSettings  `toml:"ledger"`
 
-	Seeds []string `toml:"seeds" validate:"dive,hostname_port" doc:"QUIC addresses of entries to ask for the catalog while no other process is known."`
+	Seeds []string `toml:"seeds" validate:"dive,ip_port" doc:"QUIC addresses of entries to ask for the catalog while no other process is known."`
 	// Spread of the catalog between processes.
 	Spread spread.Settings `toml:"spread"`
 	// Control is the entry's share of rollouts.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"errors"
+	"net/netip"
 	"os"
 	"reflect"
 	"strconv"
@@ -69,7 +70,7 @@
 
 func validate(file string, lines map[string]int, target any) findings.List {
 	var found findings.List
-	checker := validator.New(validator.WithRequiredStructEnabled())
+	checker := newChecker()
 	checker.RegisterTagNameFunc(func(f reflect.StructField) string {
 		return strings.Split(f.Tag.Get("toml"), ",")[0]
 	})
@@ -94,6 +95,19 @@
 // nearest table around it; 0 when there is none.
 func LineOf(lines map[string]int, path string) int { return lineOf(lines, path) }
 
+// newChecker adds ip_port, an address by IP number; port 0 takes a free one.
+func newChecker() *validator.Validate {
+	checker := validator.New(validator.WithRequiredStructEnabled())
+	err := checker.RegisterValidation("ip_port", func(level validator.FieldLevel) bool {
+		_, err := netip.ParseAddrPort(level.Field().String())
+		return err == nil
+	})
+	if err != nil {
+		panic(err) // Only a bad name fails, and the name is ours.
+	}
+	return checker
+}
+
 // lineOf finds the line of a key, or of the nearest table around it.
 func lineOf(lines map[string]int, path string) int {
 	for path != "" {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -28,6 +28,16 @@
 	assert.Equal(t, "a.toml:3: limits.body_bytes: value 0 breaks the rule min=1", fault.Findings[1].String())
 }
 
+func TestAddressesAreIPNumbersWithAPort(t *testing.T) {
+	for text, good := range map[string]bool{"127.0.0.1:0": true, "[::1]:7443": true, "localhost:80": false, "10.0.0.1": false} {
+		var target struct {
+			Listen string `toml:"listen" validate:"ip_port"`
+		}
+		err := settings.Parse("a.toml", []byte("listen = \""+text+"\"\n"), &target)
+		assert.Equal(t, good, err == nil, text)
+	}
+}
+
 func TestParseNamesUnknownKeys(t *testing.T) {
 	var target sample
 	err := settings.Parse("a.toml", []byte("listen = \"x\"\nlisten_on = 1\n[limits]\nbody = 3\n"), &target)
