--- a/test/scenario/site_test.go
+++ b/test/scenario/site_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -61,8 +63,16 @@
 	}
 }
 
-// close ends every process; after a failure it shows the ends of their logs.
+// close ends every process; after a failure it shows the ends of their logs
+// and the entries' latest decisions.
 func (w *world) close() {
+	t, ok := w.env.T().(interface{ Failed() bool })
+	failed := ok && t.Failed()
+	for name, at := range w.addresses {
+		if failed && w.processes[name].alive() {
+			w.env.T().Log(name+" decided:", latestDecisions(at.admin))
+		}
+	}
 	for _, l := range w.loads {
 		l.end()
 	}
@@ -77,13 +87,24 @@
 	for _, l := range w.links {
 		l.close()
 	}
-	if t, ok := w.env.T().(interface{ Failed() bool }); ok && t.Failed() {
+	if failed {
 		for _, name := range w.order {
 			w.env.T().Log(w.processes[name].tail())
 		}
 	}
 }
 
+func latestDecisions(admin string) string {
+	client := &http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + admin + "/debug/decisions?n=2")
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	return string(text)
+}
+
 // Ports of the processes under test stand below those that the system hands
 // out, so that nothing takes one while its owner is down.
 const (
