--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
@@ -85,15 +87,19 @@
 		return nil, eris.Wrap(err, "end question")
 	}
 	answer := &jayv1.ServerFrame{}
-	return answer, stream.Receive(answer)
+	if err := stream.Receive(answer); err != nil {
+		return nil, err
+	}
+	// Read to the end: giving up a stream that is over would cost a packet.
+	if err := stream.Receive(&jayv1.ServerFrame{}); !errors.Is(err, io.EOF) {
+		klog.V(1).InfoS("Answer not ended", "peer", peer.ID.String(), "err", err)
+	}
+	return answer, nil
 }
 
+// digest is what changes; introduce adds what does not.
 func (s *Service) digest() *jayv1.GossipDigest {
-	digest := &jayv1.GossipDigest{
-		From: s.options.Self.Name, Generation: s.options.Holder.Current().Generation(),
-		Incarnation: s.options.Incarnation, DataCentre: s.options.DataCentre, Address: s.options.Address,
-		Region: s.options.Region,
-	}
+	digest := &jayv1.GossipDigest{Generation: s.options.Holder.Current().Generation()}
 	if s.options.News != nil {
 		digest.News = s.options.News()
 	}
@@ -103,8 +109,29 @@
 	return digest
 }
 
+// introduce adds who the process is and where it is reached. That is most of a
+// digest's bytes, so a peer hears it rarely; its link says who speaks anyway.
+func (s *Service) introduce(digest *jayv1.GossipDigest) {
+	digest.Incarnation = s.options.Incarnation
+	digest.DataCentre, digest.Region = s.options.DataCentre, s.options.Region
+	digest.Address = s.options.Address
+}
+
+// introductionDue tells whether the peer should hear who the process is: at
+// first, after a failure, since the peer may have been replaced, and now and then.
+func (s *Service) introductionDue(to Peer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return to.ID.Name == "" || s.core.introductionDue(s.options.Now(), to.ID)
+}
+
 func (s *Service) tell(ctx context.Context, to Peer) {
-	answer, err := s.ask(ctx, to, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Gossip{Gossip: s.digest()}})
+	digest := s.digest()
+	digest.Changes = s.lacking(to.ID)
+	if s.introductionDue(to) {
+		s.introduce(digest)
+	}
+	answer, err := s.ask(ctx, to, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Gossip{Gossip: digest}})
 	if err == nil && to.ID.Name != "" && answer.GetGossip().GetFrom() != to.ID.Name {
 		err = errWrongPeer
 	}
@@ -115,8 +142,31 @@
 	s.heardDigest(keys.Identity{Role: to.ID.Role, Name: answer.GetGossip().GetFrom()}, answer.GetGossip())
 }
 
+// lacking returns the changes that a peer is known to lack, none when they are
+// too many or too long for one packet: the peer then pulls.
+func (s *Service) lacking(peer keys.Identity) []*jayv1.Change {
+	const onePacket = 900
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	generation := s.core.generationOf(peer)
+	if generation == 0 {
+		return nil
+	}
+	delta := s.log.since(generation, s.options.Holder.Current())
+	if proto.Size(delta) > onePacket {
+		return nil
+	}
+	return delta.GetChanges()
+}
+
 // heardDigest takes a digest of a peer whose identity was verified by its link.
 func (s *Service) heardDigest(from keys.Identity, digest *jayv1.GossipDigest) {
+	if changes := digest.GetChanges(); len(changes) > 0 {
+		// What does not fit on the table in force is left to a pull.
+		if err := s.adopt(&jayv1.CatalogDelta{Changes: changes}); err != nil {
+			klog.V(1).InfoS("Changes of a digest not taken", "peer", from.String(), "err", err)
+		}
+	}
 	if s.options.OnNews != nil && len(digest.GetNews()) > 0 {
 		s.options.OnNews(from, digest.GetNews())
 	}
@@ -236,11 +286,18 @@
 func (s *Service) Handle(_ context.Context, peer keys.Identity, first *jayv1.ClientFrame, stream *transport.Stream) bool {
 	switch {
 	case first.GetGossip() != nil:
-		answer := &jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Gossip{Gossip: s.digest()}}
+		// First take, then answer: the answer tells the sender that what it sent
+		// is in force here, and it needs not tell it again.
+		s.heardDigest(peer, first.GetGossip())
+		digest := s.digest()
+		digest.From = s.options.Self.Name
+		if first.GetGossip().GetAddress() != "" {
+			s.introduce(digest)
+		}
+		answer := &jayv1.ServerFrame{Frame: &jayv1.ServerFrame_Gossip{Gossip: digest}}
 		if err := stream.Send(answer); err != nil {
 			klog.V(1).InfoS("Digest not answered", "peer", peer.String(), "err", err)
 		}
-		s.heardDigest(peer, first.GetGossip())
 		return true
 	case first.GetCatalogPull() != nil:
 		s.servePull(peer, first.GetCatalogPull(), stream)
