--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -41,6 +41,10 @@
 	h := &handing{entry: e, work: w, to: to, table: e.holder.Current()}
 	e.explain.begin(e, w, h.table)
 	r := h.run(ctx)
+	if r.err != nil {
+		// One word for the caller, the claim and the metrics.
+		r.err.Outcome = r.outcome
+	}
 	e.explain.finish(w.id, r)
 	return r
 }
--- a/internal/entry/handover_test.go
+++ b/internal/entry/handover_test.go
@@ -78,6 +78,30 @@
 	assert.LessOrEqual(t, attempts, 2+requests+4)
 }
 
+// Story: a request is lost at one server, and every other server refuses to
+// start it again. The last word was a refusal, but "not run" would be a lie.
+func TestARefusalAfterALostAttemptIsNotCalledNotRun(t *testing.T) {
+	s := newSite(t, "b1", "b2", "b3")
+	var lost atomic.Bool
+	refuse := func(*jayv1.Offer) *jayv1.OfferReply {
+		if lost.Load() {
+			return &jayv1.OfferReply{Refusal: jayv1.Refusal_REFUSAL_QUEUE_FULL, RetryAfterMs: 100}
+		}
+		return nil
+	}
+	answer := func(*jayv1.Offer, []byte, func(string)) *jayv1.End {
+		lost.Store(true)
+		return &jayv1.End{Outcome: jayv1.Outcome_OUTCOME_UNKNOWN, Error: "engine broke"}
+	}
+	for _, a := range s.agents {
+		a.set(func(f *fakeAgent) { f.refuse, f.answer = refuse, answer })
+	}
+	e := s.entry("e1")
+	r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatPlain)
+	assert.Equal(t, "unknown", r.header.Get(entry.HeaderOutcome), r.body)
+	assert.Greater(t, r.header.Get(entry.HeaderAttempts), "1")
+}
+
 // Story: an engine hangs. A foreman on a breakdown call must not wait for it
 // for ever: at the deadline he gets a final answer that says what is known.
 func TestARequestIsGivenUpAtItsDeadline(t *testing.T) {
--- a/internal/ledger/history_test.go
+++ b/test/history/ledger_test.go
@@ -1,4 +1,4 @@
-package ledger_test
+package history_test
 
 import (
 	"errors"
@@ -17,53 +17,13 @@
 	"github.com/jayproxy/jayproxy/internal/platform/platformtest"
 )
 
-// outcome is what a caller heard of its call.
-type outcome int
-
-const (
-	heardDone outcome = iota
-	heardNotRun
-	heardDuplicate
-	heardDuplicateDone
-	// heardNothing: the entry was killed under the call.
-	heardNothing
-)
-
-// onceModel is one key of a service: it has run or not. A call that was told
-// not_run changes nothing, one that heard nothing may have run.
-var onceModel = porcupine.NondeterministicModel{
-	Init: func() []any { return []any{false} },
-	Step: func(state, _, output any) []any {
-		ran := state.(bool)
-		switch output.(outcome) {
-		case heardDone:
-			if ran {
-				return nil
-			}
-			return []any{true}
-		case heardDuplicateDone:
-			if !ran {
-				return nil
-			}
-			return []any{true}
-		case heardNothing:
-			if ran {
-				return []any{true}
-			}
-			return []any{false, true}
-		default:
-			return []any{ran}
-		}
-	},
-}
-
-// service counts the runs of each key and who ran.
-type service struct {
+// runCounter counts the runs of each key and who ran.
+type runCounter struct {
 	mu   sync.Mutex
 	runs map[string][]string
 }
 
-func (s *service) run(key, request string) {
+func (s *runCounter) run(key, request string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs[key] = append(s.runs[key], request)
@@ -82,7 +42,7 @@
 type world struct {
 	t       *testing.T
 	table   *platformtest.Memory
-	service *service
+	service *runCounter
 	began   time.Time
 
 	mu        sync.Mutex
@@ -152,7 +112,7 @@
 func runHistory(t *testing.T, seed uint64) {
 	const entries, keys, callers, calls = 4, 12, 8, 30
 	w := &world{
-		t: t, table: platformtest.New(), service: &service{runs: map[string][]string{}}, began: time.Now(),
+		t: t, table: platformtest.New(), service: &runCounter{runs: map[string][]string{}}, began: time.Now(),
 		histories: map[string][]porcupine.Operation{}, notRun: map[string]bool{}, heard: map[outcome]int{},
 	}
 	w.table.OnCommit(faults(seed))
