Measure the prefill rate from prompts that have something to compute

Cause: the time to the first token of a prompt that is cached is that of the call; counted in, it made engines look slow and cold prompts dearer than they are. Change: prompts with fewer than 128 tokens to compute are left out of the rate. Result: go test -race ./internal/admission ./internal/agent green, with tests of the meter: overlapping prompts, idle time, an engine that slows down.

--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -101,7 +101,7 @@
 			klog.InfoS("engine event dropped", "request", w.id, "ofRequest", event.RequestID, "index", event.Index)
 			continue
 		}
-		prefill.end(w.missedTokens)
+		prefill.computed()
 		if len(event.Data) > 0 {
 			if err := w.box.append(w.ctx, event.Data, millis(a.settings.Replay.StallMS)); err != nil {
 				return err
@@ -141,26 +141,43 @@
 	return max(0, int(known)-usage.CachedTokens)
 }
 
+// minMeasuredTokens of a prompt must be computed for it to count in the measured
+// prefill rate: with fewer, the time to the first token is that of the call.
+const minMeasuredTokens = 128
+
 // prefillTimer tells the scheduler once when a prompt is computed.
 type prefillTimer struct {
-	agent *Agent
-	work  *work
-	over  bool
-	began time.Time
+	agent    *Agent
+	work     *work
+	measured bool
+	over     bool
 }
 
 func (a *Agent) beginPrefill(w *work) *prefillTimer {
-	a.schedule.prefillBegin()
-	return &prefillTimer{agent: a, work: w, began: time.Now()}
+	p := &prefillTimer{agent: a, work: w, measured: w.missedTokens >= minMeasuredTokens}
+	if p.measured {
+		a.schedule.prefillBegin()
+	}
+	return p
+}
+
+// computed reports the first token.
+func (p *prefillTimer) computed() {
+	if p.over {
+		return
+	}
+	p.end(p.work.missedTokens)
+	p.agent.observeFirstToken(p.work)
 }
 
+// end reports that the prompt was computed, or given up with 0 tokens.
 func (p *prefillTimer) end(tokens float64) {
 	if p.over {
 		return
 	}
 	p.over = true
-	p.agent.schedule.prefillEnd(p.work.id, tokens)
-	if tokens > 0 || p.work.missedTokens == 0 {
-		p.agent.observeFirstToken(p.work)
+	if p.measured {
+		p.agent.schedule.prefillEnd(tokens)
 	}
+	p.agent.schedule.firstToken(p.work.id)
 }
--- a/internal/agent/schedule.go
+++ b/internal/agent/schedule.go
@@ -71,11 +71,10 @@
 	s.rate.Begin(time.Now())
 }
 
-func (s *schedule) prefillEnd(id string, tokens float64) {
+func (s *schedule) prefillEnd(tokens float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rate.End(time.Now(), tokens)
-	s.queue.FirstToken(id)
 }
 
 func (s *schedule) firstToken(id string) {
