Fetch hot prefixes from the store of kept KV cache when cheaper than computing

Cause: a prefix that is hot at one engine was computed anew at each other. Weighed: asking the store for every prompt against asking when the missing part takes 50 ms or more to compute; keeping every prefix against keeping what three prompts have used, while the engine evicts. The latter of each. Result: TestHotPrefixIsFetchedInsteadOfComputed green for both vendors with the race detector: over 1,900 tokens reused by a cold engine, none for another workspace, computed when the store is down or slow. Transfer times at real rates are not measured.

--- a/internal/agent/enginecache.go
+++ b/internal/agent/enginecache.go
@@ -89,6 +89,13 @@
 	return c.index.Survival(now)
 }
 
+// evicting tells whether the engine has removed blocks to make room.
+func (c *engineCache) evicting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.index.Evicting()
+}
+
 // repair reads snapshots when the index asks for them, and gives up overdue events.
 func (c *engineCache) repair(ctx context.Context) {
 	ticker := time.NewTicker(cacheTick)
--- a/internal/agent/enginestate.go
+++ b/internal/agent/enginestate.go
@@ -23,6 +23,7 @@
 type modelBackend struct {
 	engine engine.Engine
 	cache  *engineCache
+	kv     *kvLink
 	every  time.Duration
 
 	mu    sync.Mutex
@@ -31,7 +32,7 @@
 }
 
 func newModelBackend(e engine.Engine, s Settings) *modelBackend {
-	return &modelBackend{engine: e, cache: newEngineCache(e, time.Now()), every: millis(s.Engine.PollMS)}
+	return &modelBackend{engine: e, cache: newEngineCache(e, time.Now()), kv: newKVLink(s), every: millis(s.Engine.PollMS)}
 }
 
 // poll reads the engine's state until the context ends.
--- /dev/null
+++ b/internal/agent/kv.go
@@ -0,0 +1,236 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/engine"
+	"github.com/jayproxy/jayproxy/internal/kvplan"
+)
+
+const (
+	// kvAskTimeout bounds the question what the store has, and kvTransferTimeout
+	// a fetch or a put: a store that is slow must cost less than computing.
+	kvAskTimeout      = 50 * time.Millisecond
+	kvTransferTimeout = 2 * time.Second
+	// maxKVBytes of one fetch.
+	maxKVBytes = 1 << 30
+)
+
+var (
+	errKVAbsent = errors.New("not in the store of kept KV cache")
+	errKVStatus = errors.New("store of kept KV cache refused")
+)
+
+// kvLink moves KV cache between the engine and the store of kept KV cache.
+type kvLink struct {
+	base   string
+	vendor string
+	client *http.Client
+
+	mu      sync.Mutex
+	planner *kvplan.Planner
+	// moving: an export is under way; one at a time is enough.
+	moving bool
+}
+
+func newKVLink(s Settings) *kvLink {
+	return &kvLink{
+		base: strings.TrimSuffix(s.Engine.KVURL, "/"), vendor: s.Engine.Vendor,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true}},
+		planner: kvplan.New(),
+	}
+}
+
+// url of a point's blob. The point's hash covers workspace, model, version and
+// adapter; blobs of different vendors do not mix.
+func (k *kvLink) url(point *jayv1.PrefixPoint) string {
+	return fmt.Sprintf("%s/kv/%s-%016x", k.base, k.vendor, point.GetHash())
+}
+
+// usesKV tells whether the pool keeps KV cache in a store that is reached from here.
+func (a *Agent) usesKV(w *work) bool {
+	pool, ok := a.catalog.Current().Pool(w.offer.GetPool())
+	return ok && pool.GetKvService() != "" && a.model.kv.base != ""
+}
+
+// importKV fetches the missing part of the prompt's prefix when that is cheaper
+// than computing it. Whatever fails, the engine computes.
+func (a *Agent) importKV(w *work) {
+	if !a.usesKV(w) {
+		return
+	}
+	k, rate, perToken := a.model.kv, a.schedule.prefillRate(), a.bytesPerToken(w.offer.GetPool())
+	cached, _ := a.model.cache.look(time.Now(), w.offer.GetChain())
+	k.mu.Lock()
+	candidates := k.planner.Candidates(time.Now(), w.offer.GetChain(), cached, rate, perToken)
+	k.mu.Unlock()
+	point, size := k.find(w.ctx, candidates)
+	if point == nil {
+		return
+	}
+	k.mu.Lock()
+	worth := k.planner.Worth(size, point, cached, rate, perToken)
+	k.mu.Unlock()
+	if !worth {
+		return
+	}
+	if err := k.fetch(w.ctx, a.model.engine, point, size); err != nil {
+		klog.V(1).InfoS("KV cache not imported", "request", w.id, "error", err.Error())
+		return
+	}
+	w.missedTokens = a.tokens(w.offer.GetPool(), int(w.offer.GetPromptBytes())-int(point.GetBytes()))
+	a.metrics.Count(metricImported, w.offer.GetWorkspace(), 1)
+}
+
+// find asks the store for all candidates at once and returns the deepest that
+// it has, with its size in bytes.
+func (k *kvLink) find(ctx context.Context, candidates []*jayv1.PrefixPoint) (*jayv1.PrefixPoint, int64) {
+	ctx, cancel := context.WithTimeout(ctx, kvAskTimeout)
+	defer cancel()
+	sizes := make([]int64, len(candidates))
+	var group errgroup.Group
+	for i, point := range candidates {
+		group.Go(func() error {
+			size, err := k.ask(ctx, point)
+			if err == nil {
+				sizes[i] = size
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	for i, size := range sizes {
+		if size > 0 {
+			return candidates[i], size
+		}
+	}
+	return nil, 0
+}
+
+func (k *kvLink) ask(ctx context.Context, point *jayv1.PrefixPoint) (int64, error) {
+	response, err := k.do(ctx, http.MethodHead, point, nil)
+	k.note(point, err)
+	if err != nil {
+		return 0, err
+	}
+	_ = response.Body.Close()
+	return response.ContentLength, nil
+}
+
+// note keeps what the store said about a point; a failed call says nothing.
+func (k *kvLink) note(point *jayv1.PrefixPoint, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case err == nil:
+		k.planner.Stored(time.Now(), point)
+	case errors.Is(err, errKVAbsent):
+		k.planner.Absent(time.Now(), point)
+	}
+}
+
+func (k *kvLink) fetch(ctx context.Context, e engine.Engine, point *jayv1.PrefixPoint, size int64) error {
+	ctx, cancel := context.WithTimeout(ctx, kvTransferTimeout)
+	defer cancel()
+	began := time.Now()
+	response, err := k.do(ctx, http.MethodGet, point, nil)
+	if err != nil {
+		k.note(point, err)
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	blob, err := io.ReadAll(io.LimitReader(response.Body, maxKVBytes))
+	if err != nil {
+		return eris.Wrap(err, "read KV cache")
+	}
+	if err := e.ImportKV(ctx, blob); err != nil {
+		return eris.Wrap(err, "import KV cache")
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.planner.Transferred(size, time.Since(began))
+	return nil
+}
+
+func (k *kvLink) do(ctx context.Context, method string, point *jayv1.PrefixPoint, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, k.url(point), bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "KV request")
+	}
+	response, err := k.client.Do(request)
+	if err != nil {
+		return nil, eris.Wrap(err, "KV store")
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		return response, nil
+	}
+	_ = response.Body.Close()
+	if response.StatusCode == http.StatusNotFound {
+		return nil, errKVAbsent
+	}
+	return nil, eris.Wrapf(errKVStatus, "status %d", response.StatusCode)
+}
+
+// keepKV counts the prompt and puts its hot prefix into the store while the
+// engine is evicting: without pressure every engine keeps its own.
+func (a *Agent) keepKV(w *work, req engine.Request) {
+	if !a.usesKV(w) {
+		return
+	}
+	k, rate, perToken := a.model.kv, a.schedule.prefillRate(), a.bytesPerToken(w.offer.GetPool())
+	pressure := a.model.cache.evicting()
+	k.mu.Lock()
+	k.planner.Used(w.offer.GetChain())
+	point := k.planner.Keep(time.Now(), w.offer.GetChain(), rate, perToken)
+	if point == nil || !pressure || k.moving {
+		k.mu.Unlock()
+		return
+	}
+	k.moving = true
+	k.mu.Unlock()
+	a.goRun(func() {
+		if err := k.put(a.ctx, a.model.engine, point, req); err != nil {
+			klog.V(1).InfoS("KV cache not kept", "request", w.id, "error", err.Error())
+		}
+		k.mu.Lock()
+		k.moving = false
+		k.mu.Unlock()
+	})
+}
+
+func (k *kvLink) put(ctx context.Context, e engine.Engine, point *jayv1.PrefixPoint, req engine.Request) error {
+	ctx, cancel := context.WithTimeout(ctx, kvTransferTimeout)
+	defer cancel()
+	blocks, ends, err := e.Blocks(req)
+	if err != nil {
+		return err
+	}
+	count := 0
+	for count < len(ends) && ends[count] <= int(point.GetBytes()) {
+		count++
+	}
+	blob, err := e.ExportKV(ctx, blocks[:count])
+	if err != nil {
+		return eris.Wrap(err, "export KV cache")
+	}
+	response, err := k.do(ctx, http.MethodPut, point, blob)
+	if err != nil {
+		return err
+	}
+	_ = response.Body.Close()
+	k.note(point, nil)
+	return nil
+}
--- /dev/null
+++ b/internal/agent/kv_test.go
@@ -0,0 +1,75 @@
+package agent_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/agent"
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/engine/dialect"
+	standin "github.com/jayproxy/jayproxy/internal/standin/engine"
+	"github.com/jayproxy/jayproxy/internal/standin/engine/sim"
+	"github.com/jayproxy/jayproxy/internal/standin/kvstore"
+)
+
+// kvBench is an agent beside a cold engine with a small cache and a store.
+func kvBench(t *testing.T, vendor string, store *kvstore.Store) *bench {
+	t.Helper()
+	started, err := standin.Start(standin.Options{Vendor: vendor, Engine: sim.Options{
+		Versions: []string{digest}, CacheBlocks: 400, PrefillTokensPerSecond: 8000, DecodeStep: time.Millisecond, OutputTokens: 2,
+	}})
+	require.NoError(t, err)
+	t.Cleanup(started.Close)
+	holder := catalog.NewHolder()
+	holder.Adopt(catalog.Build(&jayv1.Snapshot{Generation: 1, Resources: []*jayv1.Resource{
+		{Kind: &jayv1.Resource_Pool{Pool: &jayv1.Pool{Name: "p1", Model: "m", KvService: "memoria-prompts"}}},
+		{Kind: &jayv1.Resource_BackendServer{BackendServer: &jayv1.BackendServer{Name: "b1", Pool: "p1"}}},
+	}}))
+	return newBench(t, func(s *agent.Settings) {
+		s.Engine.Vendor, s.Engine.URL, s.Engine.KVURL = vendor, started.URL(), store.URL()
+		s.OpenEngine, s.Catalog = dialect.Open, holder
+	})
+}
+
+// cachedTokens runs a prompt and returns what the engine reused of it.
+func (b *bench) cachedTokens(id, workspace, document string) uint32 {
+	b.t.Helper()
+	offer, body := chat(b.t, id, workspace, document)
+	got := readAnswer(b.t, b.accepted(offer, body))
+	require.Equal(b.t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome(), got.end.GetError())
+	return got.end.GetUsage().GetCachedTokens()
+}
+
+// A rulebook that is hot at one engine is computed anew at each other, although
+// the store of kept KV cache could give it in a fraction of the time.
+func TestHotPrefixIsFetchedInsteadOfComputed(t *testing.T) {
+	for _, vendor := range []string{standin.Merle, standin.Pica} {
+		t.Run(vendor, func(t *testing.T) {
+			store, err := kvstore.Start(kvstore.Options{})
+			require.NoError(t, err)
+			t.Cleanup(store.Close)
+			warm := kvBench(t, vendor, store)
+			for i := 0; i < 40 && store.Len() == 0; i++ {
+				warm.cachedTokens(fmt.Sprint("warm", i), "w1", strings.Repeat(fmt.Sprint("document ", i, " "), 300))
+			}
+			require.Eventually(t, func() bool { return store.Len() > 0 }, 5*time.Second, 10*time.Millisecond)
+
+			cold := kvBench(t, vendor, store)
+			assert.Greater(t, cold.cachedTokens("r1", "w1", "another"), uint32(1900))
+			assert.Zero(t, cold.cachedTokens("r2", "w2", "another"), "kept for another workspace")
+
+			store.SetFaults(kvstore.Faults{Outage: true})
+			assert.Zero(t, kvBench(t, vendor, store).cachedTokens("r3", "w1", "another"), "store down: computed")
+			store.SetFaults(kvstore.Faults{DelayMS: 500})
+			began := time.Now()
+			assert.Zero(t, kvBench(t, vendor, store).cachedTokens("r4", "w1", "another"), "store slow: computed")
+			assert.Less(t, time.Since(began), 2*time.Second)
+		})
+	}
+}
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -20,6 +20,7 @@
 // the slot until the engine has let go of the request.
 func (a *Agent) runModel(w *work) {
 	defer a.schedule.done(w.id)
+	a.importKV(w)
 	prefill := a.beginPrefill(w)
 	defer prefill.end(0)
 	req := a.engineRequest(w)
@@ -32,6 +33,7 @@
 	a.goRun(func() { a.model.cache.submitted(w.offer.GetChain(), req) })
 	err = a.relayEngine(w, stream, prefill)
 	if err == nil {
+		a.keepKV(w, req)
 		return
 	}
 	// The engine may still work on it: the slot is free only after the cancel.
--- a/internal/agent/observe.go
+++ b/internal/agent/observe.go
@@ -13,6 +13,7 @@
 	metricFirstToken  = "agent_first_token"
 	metricCachedShare = "cached_share_permille"
 	metricRecomputed  = "recomputed_tokens"
+	metricImported    = "kv_imports"
 	metricRefusals    = "refusals_"
 	metricOutcomes    = "outcomes_"
 )
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -87,12 +87,15 @@
 }
 
 func (a *Agent) tokens(poolName string, bytes int) float64 {
+	return max(0, float64(bytes)/a.bytesPerToken(poolName))
+}
+
+func (a *Agent) bytesPerToken(poolName string) float64 {
 	pool, _ := a.catalog.Current().Pool(poolName)
-	perToken := pool.GetBytesPerToken()
-	if perToken <= 0 {
-		perToken = defaultBytesPerToken
+	if perToken := pool.GetBytesPerToken(); perToken > 0 {
+		return perToken
 	}
-	return max(0, float64(bytes)/perToken)
+	return defaultBytesPerToken
 }
 
 func (a *Agent) admissionRequest(now time.Time, w *work) admission.Request {
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -40,6 +40,7 @@
 type EngineSettings struct {
 	Vendor string `toml:"vendor" validate:"required_with=URL" unit:"" doc:"Dialect of the model engine: merle or pica."`
 	URL    string `toml:"url" validate:"omitempty,url" unit:"URL" doc:"Base URL of the model engine; empty when the agent stands beside a plain service."`
+	KVURL  string `toml:"kv_url" validate:"omitempty,url" unit:"URL" doc:"Base URL of the store of kept KV cache near the engine; used for pools that declare a kv_service. Empty: KV cache is neither kept nor fetched."`
 	PollMS int    `toml:"poll_ms" validate:"min=10" unit:"ms" doc:"How often the engine's state is read."`
 }
 
--- a/internal/cacheindex/index.go
+++ b/internal/cacheindex/index.go
@@ -187,6 +187,9 @@
 	return x.survival.value(now.Sub(x.base))
 }
 
+// Evicting tells whether blocks have left this engine's cache since its start.
+func (x *Index) Evicting() bool { return x.survival.count > 0 }
+
 // Tick gives up waiting for events that are overdue and drops blocks that must
 // be gone.
 func (x *Index) Tick(now time.Time) {
