Accept durations as text in settings

Change: text in a duration field is expanded before decoding, lines kept. Measured: go test -race ./internal/settings passes.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -24,14 +24,14 @@
 // Settings of all leases of a fleet; they must be the same in every process.
 type Settings struct {
 	// TTL is how long a lease lasts after a write.
-	TTL time.Duration `toml:"ttl" validate:"min=1000000000" unit:"duration" doc:"how long a lease lasts after a write; the same on every process"`
+	TTL time.Duration `toml:"ttl" validate:"min=1s" unit:"duration" doc:"how long a lease lasts after a write; the same on every process"`
 	// Margin is how long before that the holder stops to act. It covers clocks
 	// that run at different rates and orders that are on their way.
-	Margin time.Duration `toml:"margin" validate:"min=100000000" unit:"duration" doc:"how long before its end the holder of a lease stops to act"`
+	Margin time.Duration `toml:"margin" validate:"min=100ms" unit:"duration" doc:"how long before its end the holder of a lease stops to act"`
 	// Renew is the time between renewals.
-	Renew time.Duration `toml:"renew" validate:"min=100000000" unit:"duration" doc:"time between two renewals of a lease"`
+	Renew time.Duration `toml:"renew" validate:"min=100ms" unit:"duration" doc:"time between two renewals of a lease"`
 	// Watch is the time between reads by a contender.
-	Watch time.Duration `toml:"watch" validate:"min=100000000" unit:"duration" doc:"time between two reads of a lease by a contender"`
+	Watch time.Duration `toml:"watch" validate:"min=100ms" unit:"duration" doc:"time between two reads of a lease by a contender"`
 }
 
 // DefaultSettings pass a lease on within about 13 s of its holder's death.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,7 +46,7 @@
 
 func decode(file string, text []byte, target any) findings.List {
 	var found findings.List
-	decoder := toml.NewDecoder(bytes.NewReader(text))
+	decoder := toml.NewDecoder(bytes.NewReader(expandDurations(text, target)))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(target)
 	var strict *toml.StrictMissingError
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -56,3 +57,23 @@
 		}
 	})
 }
+
+type nested struct {
+	Wait  time.Duration `toml:"wait" validate:"min=10ms"`
+	Inner struct {
+		Pause time.Duration `toml:"pause"`
+		Name  string        `toml:"name"`
+	} `toml:"inner"`
+}
+
+func TestDurationsAreWrittenAsText(t *testing.T) {
+	var s nested
+	require.NoError(t, settings.Parse("f.toml", []byte("wait = \"1m30s\"\n[inner]\nname = \"5s\"\npause = '250ms'\n"), &s))
+	assert.Equal(t, 90*time.Second, s.Wait)
+	assert.Equal(t, 250*time.Millisecond, s.Inner.Pause)
+	assert.Equal(t, "5s", s.Inner.Name)
+	err := settings.Parse("f.toml", []byte("\nwait = \"1ms\"\n"), &s)
+	require.ErrorContains(t, err, "f.toml:2: wait: value 1ms breaks the rule min=10ms")
+	err = settings.Parse("f.toml", []byte("\nwait = \"soon\"\n"), &s)
+	require.ErrorContains(t, err, "f.toml:2: wait")
+}
--- a/internal/spread/settings.go
+++ b/internal/spread/settings.go
@@ -5,7 +5,7 @@
 // Settings of the spread of generations, the same on every process of a fleet.
 type Settings struct {
 	// Interval between two digests to neighbours while nothing changes.
-	Interval time.Duration `toml:"interval" validate:"min=100000000" unit:"duration" doc:"time between two gossip digests to neighbours while nothing changes"`
+	Interval time.Duration `toml:"interval" validate:"min=100ms" unit:"duration" doc:"time between two gossip digests to neighbours while nothing changes"`
 	// FanOut is the number of neighbours that an entry tells of a new generation.
 	FanOut int `toml:"fan_out" validate:"min=1,max=16" unit:"entries" doc:"neighbours that an entry tells of a new generation"`
 	// PushGap is the least time between two pushes of new generations.
@@ -13,7 +13,7 @@
 	// Pollers in a data centre that read the head row.
 	Pollers int `toml:"pollers" validate:"min=1,max=8" unit:"entries" doc:"entries of a data centre that read the head of the catalog"`
 	// PollInterval of a poller.
-	PollInterval time.Duration `toml:"poll_interval" validate:"min=100000000" unit:"duration" doc:"time between two reads of the head by one poller"`
+	PollInterval time.Duration `toml:"poll_interval" validate:"min=100ms" unit:"duration" doc:"time between two reads of the head by one poller"`
 	// SilentAfter without a word from another entry, an entry polls by itself.
 	SilentAfter time.Duration `toml:"silent_after" unit:"duration" doc:"an entry that heard no other for this long reads the head by itself"`
 	// PullTimeout bounds one exchange with a peer or the store.
@@ -25,7 +25,7 @@
 	// SuspectFor: a peer that could not be reached is passed over for this long.
 	SuspectFor time.Duration `toml:"suspect_for" unit:"duration" doc:"a peer that could not be reached is passed over for this long, unless it is heard"`
 	// VMInterval is the least time between two reads of the VM list.
-	VMInterval time.Duration `toml:"vm_interval" validate:"min=100000000" unit:"duration" doc:"least time between two reads of the VM list"`
+	VMInterval time.Duration `toml:"vm_interval" validate:"min=100ms" unit:"duration" doc:"least time between two reads of the VM list"`
 	// VMReadsPerSecond bounds the whole fleet's reads of the VM list.
 	VMReadsPerSecond float64 `toml:"vm_reads_per_second" validate:"gt=0" unit:"reads/s" doc:"bound on the whole fleet's reads of the VM list; each entry's interval grows with the number of entries"`
 	// AgentInterval between two digests of an agent to an entry it knows.
