Refuse to activate a version in the change that declares it

Cause: one change that declares a version, activates it and drops the old one left every backend server with the old version alone; callers were refused until the weight store had filled each of them, whatever min_ready says. Ways weighed: the entry falls back to the old version (two versions active at once, and nobody sees when it ends) against steps that the catalog demands: chosen. Change: catalog.CheckStep, asked at each acceptance.

--- a/internal/catalog/load_test.go
+++ b/internal/catalog/load_test.go
@@ -189,3 +189,29 @@
 		}
 	})
 }
+
+// Callers of a model are refused for minutes after an accepted change: it made
+// a version active that no backend server had loaded, and took the old one away.
+func TestActiveVersionMovesInSteps(t *testing.T) {
+	pool := func(active string, versions ...string) *jayv1.Resource {
+		p := &jayv1.Pool{Name: "p", Model: "m", ActiveVersion: active}
+		for _, v := range versions {
+			p.Versions = append(p.Versions, &jayv1.ModelVersion{Name: v, Digest: v})
+		}
+		return &jayv1.Resource{Kind: &jayv1.Resource_Pool{Pool: p}}
+	}
+	server := &jayv1.Resource{Kind: &jayv1.Resource_BackendServer{BackendServer: &jayv1.BackendServer{Name: "b", Pool: "p"}}}
+	step := func(from, to *jayv1.Resource) string {
+		table := catalog.Build(&jayv1.Snapshot{Resources: []*jayv1.Resource{from, server}})
+		err := catalog.CheckStep(table, []*jayv1.Resource{to}).Err()
+		if err == nil {
+			return ""
+		}
+		return err.Error()
+	}
+	assert.Contains(t, step(pool("1", "1"), pool("2", "1", "2")), `"2" is not declared yet`)
+	assert.Contains(t, step(pool("1", "1", "2"), pool("2", "2")), `"1" is active until this change`)
+	assert.Empty(t, step(pool("1", "1"), pool("1", "1", "2")))
+	assert.Empty(t, step(pool("1", "1", "2"), pool("2", "1", "2")))
+	assert.Empty(t, step(pool("2", "1", "2"), pool("2", "2")))
+}
--- a/internal/catalogstore/accept.go
+++ b/internal/catalogstore/accept.go
@@ -138,7 +138,9 @@
 	if difference.Empty() {
 		return accepted, false, nil
 	}
-	if err := s.options.Check(table.After(difference)).Err(); err != nil {
+	found := s.options.Check(table.After(difference))
+	found = append(found, catalog.CheckStep(table, difference.Put)...)
+	if err := found.Err(); err != nil {
 		return Accepted{}, false, err
 	}
 	accepted.Changed = true
