Trust a declared prefill rate, and charge lateness beyond what is common

The explanations of single choices showed two causes. (1) Servers that had had no work reported the agent's guess of 8,000 tokens a second, the others their measured 20,000; so four of twelve looked slow and never got work. (2) First tokens come later than promised without any fault, since higher classes overtake: penalties of 100 to 500 ms at random drove requests from their cache.

Change: a declared rate goes before a reported one; lateness counts only beyond twice the mean of all servers and 50 ms, a ratio only above 1.5 of the mean.

--- a/internal/routing/backend.go
+++ b/internal/routing/backend.go
@@ -22,22 +22,29 @@
 	defaultSurvival = 10 * time.Second
 	// slownessFades halves what was learned of a server's slowness.
 	slownessFades = 10 * time.Second
-	slownessGain  = 0.2
+	slownessGain  = 0.1
 	maxSlowness   = 16
+	// commonGain is slower, so that one slow server hardly moves what counts
+	// as common to all.
+	commonGain = 0.005
+	// slownessNoise is the ratio, and lateNoise in milliseconds the lateness
+	// beyond what is common to all, that first tokens have without any fault:
+	// requests of a higher class overtake, blocks are evicted in the queue.
+	slownessNoise = 1.5
+	lateNoise     = 50
 	// slownessFloor in milliseconds: below it a ratio of times says nothing.
 	slownessFloor = 20
 )
 
 // backend is what this process knows of one backend server.
 type backend struct {
-	name       string
-	signals    Signals
-	byteMS     float64 // milliseconds a prompt byte takes to prefill, as last scored
-	offeredMS  float64 // own prefill work offered since signals.At
-	inFlight   int     // own requests handed over and not finished
-	slowness   float64 // observed over promised time to first token, 1 when as promised
-	lateMS     float64 // observed less promised time to first token
-	slownessAt time.Time
+	name      string
+	signals   Signals
+	byteMS    float64 // milliseconds a prompt byte takes to prefill, as last scored
+	offeredMS float64 // own prefill work offered since signals.At
+	inFlight  int     // own requests handed over and not finished
+	tardy     tardiness
+	tardyAt   time.Time
 }
 
 func (b *backend) learn(now time.Time, state *jayv1.AgentState) bool {
@@ -79,13 +86,16 @@
 	return reported*trust + average*(1-trust) + own
 }
 
-// rate is the tokens that the server prefills a second.
+// rate is the tokens that the server prefills a second. A declared rate goes
+// first: a server that never got work reports a guess, and a guess that is too
+// low would keep it without work. A server slower than declared shows in its
+// first tokens.
 func (b *backend) rate(policy *PoolPolicy) float64 {
 	switch {
-	case b.signals.PrefillTokensPerSecond > 0:
-		return b.signals.PrefillTokensPerSecond
 	case policy.PrefillTokensPerSecond > 0:
 		return policy.PrefillTokensPerSecond
+	case b.signals.PrefillTokensPerSecond > 0:
+		return b.signals.PrefillTokensPerSecond
 	}
 	return defaultPrefillRate
 }
@@ -98,23 +108,49 @@
 	return defaultSurvival
 }
 
-// observe compares a first token with what the server had promised.
-func (b *backend) observe(now time.Time, promisedMS, observedMS float64) {
+// tardiness is how first tokens compare with what was promised.
+type tardiness struct {
+	ratio  float64 // observed over promised, 1 when as promised
+	lateMS float64 // observed less promised
+}
+
+func (t tardiness) toward(seen tardiness, gain float64) tardiness {
+	return tardiness{
+		ratio:  t.ratio + gain*(seen.ratio-t.ratio),
+		lateMS: t.lateMS + gain*(seen.lateMS-t.lateMS),
+	}
+}
+
+func tardinessOf(promisedMS, observedMS float64) tardiness {
 	ratio := (observedMS + slownessFloor) / (promisedMS + slownessFloor)
-	slowness, lateMS := b.slownessNow(now)
-	b.slowness = slowness + slownessGain*(min(ratio, maxSlowness)-slowness)
-	b.lateMS = lateMS + slownessGain*(max(0, observedMS-promisedMS)-lateMS)
-	b.slownessAt = now
+	return tardiness{ratio: min(ratio, maxSlowness), lateMS: max(0, observedMS-promisedMS)}
+}
+
+// observe takes in a first token of the server.
+func (b *backend) observe(now time.Time, seen tardiness) {
+	b.tardy = b.tardyNow(now).toward(seen, slownessGain)
+	b.tardyAt = now
+}
+
+// tardyNow fades toward none, so that a server that was slow and therefore
+// gets no work is tried again.
+func (b *backend) tardyNow(now time.Time) tardiness {
+	if b.tardyAt.IsZero() {
+		return tardiness{ratio: 1}
+	}
+	share := math.Exp2(-float64(now.Sub(b.tardyAt)) / float64(slownessFades))
+	return tardiness{ratio: 1 + (b.tardy.ratio-1)*share, lateMS: b.tardy.lateMS * share}
 }
 
-// slownessNow returns the learned ratio and lateness. Both fade, so that a
-// server that was slow and therefore gets no work is tried again.
-func (b *backend) slownessNow(now time.Time) (ratio, lateMS float64) {
-	if b.slownessAt.IsZero() {
-		return 1, 0
+// excessMS is how much later than it says the server is expected to be, beyond
+// what is common to all and beyond noise.
+func (b *backend) excessMS(now time.Time, common tardiness, saidMS float64) float64 {
+	own := b.tardyNow(now)
+	excess := max(0, own.lateMS-2*common.lateMS-lateNoise)
+	if ratio := own.ratio / max(1, common.ratio); ratio > slownessNoise {
+		excess = max(excess, saidMS*(ratio-1))
 	}
-	share := math.Exp2(-float64(now.Sub(b.slownessAt)) / float64(slownessFades))
-	return 1 + (b.slowness-1)*share, b.lateMS * share
+	return excess
 }
 
 // load is the requests at the server: as last reported, or as this process has
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -64,6 +64,7 @@
 	level      *level // main shared level; nil without one
 	levelPoint int
 	averageMS  float64
+	common     tardiness
 	candidates [maxCandidates]candidate
 	n          int
 	best, next int // indexes into candidates, -1: none
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -35,7 +35,9 @@
 	pending  map[string]promise
 	// averageMS is the queue that servers report of late.
 	averageMS float64
-	scratch   choice
+	// common is how late first tokens are over all servers.
+	common  tardiness
+	scratch choice
 }
 
 // promise is what a server was chosen for, until its first token shows.
@@ -58,6 +60,7 @@
 		levels:   newLevels(levelEntries, neighboursOf(s)),
 		beliefs:  newBeliefs(beliefPrefixes),
 		pending:  map[string]promise{},
+		common:   tardiness{ratio: 1},
 	}
 }
 
@@ -102,7 +105,7 @@
 func (r *Router) begin(now time.Time, req *Request, pool *PoolPolicy, set *Set, tried []Tried) *choice {
 	c := &r.scratch
 	c.now, c.req, c.policy, c.view, c.tried = now, req, pool, r.viewOf(set), tried
-	c.level, c.averageMS = nil, r.averageMS
+	c.level, c.averageMS, c.common = nil, r.averageMS, r.common
 	c.n, c.best, c.next, c.declined = 0, -1, -1, 0
 	for i := range tried {
 		if tried[i].Refusal == jayv1.Refusal_REFUSAL_COST {
@@ -232,6 +235,8 @@
 	made, ok := r.pending[req.ID]
 	delete(r.pending, req.ID)
 	if ok && made.backend == b && firstTokenMS > 0 {
-		b.observe(now, made.expectedMS, firstTokenMS)
+		seen := tardinessOf(made.expectedMS, firstTokenMS)
+		r.common = r.common.toward(seen, commonGain)
+		b.observe(now, seen)
 	}
 }
--- a/internal/routing/scorer.go
+++ b/internal/routing/scorer.go
@@ -61,8 +61,7 @@
 // failures.
 func (s scorer) penalty(c *choice, cand *candidate) float64 {
 	saidMS := cand.queueMS + cand.prefillMS
-	ratio, lateMS := cand.backend.slownessNow(c.now)
-	penaltyMS := max(saidMS*(ratio-1), lateMS)
+	penaltyMS := cand.backend.excessMS(c.now, c.common, saidMS)
 	if s.membership != nil {
 		weight := max(s.membership.Weight(cand.backend.name), leastWeight)
 		penaltyMS += (saidMS + slownessFloor) * (1/weight - 1)
