--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -65,6 +65,9 @@
 
 // probe tells the exact state, and the cost when a chain is given.
 func (a *Agent) probe(req *jayv1.ProbeRequest) *jayv1.ProbeReply {
+	// A server that never had an offer would else answer with a guess of its
+	// rate, look slow beside those that had, and never get one.
+	a.applyPool(req.GetPool())
 	reply := &jayv1.ProbeReply{State: a.state()}
 	if a.model == nil || len(req.GetChain()) == 0 {
 		return reply
@@ -72,7 +75,7 @@
 	cached, _ := a.model.cache.look(time.Now(), req.GetChain())
 	reply.CachedBytes = uint32(cached)
 	reply.CostMs = a.schedule.cost(admission.Request{
-		Class:  jayv1.Class_CLASS_STANDARD,
+		Class:  req.GetClass(),
 		Tokens: a.tokens(req.GetPool(), int(req.GetPromptBytes())-cached),
 	})
 	return reply
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -114,18 +114,23 @@
 
 // applyLimits takes slots and queue length from the catalog in force.
 func (a *Agent) applyLimits(offer *jayv1.Offer) {
-	table := a.catalog.Current()
-	if pool, ok := table.Pool(offer.GetPool()); ok {
-		a.schedule.configure(int(pool.GetConcurrency()), int(pool.GetQueueLength()))
-		if rate := pool.GetPrefillTokensPerSecond(); rate > 0 {
-			a.schedule.setGuess(rate)
-		}
-	}
-	if service, ok := table.Service(offer.GetService()); ok {
+	a.applyPool(offer.GetPool())
+	if service, ok := a.catalog.Current().Service(offer.GetService()); ok {
 		a.schedule.configure(int(service.GetConcurrency()), int(service.GetQueueLength()))
 	}
 }
 
+func (a *Agent) applyPool(name string) {
+	pool, ok := a.catalog.Current().Pool(name)
+	if !ok {
+		return
+	}
+	a.schedule.configure(int(pool.GetConcurrency()), int(pool.GetQueueLength()))
+	if rate := pool.GetPrefillTokensPerSecond(); rate > 0 {
+		a.schedule.setGuess(rate)
+	}
+}
+
 // check refuses what may not run here, whatever the load.
 func (a *Agent) check(offer *jayv1.Offer) (jayv1.Refusal, string) {
 	switch {
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -65,6 +65,7 @@
 	question := &jayv1.ProbeRequest{
 		Pool: h.work.pool.GetName(), Chain: h.work.route.Chain,
 		PromptBytes: uint32(h.work.route.PromptBytes), Generation: h.table.Generation(), //nolint:gosec // bounded by the prompt limit
+		Class: h.work.class,
 	}
 	if err := stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Probe{Probe: question}}); err != nil {
 		return nil, err
