Keep a restarted entry from shaking hands with every agent

Cause: control of an entry stayed at 2.0 to 3.5 KB/s from 4 to 32 entries. A count of connections showed some 5,000 in two seconds with 32 entries and 288 agents: an entry that starts knows the catalog before the list of VMs, takes itself for the only home of all agents and tells every one, a handshake of 6.9 KB each. At the size of two years it would dial 7,000. Ruled out: agents' own digests (18 agents heard their homes), pulls.

--- a/internal/spread/core.go
+++ b/internal/spread/core.go
@@ -39,6 +39,7 @@
 type Core struct {
 	self       Peer
 	settings   Settings
+	startedAt  time.Time
 	generation uint64
 	// storeHead is the highest generation that the table showed.
 	storeHead uint64
@@ -47,6 +48,8 @@
 	entries map[keys.Identity]*peerState
 	agents  map[keys.Identity]*peerState
 	listed  []Peer // entries of the VM list and seeds, self left out
+	// entriesKnown: the list was read, be it empty.
+	entriesKnown bool
 
 	// overlayDirty: members changed since neighbours and homes were computed.
 	overlayDirty bool
@@ -88,7 +91,7 @@
 	return &Core{
 		self: self, settings: settings,
 		entries: map[keys.Identity]*peerState{}, agents: map[keys.Identity]*peerState{},
-		heardEntryAt: now,
+		startedAt: now, heardEntryAt: now,
 		// Processes that start together spread their timers over an interval.
 		nextDigest: now.Add(phase(self.ID.Name, settings.Interval)),
 		nextHead:   now,
@@ -107,6 +110,7 @@
 
 // SetEntries replaces the list of entries (VM list and seeds).
 func (c *Core) SetEntries(entries []Peer) {
+	c.entriesKnown = true
 	c.listed = without(entries, c.self.ID)
 	named := map[keys.Identity]bool{}
 	for _, entry := range c.listed {
--- a/internal/spread/tick.go
+++ b/internal/spread/tick.go
@@ -103,12 +103,27 @@
 	return rank(c.self.ID.Name, all)
 }
 
+// agentsATick bounds the agents told at one tick of 50 ms: 40 a second, twice
+// as many as an entry looks after in the largest data centre planned.
+const agentsATick = 2
+
 // tellAgents tells the agents that this entry looks after: at once when they
 // are behind, again each interval until they answer with the generation, and
 // rarely when they are up to date.
+//
+// An entry that just started knows no other entry and would look after every
+// agent of the fleet: a herd of restarts would shake hands with all of them at
+// once. It therefore waits until it knows the others, or for a while when there
+// is nobody to tell it, and tells a few agents a tick.
 func (c *Core) tellAgents(now time.Time) []Action {
+	if !c.entriesKnown && now.Sub(c.startedAt) < c.settings.SilentAfter {
+		return nil
+	}
 	var actions []Action
 	for _, agent := range c.homeAgents {
+		if len(actions) == agentsATick {
+			break
+		}
 		if agent.inFlight && now.Sub(agent.toldAt) < c.settings.PullTimeout {
 			continue
 		}
