Wait for a candidate, not for its choice, when a server comes back

That breaks no promise; the script waited for the wrong thing. It now waits until both entries may choose the server and then drains the other one, which proves more: every request must be served by the server that came back. The same for the rolling replacement.

--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -39,6 +39,7 @@
 //	retry ID ENTRY ...              calls until the answer is whole; until then only refusals
 //	runs NAME KEY N                 how often stand-ins ran a key; NAME may end in *, KEY * counts all
 //	watch NAME / quiet NAME SINCE D no run began at an engine later than D after a marked moment
+//	considered ENTRY SERVER         waits until an entry's latest decision has the server as a candidate
 //	busy NAME                       waits until a further run begins at a stand-in
 //	mark MOMENT                     names this moment
 //	since MOMENT D                  no more than a time has passed since a marked moment
@@ -71,14 +72,16 @@
 		"watch":    (*world).cmdWatch,
 		"quiet":    (*world).cmdQuiet,
 		"busy":     (*world).cmdBusy,
-		"mark":     (*world).cmdMark,
-		"since":    (*world).cmdSince,
-		"logged":   (*world).cmdLogged,
-		"ready":    (*world).cmdReady,
-		"loadmore": (*world).cmdLoadMore,
-		"load":     (*world).cmdLoad,
-		"endload":  (*world).cmdEndLoad,
-		"jayctl":   (*world).cmdCtl,
+
+		"considered": (*world).cmdConsidered,
+		"mark":       (*world).cmdMark,
+		"since":      (*world).cmdSince,
+		"logged":     (*world).cmdLogged,
+		"ready":      (*world).cmdReady,
+		"loadmore":   (*world).cmdLoadMore,
+		"load":       (*world).cmdLoad,
+		"endload":    (*world).cmdEndLoad,
+		"jayctl":     (*world).cmdCtl,
 
 		"freezeserving": (*world).cmdFreezeServing,
 		"thawserving":   (*world).cmdThawServing,
--- a/test/scenario/site_test.go
+++ b/test/scenario/site_test.go
@@ -3,9 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -70,7 +68,7 @@
 	failed := ok && t.Failed()
 	for name, at := range w.addresses {
 		if failed && w.processes[name].alive() {
-			w.env.T().Log(name+" decided:", latestDecisions(at.admin))
+			w.env.T().Log(name+" decided:", latestDecisions(at.admin, 2))
 		}
 	}
 	for _, l := range w.loads {
@@ -94,17 +92,6 @@
 	}
 }
 
-func latestDecisions(admin string) string {
-	client := &http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + admin + "/debug/decisions?n=2")
-	if err != nil {
-		return err.Error()
-	}
-	defer response.Body.Close()
-	text, _ := io.ReadAll(response.Body)
-	return string(text)
-}
-
 // Ports of the processes under test stand below those that the system hands
 // out, so that nothing takes one while its owner is down. Each run of the suite
 // has a loopback address of its own and hands out every port once: two
