--- a/internal/spread/core.go
+++ b/internal/spread/core.go
@@ -75,6 +75,8 @@
 	toldAt     time.Time
 	heardAt    time.Time
 	failedAt   time.Time
+	// introducedAt is when the peer was last told who this process is.
+	introducedAt time.Time
 	// inFlight: a digest is on its way.
 	inFlight bool
 	// pullFailed at, so that the next pull tries another peer first.
@@ -193,6 +195,26 @@
 	return 0
 }
 
+// introduceEvery is how often a peer hears again who the process is.
+const introduceEvery = 10 * time.Minute
+
+// introductionDue tells whether the peer should hear who this process is, and
+// takes it as done.
+func (c *Core) introductionDue(now time.Time, peer keys.Identity) bool {
+	state := c.entries[peer]
+	if state == nil {
+		state = c.agents[peer]
+	}
+	if state == nil {
+		return true
+	}
+	if !state.introducedAt.IsZero() && now.Sub(state.introducedAt) < introduceEvery {
+		return false
+	}
+	state.introducedAt = now
+	return true
+}
+
 // fresh tells whether the peer was heard lately: the stamp of each of
 // thousands of messages a second then costs a map look-up.
 func (c *Core) fresh(now time.Time, from keys.Identity) bool {
@@ -248,16 +270,25 @@
 	return c.remember(known, peer)
 }
 
-// Failed says that a digest to the peer, or its answer, did not arrive.
+// Failed says that a digest to the peer, or its answer, did not arrive. A peer
+// that lacks the generation is told once more at once: waiting for its next
+// turn, or for another who tells it, is what makes the last process late when
+// packets get lost. A peer that is dead costs one more digest.
 func (c *Core) Failed(now time.Time, peer keys.Identity) []Action {
 	state := c.entries[peer]
 	if state == nil {
 		state = c.agents[peer]
 	}
-	if state != nil {
-		state.inFlight = false
-		state.failedAt = now
-		c.overlayDirty = true
+	if state == nil {
+		return nil
+	}
+	first := !state.suspectedAt(now, c.settings.SuspectFor)
+	state.inFlight = false
+	state.failedAt = now
+	state.introducedAt = time.Time{}
+	c.overlayDirty = true
+	if first && state.generation < c.generation {
+		return []Action{c.tell(now, state)}
 	}
 	return nil
 }
@@ -341,14 +372,19 @@
 	c.pullUntil = now.Add(c.settings.PullTimeout)
 }
 
+// pullPauseShare of PullTimeout passes before a peer is asked again whose pull
+// failed: most pulls fail by a lost packet, and a process that is behind should
+// not wait for another's word.
+const pullPauseShare = 4
+
 // newestPeer is the peer with the highest generation above our own; of
 // several, entries of the same data centre first. A peer whose pull failed
-// just now waits for an interval.
+// just now is passed over for a moment, so that another is asked first.
 func (c *Core) newestPeer(now time.Time) *peerState {
 	var best *peerState
 	for _, known := range []map[keys.Identity]*peerState{c.entries, c.agents} {
 		for _, state := range known {
-			if state.generation <= c.generation || now.Sub(state.pullFailedAt) < c.settings.Interval {
+			if state.generation <= c.generation || now.Sub(state.pullFailedAt) < c.settings.PullTimeout/pullPauseShare {
 				continue
 			}
 			if best == nil || c.preferred(state, best) {
--- a/internal/spread/tick.go
+++ b/internal/spread/tick.go
@@ -68,15 +68,16 @@
 	return actions
 }
 
-// digest tells one neighbour after the other, one per interval, and every
-// tenth time an entry that is none: a split of the overlay heals that way.
+// digest tells one neighbour after the other, one per interval, and now and
+// then an entry that is none: a split of the overlay heals that way. Such an
+// entry costs a handshake, some 7 KB.
 func (c *Core) digest(now time.Time) []Action {
 	if now.Before(c.nextDigest) {
 		return nil
 	}
 	c.nextDigest = now.Add(c.settings.Interval)
 	candidates := c.neighbours
-	const strangerEvery = 10
+	const strangerEvery = 30
 	c.rotation++
 	if len(candidates) == 0 || c.rotation%strangerEvery == 0 {
 		candidates = c.addressed()
@@ -103,7 +104,7 @@
 }
 
 // tellAgents tells the agents that this entry looks after: at once when they
-// are behind, again each interval until they answer with the generation, and
+// are behind, again each timeout until they answer with the generation, and
 // rarely when they are up to date.
 func (c *Core) tellAgents(now time.Time) []Action {
 	var actions []Action
@@ -113,7 +114,7 @@
 		}
 		wait := c.settings.HomeInterval
 		if agent.generation < c.generation {
-			wait = c.settings.Interval
+			wait = c.settings.PullTimeout
 		}
 		behind := agent.generation < c.generation && c.pushedAt.After(agent.toldAt) && agent.failedAt.IsZero()
 		if behind || now.Sub(agent.toldAt) >= wait {
