--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -17,8 +17,11 @@
 	ProbeInterval time.Duration `toml:"probe_interval" validate:"min=1ms" unit:"duration" doc:"time between two probes of a pool's backend servers by its lease holder"`
 	// SettledInterval is the same in a pool in which nothing is to be done.
 	SettledInterval time.Duration `toml:"settled_interval" validate:"min=1ms" unit:"duration" doc:"time between two probes in a pool in which nothing is to be done"`
-	// ProbeTimeout bounds one probe or order.
-	ProbeTimeout time.Duration `toml:"probe_timeout" validate:"min=10ms" unit:"duration" doc:"bound of one probe or order"`
+	// ProbeTimeout bounds one probe.
+	ProbeTimeout time.Duration `toml:"probe_timeout" validate:"min=10ms" unit:"duration" doc:"bound of one probe"`
+	// AnswerTimeout bounds the wait for an order's answer, before which the
+	// agent reads and writes the table.
+	AnswerTimeout time.Duration `toml:"answer_timeout" validate:"min=10ms" unit:"duration" doc:"wait for an agent's answer to an order; after it the backend server's state shows the outcome"`
 	// StaleAfter an observation no longer counts.
 	StaleAfter time.Duration `toml:"stale_after" validate:"min=100ms" unit:"duration" doc:"age above which the observation of a backend server counts for nothing"`
 	// MaxLoads of a pool at once.
@@ -32,7 +35,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Lease: lease.DefaultSettings(), Candidates: 2, Interval: time.Second,
-		ProbeInterval: 200 * time.Millisecond, SettledInterval: 5 * time.Second, ProbeTimeout: time.Second, StaleAfter: 90 * time.Second,
+		ProbeInterval: 200 * time.Millisecond, SettledInterval: 5 * time.Second, ProbeTimeout: time.Second, AnswerTimeout: 5 * time.Second, StaleAfter: 90 * time.Second,
 		MaxLoads: 2, OrderTimeout: 10 * time.Minute,
 	}
 }
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -185,7 +185,7 @@
 	question := &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Probe{Probe: &jayv1.ProbeRequest{
 		Pool: w.pool, Generation: w.options.Holder.Current().Generation(),
 	}}}
-	answer, err := w.ask(ctx, server.GetAgentAddress(), question)
+	answer, err := w.ask(ctx, server.GetAgentAddress(), question, w.options.Settings.ProbeTimeout)
 	if err != nil {
 		delete(w.observed, server.GetName())
 		return
@@ -250,7 +250,7 @@
 	answer, err := w.ask(ctx, address, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Order{Order: &jayv1.Order{
 		Fence: w.fence, Seq: w.seq, BackendServer: order.Server, Kind: order.Kind,
 		Model: model, Digest: order.Digest, Adapter: order.Adapter,
-	}}})
+	}}}, w.options.Settings.AnswerTimeout)
 	reply := answer.GetOrderReply()
 	switch {
 	case err != nil:
@@ -266,8 +266,8 @@
 }
 
 // ask sends one frame to an agent and reads the answer.
-func (w *worker) ask(ctx context.Context, address string, question *jayv1.ClientFrame) (*jayv1.ServerFrame, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.options.Settings.ProbeTimeout)
+func (w *worker) ask(ctx context.Context, address string, question *jayv1.ClientFrame, timeout time.Duration) (*jayv1.ServerFrame, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stream, err := w.options.Node.Open(ctx, address, keys.RoleAgent)
 	if err != nil {
