Refuse to activate a version that too few backend servers have loaded

Cause: a version that is declared need not be loaded; activated too early it leaves callers without a backend server, whatever min_ready says. Change: at an activation the accepting entry asks every backend server of the pool; an operator may override it (activate_unloaded). Failing first: without the question the early apply of TestVersionGoesOutUnderLoad is accepted and the test fails.

--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -134,6 +134,8 @@
 	load := startCallers(t, urls)
 
 	require.NoError(t, c.Apply(t.Context(), withVersions(c, "", before, next)))
+	err = c.Apply(t.Context(), withVersions(c, "next", before, next))
+	require.ErrorContains(t, err, "is loaded and ready at", "too early")
 	require.Eventually(t, allEngines(c, before.GetDigest(), newDigest), 20*time.Second, 20*time.Millisecond, "loaded everywhere")
 	require.NoError(t, c.Apply(t.Context(), withVersions(c, "next", before, next)))
 	require.NoError(t, c.Apply(t.Context(), withVersions(c, "next", next)))
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -5,11 +5,14 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/lease"
@@ -151,3 +154,26 @@
 	}
 	wg.Wait()
 }
+
+// loadedParallel bounds the probes of one count.
+const loadedParallel = 32
+
+// Loaded counts the backend servers of a pool that are ready and have the
+// weights with the digest, by asking each of them now. One that does not
+// answer does not count.
+func (s *Service) Loaded(ctx context.Context, pool, digest string) int {
+	var loaded atomic.Int64
+	var group errgroup.Group
+	group.SetLimit(loadedParallel)
+	for _, server := range s.options.Holder.Current().BackendServersOfPool(pool) {
+		group.Go(func() error {
+			state, err := probe(ctx, s.options, pool, server)
+			if err == nil && state.GetReady() && !state.GetLeaving() && slices.Contains(state.GetVersionDigests(), digest) {
+				loaded.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return int(loaded.Load())
+}
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -5,12 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/charts"
-	"github.com/jayproxy/jayproxy/internal/keys"
 	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/orders"
 )
@@ -182,15 +180,12 @@
 }
 
 func (w *worker) probe(ctx context.Context, server *jayv1.BackendServer) {
-	question := &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Probe{Probe: &jayv1.ProbeRequest{
-		Pool: w.pool, Generation: w.options.Holder.Current().Generation(),
-	}}}
-	answer, err := w.ask(ctx, server.GetAgentAddress(), question, w.options.Settings.ProbeTimeout)
+	state, err := probe(ctx, w.options, w.pool, server)
 	if err != nil {
 		delete(w.observed, server.GetName())
 		return
 	}
-	w.observe(server.GetName(), answer.GetProbeReply().GetState())
+	w.observe(server.GetName(), state)
 }
 
 func (w *worker) observe(server string, state *jayv1.AgentState) {
@@ -247,7 +242,7 @@
 	w.seq++
 	under := pending{order: order, state: chart.Initial(), since: w.options.Clock()}
 	w.pending[order.Server] = under
-	answer, err := w.ask(ctx, address, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Order{Order: &jayv1.Order{
+	answer, err := ask(ctx, w.options.Node, address, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Order{Order: &jayv1.Order{
 		Fence: w.fence, Seq: w.seq, BackendServer: order.Server, Kind: order.Kind,
 		Model: model, Digest: order.Digest, Adapter: order.Adapter,
 	}}}, w.options.Settings.AnswerTimeout)
@@ -264,27 +259,3 @@
 		w.observe(order.Server, reply.GetState())
 	}
 }
-
-// ask sends one frame to an agent and reads the answer.
-func (w *worker) ask(ctx context.Context, address string, question *jayv1.ClientFrame, timeout time.Duration) (*jayv1.ServerFrame, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	stream, err := w.options.Node.Open(ctx, address, keys.RoleAgent)
-	if err != nil {
-		return nil, err
-	}
-	defer stream.Abort()
-	if deadline, ok := ctx.Deadline(); ok {
-		if err := stream.SetDeadline(deadline); err != nil {
-			return nil, err
-		}
-	}
-	if err := stream.Send(question); err != nil {
-		return nil, err
-	}
-	if err := stream.CloseSend(); err != nil {
-		return nil, eris.Wrap(err, "end question")
-	}
-	answer := &jayv1.ServerFrame{}
-	return answer, stream.Receive(answer)
-}
--- a/internal/ctl/declare.go
+++ b/internal/ctl/declare.go
@@ -79,7 +79,7 @@
 }
 
 func (a *app) apply() *cobra.Command {
-	var prune bool
+	var prune, unloaded bool
 	var changeID string
 	var expect uint64
 	var wait time.Duration
@@ -94,6 +94,7 @@
 			response, err := call(cmd.Context(), a, func(ctx context.Context, c client) (*connect.Response[jayv1.ApplyResponse], error) {
 				return c.Apply(ctx, connect.NewRequest(&jayv1.ApplyRequest{
 					ChangeId: changeID, Resources: resources, Prune: prune, ExpectGeneration: expect,
+					ActivateUnloaded: unloaded,
 				}))
 			})
 			if err != nil {
@@ -109,6 +110,7 @@
 	flags.BoolVar(&prune, "prune", true, "delete what the folder does not declare")
 	flags.StringVar(&changeID, "change-id", "", "id of the change; repeat one whose outcome is unknown with the same id")
 	flags.Uint64Var(&expect, "expect-generation", 0, "refuse when another generation is accepted (0: any)")
+	flags.BoolVar(&unloaded, "activate-unloaded", false, "activate a version also when fewer backend servers than min_ready have it loaded")
 	flags.DurationVar(&wait, "wait", 0, "wait until every process that answers has the generation in force")
 	return cmd
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -43,7 +43,7 @@
 	}
 	e.operators, err = newOperatorServer(operatorDeps{
 		Address: e.settings.OperatorsAddress, Credentials: e.creds,
-		Operator: operator.Options{Store: store, Holder: e.holder, Spread: service, Explain: e.explainAnywhere},
+		Operator: operator.Options{Store: store, Holder: e.holder, Spread: service, Explain: e.explainAnywhere, Loaded: e.rollouts.Load().Loaded},
 	})
 	return err
 }
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -44,6 +44,9 @@
 	Spread Spread
 	// Explain finds the explanation of a request on any entry; ErrNoExplanation.
 	Explain func(ctx context.Context, requestID string) (*jayv1.Explanation, error)
+	// Loaded counts the backend servers of a pool that are ready and have the
+	// weights with the digest; nil: not asked.
+	Loaded func(ctx context.Context, pool, digest string) int
 	// Closing is closed when the process shuts down; watches end then.
 	Closing <-chan struct{}
 }
@@ -64,7 +67,11 @@
 	return s.accept(ctx, msg, catalogstore.Proposal{
 		ChangeID: msg.GetChangeId(), ExpectGeneration: msg.GetExpectGeneration(), DryRun: msg.GetDryRun(),
 		Edit: func(table *catalog.Table) (catalog.Difference, error) {
-			return catalog.Diff(table, keepDrains(table, msg.GetResources()), msg.GetPrune()), nil
+			difference := catalog.Diff(table, keepDrains(table, msg.GetResources()), msg.GetPrune())
+			if msg.GetActivateUnloaded() {
+				return difference, nil
+			}
+			return difference, s.checkActivations(ctx, table, difference)
 		},
 	})
 }
@@ -99,7 +106,8 @@
 	return s.accept(ctx, msg, catalogstore.Proposal{
 		ChangeID: msg.GetChangeId(), ExpectGeneration: msg.GetExpectGeneration(),
 		Edit: func(table *catalog.Table) (catalog.Difference, error) {
-			return catalog.Diff(table, []*jayv1.Resource{msg.GetResource()}, false), nil
+			difference := catalog.Diff(table, []*jayv1.Resource{msg.GetResource()}, false)
+			return difference, s.checkActivations(ctx, table, difference)
 		},
 	})
 }
