--- a/internal/spread/tick.go
+++ b/internal/spread/tick.go
@@ -108,7 +108,7 @@
 const agentsATick = 2
 
 // tellAgents tells the agents that this entry looks after: at once when they
-// are behind, again each interval until they answer with the generation, and
+// are behind, again each timeout until they answer with the generation, and
 // rarely when they are up to date.
 //
 // An entry that just started knows no other entry and would look after every
@@ -129,7 +129,7 @@
 		}
 		wait := c.settings.HomeInterval
 		if agent.generation < c.generation {
-			wait = c.settings.Interval
+			wait = c.settings.PullTimeout
 		}
 		behind := agent.generation < c.generation && c.pushedAt.After(agent.toldAt) && agent.failedAt.IsZero()
 		if behind || now.Sub(agent.toldAt) >= wait {
