--- a/internal/spread/core.go
+++ b/internal/spread/core.go
@@ -39,6 +39,7 @@
 type Core struct {
 	self       Peer
 	settings   Settings
+	startedAt  time.Time
 	generation uint64
 	// storeHead is the highest generation that the table showed.
 	storeHead uint64
@@ -47,6 +48,8 @@
 	entries map[keys.Identity]*peerState
 	agents  map[keys.Identity]*peerState
 	listed  []Peer // entries of the VM list and seeds, self left out
+	// entriesKnown: the list was read, be it empty.
+	entriesKnown bool
 
 	// overlayDirty: members changed since neighbours and homes were computed.
 	overlayDirty bool
@@ -88,7 +91,7 @@
 	return &Core{
 		self: self, settings: settings,
 		entries: map[keys.Identity]*peerState{}, agents: map[keys.Identity]*peerState{},
-		heardEntryAt: now,
+		startedAt: now, heardEntryAt: now,
 		// Processes that start together spread their timers over an interval.
 		nextDigest: now.Add(phase(self.ID.Name, settings.Interval)),
 		nextHead:   now,
@@ -107,6 +110,7 @@
 
 // SetEntries replaces the list of entries (VM list and seeds).
 func (c *Core) SetEntries(entries []Peer) {
+	c.entriesKnown = true
 	c.listed = without(entries, c.self.ID)
 	named := map[keys.Identity]bool{}
 	for _, entry := range c.listed {
@@ -270,17 +274,25 @@
 	return c.remember(known, peer)
 }
 
-// Failed says that a digest to the peer, or its answer, did not arrive.
+// Failed says that a digest to the peer, or its answer, did not arrive. A peer
+// that lacks the generation is told once more at once: waiting for its next
+// turn, or for another who tells it, is what makes the last process late when
+// packets get lost. A peer that is dead costs one more digest.
 func (c *Core) Failed(now time.Time, peer keys.Identity) []Action {
 	state := c.entries[peer]
 	if state == nil {
 		state = c.agents[peer]
 	}
-	if state != nil {
-		state.inFlight = false
-		state.failedAt = now
-		state.introducedAt = time.Time{}
-		c.overlayDirty = true
+	if state == nil {
+		return nil
+	}
+	first := !state.suspectedAt(now, c.settings.SuspectFor)
+	state.inFlight = false
+	state.failedAt = now
+	state.introducedAt = time.Time{}
+	c.overlayDirty = true
+	if first && state.generation < c.generation {
+		return []Action{c.tell(now, state)}
 	}
 	return nil
 }
@@ -364,14 +376,19 @@
 	c.pullUntil = now.Add(c.settings.PullTimeout)
 }
 
+// pullPauseShare of PullTimeout passes before a peer is asked again whose pull
+// failed: most pulls fail by a lost packet, and a process that is behind should
+// not wait for another's word.
+const pullPauseShare = 4
+
 // newestPeer is the peer with the highest generation above our own; of
 // several, entries of the same data centre first. A peer whose pull failed
-// just now waits for an interval.
+// just now is passed over for a moment, so that another is asked first.
 func (c *Core) newestPeer(now time.Time) *peerState {
 	var best *peerState
 	for _, known := range []map[keys.Identity]*peerState{c.entries, c.agents} {
 		for _, state := range known {
-			if state.generation <= c.generation || now.Sub(state.pullFailedAt) < c.settings.Interval {
+			if state.generation <= c.generation || now.Sub(state.pullFailedAt) < c.settings.PullTimeout/pullPauseShare {
 				continue
 			}
 			if best == nil || c.preferred(state, best) {
