Tell an engine's refusal of what a request says from its other refusals

Cause: every refusal of an engine went back as "invalid", which entries take as final. During a rollout a request accepted for a version that was unloaded before it started would have failed at its caller. Weighed: reading the engine's state after each refusal alone (an invalid request would be asked everywhere) against a typed error of the dialects; both are used. Change: engine.ErrInvalid (400, 413, 422 in both dialects); other refusals end as "version" when the state says so, else as "queue full" with Retry-After. Failed first, with every refusal taken for invalid: TestVersionUnloadedWhileARequestWaitsIsRefusedAsSuch and TestEngineErrorsEndAsTheyProve/busy.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -98,10 +99,13 @@
 	tests := map[string]struct {
 		err     error
 		outcome jayv1.Outcome
+		refusal jayv1.Refusal
 	}{
-		"not reached": {engine.ErrNotReached, jayv1.Outcome_OUTCOME_NOT_RUN},
-		"refused":     {engine.ErrRefused, jayv1.Outcome_OUTCOME_NOT_RUN},
-		"broken":      {engine.ErrBroken, jayv1.Outcome_OUTCOME_UNKNOWN},
+		"not reached": {engine.ErrNotReached, jayv1.Outcome_OUTCOME_NOT_RUN, jayv1.Refusal_REFUSAL_ENGINE_DOWN},
+		"busy":        {engine.ErrRefused, jayv1.Outcome_OUTCOME_NOT_RUN, jayv1.Refusal_REFUSAL_QUEUE_FULL},
+		"invalid": {errors.Join(engine.ErrRefused, engine.ErrInvalid), jayv1.Outcome_OUTCOME_NOT_RUN,
+			jayv1.Refusal_REFUSAL_INVALID},
+		"broken": {engine.ErrBroken, jayv1.Outcome_OUTCOME_UNKNOWN, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -109,10 +113,25 @@
 			b.engine.set(func(f *fakeEngine) { f.submitErr = test.err })
 			got := readAnswer(t, b.accepted(modelOffer("r1"), "{}"))
 			assert.Equal(t, test.outcome, got.end.GetOutcome())
+			assert.Equal(t, test.refusal, got.end.GetRefusal())
 		})
 	}
 }
 
+// During a rollout callers would get "invalid request": the version is unloaded
+// between the acceptance of an offer and its start, and the engine refuses it.
+func TestVersionUnloadedWhileARequestWaitsIsRefusedAsSuch(t *testing.T) {
+	b := newBench(t, func(s *agent.Settings) { s.Engine.PollMS = 60_000 })
+	b.engine.set(func(f *fakeEngine) {
+		f.state.Versions = []string{"sha256:new"}
+		f.submitErr = engine.ErrRefused
+	})
+	got := readAnswer(t, b.accepted(modelOffer("r1"), "{}"))
+	assert.Equal(t, jayv1.Outcome_OUTCOME_NOT_RUN, got.end.GetOutcome())
+	assert.Equal(t, jayv1.Refusal_REFUSAL_VERSION, got.end.GetRefusal())
+	assert.Equal(t, []string{"sha256:new"}, got.end.GetState().GetVersionDigests())
+}
+
 func TestEngineDownIsRefusedWithRetryAfter(t *testing.T) {
 	b := newBench(t, nil)
 	b.engine.set(func(f *fakeEngine) { f.down = true })
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -68,13 +68,30 @@
 			RetryAfterMs: uint32(engineDownRetry.Milliseconds()),
 		})
 	case errors.Is(err, engine.ErrRefused):
-		a.end(w, eventNotReached, &jayv1.End{Refusal: jayv1.Refusal_REFUSAL_INVALID, Error: err.Error()})
+		a.end(w, eventNotReached, a.engineRefused(w, err))
 	default:
 		a.cancelEngine(w.id)
 		a.end(w, eventFail, &jayv1.End{Error: err.Error()})
 	}
 }
 
+// engineRefused says why the engine ran nothing of a request. A version may have
+// been unloaded since the offer was accepted, and an engine may be busy: others
+// can serve the request then, and the entry must not take it for invalid.
+func (a *Agent) engineRefused(w *work, err error) *jayv1.End {
+	end := &jayv1.End{Refusal: jayv1.Refusal_REFUSAL_INVALID, Error: err.Error()}
+	if errors.Is(err, engine.ErrInvalid) {
+		return end
+	}
+	a.model.read(a.ctx)
+	end.Refusal, _ = a.model.check(w.offer)
+	if end.Refusal == 0 {
+		end.Refusal = jayv1.Refusal_REFUSAL_QUEUE_FULL
+		end.RetryAfterMs = uint32(engineDownRetry.Milliseconds())
+	}
+	return end
+}
+
 // cancelEngine frees the request's slot in the engine, also when the attempt's
 // own context has ended.
 func (a *Agent) cancelEngine(id string) {
--- a/internal/engine/dialect/dialect.go
+++ b/internal/engine/dialect/dialect.go
@@ -152,6 +152,10 @@
 
 // Is implements errors.Is for the errors of package engine.
 func (e *statusError) Is(target error) bool {
+	if target == engine.ErrInvalid {
+		return e.status == http.StatusBadRequest || e.status == http.StatusRequestEntityTooLarge ||
+			e.status == http.StatusUnprocessableEntity
+	}
 	switch e.status {
 	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict, http.StatusGone,
 		http.StatusPreconditionFailed, http.StatusRequestEntityTooLarge, http.StatusRequestedRangeNotSatisfiable,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -16,6 +16,9 @@
 	ErrNotReached = errors.New("engine not reached")
 	// ErrRefused means: the engine saw the request and ran nothing of it.
 	ErrRefused = errors.New("engine refused the request")
+	// ErrInvalid means: the engine refused the request for what it says, so that
+	// every other engine would, too. It comes together with ErrRefused.
+	ErrInvalid = errors.New("engine refused the request as invalid")
 	// ErrBroken means: the stream ended before its end; part of it may have run.
 	ErrBroken = errors.New("engine stream broken")
 	// ErrStaleFence means: the engine refused an order with an old fencing number.
