--- /dev/null
+++ b/internal/agent/bench_test.go
@@ -0,0 +1,37 @@
+package agent_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/keys"
+)
+
+// BenchmarkHandOver is a whole attempt over QUIC on loopback: offer, reply,
+// body, chunks and end, with an engine that answers at once.
+func BenchmarkHandOver(b *testing.B) {
+	for _, chunks := range []int{1, 16, 64} {
+		b.Run(fmt.Sprintf("chunks=%d", chunks), func(b *testing.B) {
+			bench := newBench(b, nil)
+			list := make([]string, chunks)
+			bench.engine.set(func(f *fakeEngine) { f.script = words(list...) })
+			for i := range list {
+				list[i] = "a token of text"
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				s, err := bench.entry.Open(b.Context(), bench.agent.Address(), keys.RoleAgent)
+				require.NoError(b, err)
+				send(b, s, offerFrame(modelOffer(fmt.Sprint("r", i))))
+				require.True(b, receive(b, s).GetOfferReply().GetAccepted())
+				send(b, s, bodyFrame("{}", true))
+				got := readAnswer(b, s)
+				require.Equal(b, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
+			}
+		})
+	}
+}
--- a/internal/agent/engine_test.go
+++ b/internal/agent/engine_test.go
@@ -34,7 +34,7 @@
 }
 
 // chat is an offer with its body: a rulebook of some 8 KiB and a document.
-func chat(t *testing.T, id, workspace, document string) (*jayv1.Offer, string) {
+func chat(t testing.TB, id, workspace, document string) (*jayv1.Offer, string) {
 	t.Helper()
 	type message struct {
 		Role    string `json:"role"`
--- a/internal/agent/fake_test.go
+++ b/internal/agent/fake_test.go
@@ -162,14 +162,14 @@
 
 // bench is an agent with a fake engine or a service, and an entry's node.
 type bench struct {
-	t      *testing.T
+	t      testing.TB
 	agent  *agent.Agent
 	engine *fakeEngine
 	entry  *transport.Node
 	issue  func(role keys.Role, name string) string
 }
 
-func newBench(t *testing.T, change func(*agent.Settings)) *bench {
+func newBench(t testing.TB, change func(*agent.Settings)) *bench {
 	t.Helper()
 	authority, err := keys.NewAuthority(time.Hour)
 	require.NoError(t, err)
@@ -224,12 +224,12 @@
 	return receive(b.t, s).GetProbeReply().GetState()
 }
 
-func send(t *testing.T, s *transport.Stream, frame *jayv1.ClientFrame) {
+func send(t testing.TB, s *transport.Stream, frame *jayv1.ClientFrame) {
 	t.Helper()
 	require.NoError(t, s.Send(frame))
 }
 
-func receive(t *testing.T, s *transport.Stream) *jayv1.ServerFrame {
+func receive(t testing.TB, s *transport.Stream) *jayv1.ServerFrame {
 	t.Helper()
 	_ = s.SetReadDeadline(time.Now().Add(10 * time.Second))
 	frame := &jayv1.ServerFrame{}
@@ -293,7 +293,7 @@
 	end    *jayv1.End
 }
 
-func readAnswer(t *testing.T, s *transport.Stream) answer {
+func readAnswer(t testing.TB, s *transport.Stream) answer {
 	t.Helper()
 	var got answer
 	for got.end == nil {
