--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUF = $(GO) tool -modfile=tools/go.mod buf
 BIN ?= bin
 
-.PHONY: self-check help dev build test generate docs generated-check format-check lint slopes
+.PHONY: self-check help dev build test generate docs generated-check format-check lint slopes soak
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -21,6 +21,9 @@
 generate: ## regenerate api/gen from the schema files
 	$(BUF) generate
 
+soak: ## run the whole system for ten minutes under seeded random faults and check what must hold
+	$(GO) run -race ./test/soak -for 10m -seed 1
+
 slopes: ## measure the slopes of docs/CAPACITY.md (about six minutes) and compute the page
 	$(GO) run ./test/slopes -out docs/slopes.json
 	$(GO) run ./test/capacity
