Keep a stream's tail for callers that resume

Cause: an acknowledgement let the agent drop chunks once they were written to the caller's connection, and the end of a stream let it drop the rest; a caller whose connection broke then could not resume what it had never received. Weighed: no acknowledgements for streams (memory held to the buffer's bound for each), acknowledgements by the caller (no client sends them). Change: the last 4096 chunks of a stream stay unacknowledged (setting); an answer asked for with X-Jay-Resume: keep is broken off in place of closed, so that the agent keeps it for its retain time.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -65,10 +65,14 @@
 	state  string
 	stream *transport.Stream
 	chunks relay.Receiver
-	acked  uint64
-	reply  *jayv1.OfferReply
-	end    *jayv1.End
-	headed bool
+	// acked is what the agent was told it may let go of. unacked chunks behind
+	// the last one passed on stay with it: what was written to a caller's
+	// connection may never have reached the caller, who then resumes elsewhere.
+	acked   uint64
+	unacked uint64
+	reply   *jayv1.OfferReply
+	end     *jayv1.End
+	headed  bool
 	// status of a plain service's answer.
 	status uint32
 	// onReply is told of the answer to the offer before the body goes.
@@ -252,11 +256,17 @@
 	}
 }
 
-// release ends the stream's two sides once the attempt is over.
+// release ends the stream's two sides once the attempt is over. An answer
+// whose caller may come back is not closed but broken off, so that the agent
+// keeps it for a while: its tail may never have reached the caller.
 func (a *attempt) release() {
 	if a.stream == nil {
 		return
 	}
+	if a.detach {
+		a.stream.Abort()
+		return
+	}
 	_ = a.stream.CloseSend()
 	_ = a.stream.SetDeadline(time.Now().Add(cancelWait))
 	if err := a.stream.Receive(&jayv1.ServerFrame{}); !errors.Is(err, io.EOF) {
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -116,6 +116,9 @@
 	a.workspace, a.dial = h.work.workspace.GetName(), h.entry.node
 	a.limits, a.timeouts = h.entry.settings.Attempts, h.entry.settings.Timeouts
 	a.deadline, a.detach = h.work.deadline, h.work.keepOpen
+	if h.work.stream {
+		a.unacked = uint64(a.limits.ResumeChunks) //nolint:gosec // not negative by the setting's rule
+	}
 	a.onReply = func(reply *jayv1.OfferReply) { h.entry.picker.replied(time.Now(), h.work, a.server, reply) }
 	a.nonce = make([]byte, nonceBytes)
 	_, _ = rand.Read(a.nonce)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -90,9 +90,10 @@
 	}
 	a.stuck = 0
 	next := a.chunks.Next()
-	if next-a.acked < uint64(a.limits.AckChunks) { //nolint:gosec // a positive setting
+	if next < a.acked+uint64(a.limits.AckChunks)+a.unacked { //nolint:gosec // a positive setting
 		return nil
 	}
+	next -= a.unacked
 	a.acked = next
 	return a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: next}}})
 }
@@ -199,6 +200,5 @@
 		return false
 	}
 	a.stream = stream
-	a.acked = a.chunks.Next()
 	return true
 }
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -80,6 +80,7 @@
 	a.workspace, a.nonce = call.workspace.GetName(), token.GetNonce()
 	a.chunks = relay.ReceiverAt(next)
 	a.dial, a.limits, a.timeouts = e.node, e.settings.Attempts, e.settings.Timeouts
+	a.unacked = uint64(a.limits.ResumeChunks) //nolint:gosec // not negative by the setting's rule
 	a.detach = c.Request().Header.Get(HeaderResume) == resumeKeep
 	client := newCaller(c.Response(), token.GetRequestId(), ms(e.settings.Timeouts.CallerWriteMS))
 	to := &sseSink{caller: client, mint: e.resumeToken}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -75,6 +75,7 @@
 	ResumeWaitMS   int     `toml:"resume_wait_ms" validate:"gt=0" unit:"ms" doc:"Wait before the second try to resume; doubles with each."`
 	ResumeWindowMS int     `toml:"resume_window_ms" validate:"gt=0" unit:"ms" doc:"Time after a lost link in which a stream is resumed."`
 	AckChunks      int     `toml:"ack_chunks" validate:"gt=0" unit:"chunks" doc:"Chunks passed on between two acknowledgements to the agent."`
+	ResumeChunks   int     `toml:"resume_chunks" validate:"gte=0" unit:"chunks" doc:"Chunks of a stream that stay unacknowledged behind the last one passed on, for a caller that lost its connection and resumes."`
 }
 
 // LedgerSettings of the at-most-once claims.
@@ -100,7 +101,7 @@
 		},
 		Attempts: AttemptSettings{
 			Max: 8, MaxDeclines: 3, RetryShare: 0.1, RetryBurst: 20,
-			ResumeTries: 6, ResumeWaitMS: 50, ResumeWindowMS: 15000, AckChunks: 32,
+			ResumeTries: 6, ResumeWaitMS: 50, ResumeWindowMS: 15000, AckChunks: 32, ResumeChunks: 4096,
 		},
 		Spread: spread.DefaultSettings(), Control: control.DefaultSettings(),
 		Ledger: LedgerSettings{WindowMS: 3, InFlight: 4, SettleMS: 3000},
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -106,6 +107,25 @@
 	assert.Zero(t, s.agents[0].seen(func(f *fakeAgent) int { return f.cancels }))
 }
 
+// Story: an entry has passed a whole answer on to the caller's connection and
+// let the agent forget it, but the connection broke and the caller has seen
+// five words. What was written to a connection is not what was read from it.
+func TestACallerResumesAnAnswerThatWasPassedOnWhole(t *testing.T) {
+	const words = 200
+	s := newSite(t, "b1")
+	s.agents[0].set(func(f *fakeAgent) { f.answer = tokens(words) })
+	e := s.entry("e1")
+	response := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream, entry.HeaderResume, "keep")
+	token := response.Header.Get(entry.HeaderResumeToken)
+	all, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	seen := texts(string(all))[:5]
+	rest := call(t, "GET", e.CallersURL()+"/v1/streams/"+token, keyQuarry, "", "Last-Event-ID", "4")
+	require.Equal(t, http.StatusOK, rest.status, rest.body)
+	assert.Equal(t, texts(string(all)), append(seen, texts(rest.body)...))
+}
+
 // readEvents reads the texts of the first n events.
 func readEvents(t *testing.T, response *http.Response, n int) []string {
 	t.Helper()
