--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -82,7 +82,7 @@
 	if a.model == nil {
 		return
 	}
-	w.cachedBytes = a.model.cachedBytes(now, w.offer.GetChain())
+	w.cachedBytes, w.knownBytes = a.model.cache.look(now, w.offer.GetChain())
 	w.missedTokens = a.tokens(w.offer.GetPool(), int(w.offer.GetPromptBytes())-w.cachedBytes)
 }
 
@@ -114,18 +114,23 @@
 
 // applyLimits takes slots and queue length from the catalog in force.
 func (a *Agent) applyLimits(offer *jayv1.Offer) {
-	table := a.catalog.Current()
-	if pool, ok := table.Pool(offer.GetPool()); ok {
-		a.schedule.configure(int(pool.GetConcurrency()), int(pool.GetQueueLength()))
-		if rate := pool.GetPrefillTokensPerSecond(); rate > 0 {
-			a.schedule.setGuess(rate)
-		}
-	}
-	if service, ok := table.Service(offer.GetService()); ok {
+	a.applyPool(offer.GetPool())
+	if service, ok := a.catalog.Current().Service(offer.GetService()); ok {
 		a.schedule.configure(int(service.GetConcurrency()), int(service.GetQueueLength()))
 	}
 }
 
+func (a *Agent) applyPool(name string) {
+	pool, ok := a.catalog.Current().Pool(name)
+	if !ok {
+		return
+	}
+	a.schedule.configure(int(pool.GetConcurrency()), int(pool.GetQueueLength()))
+	if rate := pool.GetPrefillTokensPerSecond(); rate > 0 {
+		a.schedule.setGuess(rate)
+	}
+}
+
 // check refuses what may not run here, whatever the load.
 func (a *Agent) check(offer *jayv1.Offer) (jayv1.Refusal, string) {
 	switch {
@@ -189,13 +194,17 @@
 	return callPath == cleaned || callPath == cleaned+"/"
 }
 
-// takeBody adds a part of the body.
+// takeBody adds a part of the body. What all attempts hold together is bounded
+// here, since the body of a plain service's call has no size in its offer.
 func (a *Agent) takeBody(w *work, data *jayv1.Data, s *transport.Stream) error {
+	size := len(data.GetData())
 	w.mu.Lock()
 	receiving := w.state == stateReceiving
-	tooLong := len(w.body)+len(data.GetData()) > a.settings.Queue.BodyBytes
-	if receiving && !tooLong {
+	tooLong := len(w.body)+size > a.settings.Queue.BodyBytes
+	full := a.bodyBytes.Load()+int64(size) > int64(a.settings.Queue.Bytes)
+	if receiving && !tooLong && !full {
 		w.body = append(w.body, data.GetData()...)
+		a.bodyBytes.Add(int64(size))
 	}
 	w.mu.Unlock()
 	switch {
@@ -203,6 +212,11 @@
 		return nil // Refused while the rest of the body was on its way.
 	case tooLong:
 		a.end(w, eventCancel, &jayv1.End{Refusal: jayv1.Refusal_REFUSAL_INVALID, Error: "body too large"})
+	case full:
+		a.end(w, eventRefuse, &jayv1.End{
+			Refusal: jayv1.Refusal_REFUSAL_QUEUE_FULL, Error: "too many bodies wait, nothing ran",
+			RetryAfterMs: uint32(engineDownRetry.Milliseconds()),
+		})
 	case data.GetLast():
 		a.bodyComplete(w, s)
 	}
@@ -261,6 +275,7 @@
 	state := w.current()
 	end.Outcome = outcomeOf(state)
 	w.mu.Lock()
+	a.bodyBytes.Add(-int64(len(w.body)))
 	w.body = nil
 	handed := w.handed
 	w.mu.Unlock()
@@ -271,6 +286,7 @@
 	end.State = a.state()
 	a.observeEnd(w, end)
 	w.box.finish(end)
+	a.works.keep(w.id, w.box.bytes())
 	klog.V(1).InfoS("attempt ended", "request", w.offer.GetRequestId(), "attempt", w.offer.GetAttempt(),
 		"workspace", w.offer.GetWorkspace(), "backendServer", a.settings.Name, "outcome", state,
 		"refusal", end.GetRefusal().String(), "error", end.GetError())
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -20,6 +21,9 @@
 	defaultRetryFor = 10 * time.Second
 	retryPause      = 200 * time.Millisecond
 	callTimeout     = 15 * time.Second
+	// connectTimeout bounds dial and handshake each: the kernel of a frozen
+	// process still accepts connections, and the next entry should be tried soon.
+	connectTimeout = 3 * time.Second
 )
 
 type client = jayv1connect.OperatorServiceClient
@@ -37,8 +41,10 @@
 		return nil, usage(err)
 	}
 	httpClient := &http.Client{Transport: &http.Transport{
-		TLSClientConfig:   creds.ClientTLS([]string{"h2", "http/1.1"}, keys.RoleEntry),
-		ForceAttemptHTTP2: true,
+		TLSClientConfig:     creds.ClientTLS([]string{"h2", "http/1.1"}, keys.RoleEntry),
+		ForceAttemptHTTP2:   true,
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		TLSHandshakeTimeout: connectTimeout,
 	}}
 	all := make([]client, 0, len(a.entries))
 	for _, address := range a.entries {
--- a/internal/entry/operators_test.go
+++ b/internal/entry/operators_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -58,7 +60,7 @@
 	return dir
 }
 
-func (p *controlPlane) start(role keys.Role, name string, reachesPlatform bool) *controlNode {
+func (p *controlPlane) start(role keys.Role, name string, reachesPlatform bool, seeds ...string) *controlNode {
 	id := keys.Identity{Role: role, Name: name}
 	creds, err := transport.LoadCredentials(p.keysOf(id))
 	require.NoError(p.t, err)
@@ -73,7 +75,7 @@
 		})
 	require.NoError(p.t, err)
 	options := spread.Options{
-		Self: id, DataCentre: "zg-hall-a", Region: "hr-central", Address: n.node.Address(), Node: n.node, Holder: n.holder,
+		Self: id, DataCentre: "zg-hall-a", Region: "hr-central", Address: n.node.Address(), Node: n.node, Holder: n.holder, Seeds: seeds,
 	}
 	var store *catalogstore.Store
 	if role == keys.RoleEntry && reachesPlatform {
@@ -220,3 +222,75 @@
 	code, _, _ = p.jayctl(ana, []*controlNode{a}, "frobnicate")
 	assert.Equal(t, ctl.ExitUsage, code)
 }
+
+// The platform is down for long and an entry VM is replaced meanwhile. The new
+// entry knows one address; it must serve by the newest configuration that its
+// peers have, and refuse changes as unavailable or unknown, never as accepted.
+func TestEntryThatStartsInAnOutageAdoptsFromPeers(t *testing.T) {
+	p := newControlPlane(t)
+	a := p.start(keys.RoleEntry, "entry-1", true)
+	agent := p.start(keys.RoleAgent, "claim-models-1", false)
+	ana := p.keysOf(keys.Identity{Role: keys.RoleOperator, Name: "ana"})
+	code, _, errs := p.jayctl(ana, []*controlNode{a}, "apply", writeDeclarations(t, agent.node.Address(), "1"))
+	require.Equal(t, ctl.ExitOK, code, errs)
+	requireInForce(t, 1, a, agent)
+	p.platform.SetDown(true)
+	b := p.start(keys.RoleEntry, "entry-2", true, a.node.Address())
+	requireInForce(t, 1, b)
+	code, _, errs = p.jayctl(ana, []*controlNode{b, a}, "drain", "claim-models-1")
+	assert.Equal(t, ctl.ExitUnreachable, code, errs)
+	code, out, errs := p.jayctl(ana, []*controlNode{b}, "list", "pool")
+	assert.Equal(t, ctl.ExitOK, code, errs)
+	assert.Contains(t, out, "pool/claim-models")
+	p.platform.SetDown(false)
+	code, _, errs = p.jayctl(ana, []*controlNode{b, a}, "drain", "claim-models-1")
+	assert.Equal(t, ctl.ExitOK, code, errs)
+	requireInForce(t, 2, a, b, agent)
+}
+
+// An operator watches while others change things; the entry that serves the
+// watch goes away. No change may be missing or shown twice.
+func TestWatchGoesOnAtAnotherEntry(t *testing.T) {
+	p := newControlPlane(t)
+	a, b := p.start(keys.RoleEntry, "entry-1", true), p.start(keys.RoleEntry, "entry-2", true)
+	ana := p.keysOf(keys.Identity{Role: keys.RoleOperator, Name: "ana"})
+	dir := writeDeclarations(t, "127.0.0.1:9999", "1")
+	ctx, stop := context.WithCancel(t.Context())
+	watched := &lockedBuffer{}
+	done := make(chan int, 1)
+	go func() {
+		done <- ctl.Main(ctx, []string{"watch", "--entry", a.operators.URL(), "--entry", b.operators.URL(), "--keys", ana}, watched, watched)
+	}()
+	apply := func(args ...string) {
+		code, _, errs := p.jayctl(ana, []*controlNode{b}, args...)
+		require.Equal(t, ctl.ExitOK, code, errs)
+	}
+	apply("apply", dir)
+	require.Eventually(t, func() bool { return watched.count("generation 1 ") == 1 }, inForceWithin, 5*time.Millisecond)
+	require.NoError(t, a.operators.Shutdown(t.Context()))
+	apply("drain", "claim-models-1")
+	apply("drain", "claim-models-1", "--undo")
+	require.Eventually(t, func() bool { return watched.count("generation 3 ") == 1 }, inForceWithin, 5*time.Millisecond)
+	assert.Equal(t, 1, watched.count("generation 1 "))
+	assert.Equal(t, 1, watched.count("generation 2 "))
+	stop()
+	assert.Equal(t, ctl.ExitOK, <-done)
+}
+
+// lockedBuffer is written by the command and read by the test.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) count(s string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.text.String(), s)
+}
--- a/test/scenario/site_test.go
+++ b/test/scenario/site_test.go
@@ -61,8 +61,16 @@
 	}
 }
 
-// close ends every process; after a failure it shows the ends of their logs.
+// close ends every process; after a failure it shows the ends of their logs
+// and the entries' latest decisions.
 func (w *world) close() {
+	t, ok := w.env.T().(interface{ Failed() bool })
+	failed := ok && t.Failed()
+	for name, at := range w.addresses {
+		if failed && w.processes[name].alive() {
+			w.env.T().Log(name+" decided:", latestDecisions(at.admin, 2))
+		}
+	}
 	for _, l := range w.loads {
 		l.end()
 	}
@@ -77,7 +85,7 @@
 	for _, l := range w.links {
 		l.close()
 	}
-	if t, ok := w.env.T().(interface{ Failed() bool }); ok && t.Failed() {
+	if failed {
 		for _, name := range w.order {
 			w.env.T().Log(w.processes[name].tail())
 		}
