Decode a request body once

Cause: in a profile of jay-load experiment overhead (200 calls/s) the largest item of the entry was JSON: the body was decoded for its fields, again for its messages, and each content twice more. Weighed: gjson is faster but takes the first of doubled members where engines take the last, so the entry could judge another request than the engine gets. Change: prefix.Body, embedded by the entry's request; contents decode straight into strings. Rendering is otherwise the same (test of every shape).

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -20,17 +20,17 @@
 // modelRequest is what the entry reads of a caller's body; the body itself
 // goes on unchanged.
 type modelRequest struct {
-	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
-	MaxTokens           int64           `json:"max_tokens"`
-	MaxCompletionTokens int64           `json:"max_completion_tokens"`
-	Messages            json.RawMessage `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
+	prefix.Body
+
+	Model               string `json:"model"`
+	Stream              bool   `json:"stream"`
+	MaxTokens           int64  `json:"max_tokens"`
+	MaxCompletionTokens int64  `json:"max_completion_tokens"`
 
 	// Adapter is cut off the model name.
 	Adapter string `json:"-"`
-	// Parts of the canonical prompt.
-	Parts []string `json:"-"`
+	// canonical prompt, in parts.
+	canonical []string
 }
 
 // decodeModelRequest reads a body of the model API.
@@ -45,17 +45,17 @@
 	if path == pathChat && len(req.Messages) == 0 {
 		return nil, invalid("messages is missing")
 	}
-	if path == pathCompletions && len(req.Prompt) == 0 {
+	if path == pathCompletions && req.Prompt == nil {
 		return nil, invalid("prompt is missing")
 	}
 	if req.MaxTokens < 0 || req.MaxCompletionTokens < 0 {
 		return nil, invalid("max_tokens is below zero")
 	}
-	parts, err := prefix.Render(body)
+	parts, err := req.Parts()
 	if err != nil {
 		return nil, invalid(err.Error())
 	}
-	req.Parts = parts
+	req.canonical = parts
 	req.Model, req.Adapter, _ = strings.Cut(req.Model, adapterSeparator)
 	return req, nil
 }
@@ -68,7 +68,7 @@
 
 func (r *modelRequest) promptBytes() int {
 	total := 0
-	for _, part := range r.Parts {
+	for _, part := range r.canonical {
 		total += len(part)
 	}
 	return total
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -19,7 +19,7 @@
 			assert.Equal(t, "not_run", OutcomeName(refusal.Outcome))
 			return
 		}
-		assert.LessOrEqual(t, req.promptBytes(), 8*len(body)+64*len(req.Parts))
+		assert.LessOrEqual(t, req.promptBytes(), 8*len(body)+64*len(req.canonical))
 		_ = req.maxOutput()
 	})
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -76,7 +76,7 @@
 		return nil, refusal
 	}
 	seed := prefix.Seed{Workspace: w.workspace.GetName(), Model: w.model, VersionDigest: w.version, Adapter: adapter}
-	chain := prefix.Chain(seed, req.Parts)
+	chain := prefix.Chain(seed, req.canonical)
 	w.route = &routing.Request{
 		ID: w.id, Workspace: w.workspace.GetName(), Pool: pool.GetName(), VersionDigest: w.version, Adapter: adapter,
 		Class: w.class, Chain: chain.Points, Levels: chain.Levels, PromptBytes: chain.Bytes, DataCentres: rule.GetDataCentres(),
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -109,35 +109,39 @@
 	b.prefix.Levels = append(b.prefix.Levels, last)
 }
 
-type chatBody struct {
-	Prompt   json.RawMessage `json:"prompt"`
-	Messages []chatMessage   `json:"messages"`
+// Body is the part of a request body of /v1/chat/completions or
+// /v1/completions that the prompt is made of. Callers embed it, so that a long
+// body is decoded once.
+type Body struct {
+	Prompt   any       `json:"prompt"`
+	Messages []Message `json:"messages"`
 }
 
-type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
+// Message is one message of a chat. Content is a string, a list of strings or
+// a list of typed parts.
+type Message struct {
+	Role    string `json:"role"`
+	Content any    `json:"content"`
 }
 
-type contentPart struct {
-	Type string `json:"type"`
-	Text string `json:"text"`
-}
-
-// Render returns the canonical parts of a request body of /v1/chat/completions
-// or /v1/completions: what the engines' chat template makes of it, as far as
-// prefixes are concerned.
+// Render returns the canonical parts of a request body: what the engines' chat
+// template makes of it, as far as prefixes are concerned.
 func Render(body []byte) ([]string, error) {
-	var parsed chatBody
+	var parsed Body
 	if err := json.Unmarshal(body, &parsed); err != nil {
 		return nil, eris.Wrap(err, "request body")
 	}
-	if len(parsed.Messages) == 0 {
-		text, err := renderContent(parsed.Prompt)
+	return parsed.Parts()
+}
+
+// Parts is Render for a body that is decoded already.
+func (b *Body) Parts() ([]string, error) {
+	if len(b.Messages) == 0 {
+		text, err := renderContent(b.Prompt)
 		return []string{text}, err
 	}
-	parts := make([]string, 0, len(parsed.Messages))
-	for _, message := range parsed.Messages {
+	parts := make([]string, 0, len(b.Messages))
+	for _, message := range b.Messages {
 		text, err := renderContent(message.Content)
 		if err != nil {
 			return nil, err
@@ -147,29 +151,49 @@
 	return parts, nil
 }
 
-// renderContent takes a string, a list of strings or a list of typed parts.
-func renderContent(raw json.RawMessage) (string, error) {
-	if len(raw) == 0 || string(raw) == "null" {
+var errContent = eris.New("content is neither a string nor a list of parts")
+
+func renderContent(content any) (string, error) {
+	switch c := content.(type) {
+	case nil:
 		return "", nil
+	case string:
+		return c, nil
+	case []any:
+		return renderList(c)
 	}
-	var text string
-	if json.Unmarshal(raw, &text) == nil {
-		return text, nil
-	}
-	var texts []string
-	if json.Unmarshal(raw, &texts) == nil {
-		return strings.Join(texts, "\n"), nil
+	return "", errContent
+}
+
+// renderList joins a list of strings by lines, or the texts of typed parts.
+func renderList(list []any) (string, error) {
+	texts := make([]string, len(list))
+	separator := "\n"
+	for i, item := range list {
+		switch v := item.(type) {
+		case nil:
+		case string:
+			texts[i] = v
+		case map[string]any:
+			text, err := partText(v)
+			if err != nil {
+				return "", err
+			}
+			texts[i], separator = text, ""
+		default:
+			return "", errContent
+		}
 	}
-	var parts []contentPart
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return "", eris.New("content is neither a string nor a list of parts")
+	return strings.Join(texts, separator), nil
+}
+
+func partText(part map[string]any) (string, error) {
+	if kind, _ := part["type"].(string); kind != "text" {
+		return "", eris.Errorf("content part of type %q is not supported", kind)
 	}
-	var b strings.Builder
-	for _, part := range parts {
-		if part.Type != "text" {
-			return "", eris.Errorf("content part of type %q is not supported", part.Type)
-		}
-		b.WriteString(part.Text)
+	text, ok := part["text"].(string)
+	if !ok && part["text"] != nil {
+		return "", errContent
 	}
-	return b.String(), nil
+	return text, nil
 }
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -59,3 +59,43 @@
 		}
 	})
 }
+
+func TestRenderTakesEveryShapeOfContent(t *testing.T) {
+	tests := map[string]struct {
+		body string
+		want []string
+	}{
+		"string":        {`{"messages":[{"role":"user","content":"a\nb"}]}`, []string{"<|user|>a\nb\n"}},
+		"no content":    {`{"messages":[{"role":"assistant","content":null}]}`, []string{"<|assistant|>\n"}},
+		"parts":         {`{"messages":[{"role":"user","content":[{"type":"text","text":"a"},{"type":"text","text":"b"}]}]}`, []string{"<|user|>ab\n"}},
+		"strings":       {`{"prompt":["a","b"]}`, []string{"a\nb"}},
+		"prompt":        {`{"prompt":"a"}`, []string{"a"}},
+		"number":        {`{"prompt":5}`, nil},
+		"tokens":        {`{"prompt":[1,2]}`, nil},
+		"image":         {`{"messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil},
+		"text a number": {`{"messages":[{"role":"user","content":[{"type":"text","text":1}]}]}`, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := prefix.Render([]byte(tt.body))
+			if tt.want == nil {
+				require.Error(t, err)
+				return
+			}
+			require.NoError(t, err)
+			assert.Equal(t, tt.want, got)
+		})
+	}
+}
+
+// BenchmarkRender64KiB is the price of a long prompt's decoding.
+func BenchmarkRender64KiB(b *testing.B) {
+	text := strings.Repeat("A hire contract's line, with a break.\\n", 64<<10/39)
+	body := []byte(`{"model":"m","messages":[{"role":"system","content":"` + text + `"},{"role":"user","content":"which?"}]}`)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		if _, err := prefix.Render(body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
