--- a/internal/ctl/inspect.go
+++ b/internal/ctl/inspect.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -118,16 +119,47 @@
 }
 
 func (a *app) status() *cobra.Command {
-	return &cobra.Command{
+	var wait time.Duration
+	cmd := &cobra.Command{
 		Use: "status", Short: "Show the generation in force per process", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			response, err := a.askStatus(cmd.Context())
+			response, err := a.awaitStatus(cmd.Context(), wait)
 			if err != nil {
 				return err
 			}
-			return a.print(response, func(w io.Writer) { printStatus(w, response) })
+			if err := a.print(response, func(w io.Writer) { printStatus(w, response) }); err != nil {
+				return usage(err)
+			}
+			if wait > 0 && !allInForce(response) {
+				return &exitError{code: ExitFindings}
+			}
+			return nil
 		},
 	}
+	cmd.Flags().DurationVar(&wait, "wait", 0, "wait until every process answers and has the head generation in force; exit code 1 when it runs out")
+	return cmd
+}
+
+// awaitStatus asks until all processes have the head generation, or the time
+// has run out.
+func (a *app) awaitStatus(ctx context.Context, wait time.Duration) (*jayv1.StatusResponse, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		response, err := a.askStatus(ctx)
+		if err != nil || allInForce(response) || !time.Now().Before(deadline) {
+			return response, err
+		}
+		select {
+		case <-ctx.Done():
+			return response, nil
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func allInForce(response *jayv1.StatusResponse) bool {
+	behind := func(p *jayv1.ProcessStatus) bool { return p.GetGeneration() < response.GetHeadGeneration() }
+	return len(response.GetUnreachable()) == 0 && !slices.ContainsFunc(response.GetProcesses(), behind)
 }
 
 func printStatus(out io.Writer, response *jayv1.StatusResponse) {
