--- a/internal/catalog/check.go
+++ b/internal/catalog/check.go
@@ -26,9 +26,11 @@
 // checker looks at a whole set of resources. Findings carry the path
 // kind/name.key; who read the set from files adds the place.
 type checker struct {
-	found     findings.List
-	byName    map[string]*jayv1.Resource
-	models    map[string]string
+	found  findings.List
+	byName map[string]*jayv1.Resource
+	models map[string]string
+	// poolOf holds the pools by the model that they serve.
+	poolOf    map[string]string
 	keyIDs    map[string]string
 	addresses map[string]string
 	regions   map[string]string
@@ -44,7 +46,7 @@
 // refuses a set with findings, so every accepted generation is sound.
 func Check(resources []*jayv1.Resource) findings.List {
 	c := &checker{
-		byName: map[string]*jayv1.Resource{}, models: map[string]string{}, keyIDs: map[string]string{},
+		byName: map[string]*jayv1.Resource{}, models: map[string]string{}, poolOf: map[string]string{}, keyIDs: map[string]string{},
 		addresses: map[string]string{}, regions: map[string]string{}, serversOf: map[string]int{},
 		centresOf: map[string]map[string]bool{},
 	}
@@ -70,6 +72,9 @@
 		c.found.Add(name, "declared twice")
 	}
 	c.byName[name] = resource
+	if pool := resource.GetPool(); pool != nil {
+		c.poolOf[pool.GetModel()] = name
+	}
 	server := resource.GetBackendServer()
 	if server == nil {
 		return
--- a/internal/catalog/check_rules.go
+++ b/internal/catalog/check_rules.go
@@ -29,13 +29,8 @@
 func (c *checker) poolsOfModels(path string, r *jayv1.Rule) []string {
 	var pools []string
 	for _, model := range r.GetModels() {
-		pool := ""
-		for name, resource := range c.byName {
-			if resource.GetPool() != nil && resource.GetPool().GetModel() == model {
-				pool = name
-			}
-		}
-		if pool == "" {
+		pool, served := c.poolOf[model]
+		if !served {
 			c.found.Add(path+".models", "model %q is served by no pool", model)
 			continue
 		}
--- a/internal/catalogstore/store.go
+++ b/internal/catalogstore/store.go
@@ -118,21 +118,28 @@
 
 // After returns what brings a reader of the generation to the head: the
 // changes in order, or a snapshot and the changes after it when older ones
-// were trimmed. An empty delta means that the reader has the head.
+// were trimmed or are many. An empty delta means that the reader has the head.
 func (s *Store) After(ctx context.Context, generation uint64) (*jayv1.CatalogDelta, error) {
-	changes, err := s.changes(ctx, generation)
+	changes, err := s.page(ctx, generation)
 	if err != nil {
 		return nil, err
 	}
-	if len(changes) == 0 || changes[0].GetGeneration() == generation+1 {
+	trimmed := len(changes) > 0 && changes[0].GetGeneration() != generation+1
+	if !trimmed && len(changes) < rangeLimit {
 		return &jayv1.CatalogDelta{Changes: changes}, nil
 	}
+	// A day's changes are thousands of rows. Were each process of a herd that
+	// restarts to read them all, the table's reads would not do for minutes.
 	snapshot, err := s.newestSnapshot(ctx)
-	if err != nil {
+	switch {
+	case err == nil && snapshot.GetGeneration() > generation:
+		changes, err = s.changes(ctx, snapshot.GetGeneration())
+		return &jayv1.CatalogDelta{Snapshot: snapshot, Changes: changes}, err
+	case trimmed:
 		return nil, err
 	}
-	changes, err = s.changes(ctx, snapshot.GetGeneration())
-	return &jayv1.CatalogDelta{Snapshot: snapshot, Changes: changes}, err
+	changes, err = s.changes(ctx, generation)
+	return &jayv1.CatalogDelta{Changes: changes}, err
 }
 
 // Load returns the newest accepted table.
@@ -173,24 +180,35 @@
 // changes reads all change rows above a generation, in order. The rows run on
 // without a hole; only the oldest may have been trimmed.
 func (s *Store) changes(ctx context.Context, after uint64) ([]*jayv1.Change, error) {
-	var changes []*jayv1.Change
+	var all []*jayv1.Change
 	for {
-		rows, err := s.table.Range(ctx, DeltaPrefix, deltaKey(after), rangeLimit)
+		page, err := s.page(ctx, after)
 		if err != nil {
-			return nil, eris.Wrapf(err, "read changes after generation %d", after)
+			return nil, err
 		}
-		for _, row := range rows {
-			change, err := decodeChange(row)
-			if err != nil {
-				return nil, err
-			}
-			changes = append(changes, change)
-			after = change.GetGeneration()
+		all = append(all, page...)
+		if len(page) < rangeLimit {
+			return all, nil
 		}
-		if len(rows) < rangeLimit {
-			return changes, nil
+		after = page[len(page)-1].GetGeneration()
+	}
+}
+
+// page is one read of change rows.
+func (s *Store) page(ctx context.Context, after uint64) ([]*jayv1.Change, error) {
+	rows, err := s.table.Range(ctx, DeltaPrefix, deltaKey(after), rangeLimit)
+	if err != nil {
+		return nil, eris.Wrapf(err, "read changes after generation %d", after)
+	}
+	changes := make([]*jayv1.Change, 0, len(rows))
+	for _, row := range rows {
+		change, err := decodeChange(row)
+		if err != nil {
+			return nil, err
 		}
+		changes = append(changes, change)
 	}
+	return changes, nil
 }
 
 func (s *Store) newestSnapshot(ctx context.Context) (*jayv1.Snapshot, error) {
--- a/internal/catalogstore/store_test.go
+++ b/internal/catalogstore/store_test.go
@@ -189,6 +189,24 @@
 	assert.Equal(t, uint64(8), snapshot.Generation())
 }
 
+// All entries restart at once after a day of changes, and none serves for
+// minutes: each reads the whole day row by row, and the table's reads run out.
+func TestStartAfterManyChangesTakesFewReads(t *testing.T) {
+	p := platformtest.New()
+	store := catalogstore.New(p, p, catalogstore.Options{})
+	for i := range uint32(1300) {
+		accepted, err := store.Accept(t.Context(), put(fmt.Sprint(i), "s", i+1))
+		require.NoError(t, err)
+		require.NoError(t, store.Compact(t.Context(), accepted.Table))
+	}
+	before, _ := p.Counts()
+	table, err := catalogstore.New(p, p, catalogstore.Options{}).Load(t.Context())
+	require.NoError(t, err)
+	after, _ := p.Counts()
+	assert.Equal(t, uint64(1300), table.Generation())
+	assert.LessOrEqual(t, after-before, 2)
+}
+
 func equalTables(a, b *catalog.Table) bool {
 	return a.Generation() == b.Generation() &&
 		catalog.Diff(a, b.Snapshot().GetResources(), true).Empty()
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,6 +34,7 @@
 	listener net.Listener
 	server   *http.Server
 	closing  chan struct{}
+	once     sync.Once
 }
 
 // newOperatorServer listens and starts to serve.
@@ -61,7 +63,7 @@
 
 // Shutdown ends watches and waits for running calls.
 func (s *operatorServer) Shutdown(ctx context.Context) error {
-	close(s.closing)
+	s.once.Do(func() { close(s.closing) })
 	return eris.Wrap(s.server.Shutdown(ctx), "shut the operators' listener down")
 }
 
