Give the light processes' VMs the region that the processes name

Cause: entries of the control measurement shook hands with a new entry every few seconds: the stand-in's list of VMs left the region out, so the ring of entries changed with each introduction. A fault of the measurement, not of the overlay.

--- a/test/slopes/control.go
+++ b/test/slopes/control.go
@@ -140,7 +140,7 @@
 			return f, err
 		}
 		f.entries = append(f.entries, m)
-		vms = append(vms, platform.VM{Name: name, Address: m.node.Address(), DataCentre: "dc-00", Role: "entry", State: platform.VMLive, Incarnation: 1})
+		vms = append(vms, platform.VM{Name: name, Address: m.node.Address(), DataCentre: "dc-00", Region: "region-0", Role: "entry", State: platform.VMLive, Incarnation: 1})
 	}
 	f.platform.SetVMs(vms)
 	return f, f.startSpread()
