Delete claims that are older than they must be kept

Cause: docs/PROMISES.md listed it: one row a claim for ever, and the table's ranges grow with all calls there ever were. Weighed: a lease for the work (one more renewal, and nothing that needs it: deletes are bound to the version read) against the first entry in rendezvous order, which may be two for a moment; the latter. Change: ledger.Trimmer, a page of 500 claims every 2 s by one entry; settings ledger.keep_days (30) and trim_ms.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -78,3 +78,33 @@
 		}()
 	}
 }
+
+// trimKey ranks the entries for the trimming of claims.
+const trimKey = "claims/trim"
+
+// trimClaims deletes old claims while this entry is the first of all for it.
+// There is no lease: two that think so at once only do the work twice.
+func (e *Entry) trimClaims(ctx context.Context) {
+	const day = 24 * time.Hour
+	trimmer := ledger.NewTrimmer(e.platform, time.Duration(e.settings.Ledger.KeepDays)*day)
+	ticker := time.NewTicker(ms(e.settings.Ledger.TrimMS))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		first := e.spread.Candidates(trimKey, 1)
+		if len(first) == 0 || first[0] != e.settings.Name {
+			continue
+		}
+		deleted, err := trimmer.Step(ctx, time.Now())
+		if err != nil {
+			klog.V(1).InfoS("claims not trimmed", "err", err)
+		}
+		if deleted > 0 {
+			klog.InfoS("old claims deleted", "count", deleted)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,6 +124,7 @@
 
 func (e *Entry) background() {
 	e.goWith(e.watchMembers)
+	e.goWith(e.trimClaims)
 	e.goWith(func(ctx context.Context) { e.creds.Watch(ctx, ms(e.settings.Timeouts.KeysReloadMS)) })
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -83,6 +83,8 @@
 	WindowMS int `toml:"window_ms" validate:"gt=0" unit:"ms" doc:"Wait for further claims before a transaction is sent."`
 	InFlight int `toml:"in_flight" validate:"gt=0" unit:"transactions" doc:"Transactions under way at once."`
 	SettleMS int `toml:"settle_ms" validate:"gt=0" unit:"ms" doc:"Time to take a claim, including the settling of lost answers; then the call is refused as not run."`
+	KeepDays int `toml:"keep_days" validate:"gte=1" unit:"days" doc:"How long a claim stands. A key that is repeated later runs again."`
+	TrimMS   int `toml:"trim_ms" validate:"gte=100" unit:"ms" doc:"Time between two pages of 500 claims that are looked over for old ones, by one entry of all."`
 }
 
 // Default returns the settings that a file starts from.
@@ -104,7 +106,7 @@
 			ResumeTries: 6, ResumeWaitMS: 50, ResumeWindowMS: 15000, AckChunks: 32, ResumeChunks: 4096,
 		},
 		Spread: spread.DefaultSettings(), Control: control.DefaultSettings(),
-		Ledger: LedgerSettings{WindowMS: 3, InFlight: 4, SettleMS: 3000},
+		Ledger: LedgerSettings{WindowMS: 3, InFlight: 4, SettleMS: 3000, KeepDays: 30, TrimMS: 2000},
 	}
 }
 
