--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os/exec"
 	"path"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -206,162 +204,6 @@
 	return nil
 }
 
-func (w *world) callers(entry string) (string, error) {
-	at, ok := w.addresses[entry]
-	if !ok {
-		return "", fmt.Errorf("no entry %s", entry)
-	}
-	return "http://" + at.callers, nil
-}
-
-func (w *world) cmdCall(args []string) error {
-	if err := need(args, 4); err != nil {
-		return err
-	}
-	base, err := w.callers(args[1])
-	if err != nil {
-		return err
-	}
-	r, err := callRequest(args[2], args[3], args[4:])
-	if err != nil {
-		return err
-	}
-	w.answers[args[0]] = send(newClient(), base, w.callerKey, r)
-	return nil
-}
-
-func callRequest(method, target string, options []string) (request, error) {
-	tokens, stream := 20, true
-	r := request{method: method, path: target, header: http.Header{}}
-	for _, option := range options {
-		name, value, _ := strings.Cut(option, "=")
-		switch name {
-		case "tokens":
-			n, err := strconv.Atoi(value)
-			if err != nil {
-				return r, err
-			}
-			tokens = n
-		case "plain":
-			stream = false
-		case "key":
-			r.header.Set(headerKey, value)
-		case "body":
-			r.body = value
-		default:
-			return r, fmt.Errorf("unknown option %s", option)
-		}
-	}
-	if method == "chat" {
-		return chatRequest(target, tokens, stream)
-	}
-	r.path = "/services/" + siteService + target
-	return r, nil
-}
-
-func (w *world) answer(args []string, n int) (*answer, error) {
-	if err := need(args, n); err != nil {
-		return nil, err
-	}
-	a, ok := w.answers[args[0]]
-	if !ok {
-		return nil, final{fmt.Errorf("no call %s", args[0])}
-	}
-	return a, nil
-}
-
-// cmdResume asks an entry for the rest of a stream after its last event. What
-// came before counts as part of the answer.
-func (w *world) cmdResume(args []string) error {
-	if err := need(args, 3); err != nil {
-		return err
-	}
-	before, err := w.answer(args[2:], 1)
-	if err != nil {
-		return err
-	}
-	base, err := w.callers(args[1])
-	if err != nil {
-		return err
-	}
-	before.mu.Lock()
-	defer before.mu.Unlock()
-	r := request{method: http.MethodGet, path: "/v1/streams/" + before.header.Get(headerToken), header: http.Header{}}
-	if before.events > 0 {
-		r.header.Set("Last-Event-ID", strconv.Itoa(before.events-1))
-	}
-	r.want = strings.TrimPrefix(before.request.want, before.text.String())
-	w.answers[args[0]] = send(newClient(), base, w.callerKey, r)
-	return nil
-}
-
-func (w *world) cmdProgress(args []string) error {
-	a, err := w.answer(args, 2)
-	if err != nil {
-		return err
-	}
-	n, err := strconv.Atoi(args[1])
-	if err != nil {
-		return err
-	}
-	return poll(func() error {
-		if a.progress() >= n {
-			return nil
-		}
-		select {
-		case <-a.ended:
-			return final{fmt.Errorf("ended before: %s", a.describe())}
-		default:
-			return fmt.Errorf("%d events of %d", a.progress(), n)
-		}
-	})
-}
-
-func (w *world) cmdExpect(args []string) error {
-	a, err := w.answer(args, 2)
-	if err != nil {
-		return err
-	}
-	if err := a.wait(); err != nil {
-		return err
-	}
-	word, err := a.outcome()
-	if err != nil {
-		return err
-	}
-	if !slices.Contains(strings.Split(args[1], "|"), word) {
-		return fmt.Errorf("got %s: %s", word, a.describe())
-	}
-	if len(args) > 2 && (a.failure == nil || a.failure.Code != args[2]) {
-		return fmt.Errorf("got %s", a.describe())
-	}
-	return nil
-}
-
-// cmdRetry is for what comes back after a while: refusals are proper answers
-// until it does, everything else is not.
-func (w *world) cmdRetry(args []string) error {
-	return poll(func() error {
-		if err := w.cmdCall(args); err != nil {
-			return final{err}
-		}
-		a := w.answers[args[0]]
-		if err := a.wait(); err != nil {
-			return final{err}
-		}
-		word, err := a.outcome()
-		switch {
-		case err != nil:
-			return final{err}
-		case word == "whole" || word == "done":
-			return nil
-		case word == "not_run":
-			return errors.New(a.describe())
-		}
-		return final{fmt.Errorf("got %s: %s", word, a.describe())}
-	})
-}
-
 func (w *world) cmdRuns(args []string) error {
 	if err := need(args, 3); err != nil {
 		return err
