Close the agent's register of attempts before a stop waits

Cause: a request that had passed its checks when the stop began could come in after the stop had found nothing to wait for, and be cut. Change: registry.close; add tells duplicate from leaving. Failed first: TestNothingComesInOnceTheStopWaits without the closed flag.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -176,6 +176,7 @@
 	a.Leave()
 	ctx, cancel := context.WithTimeout(ctx, millis(a.settings.DrainMS))
 	defer cancel()
+	a.works.close()
 	err := a.works.waitEmpty(ctx)
 	a.Close()
 	return eris.Wrap(err, "drain")
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,6 +165,52 @@
 	require.NoError(t, <-stopped)
 }
 
+// A rolling replacement would cut a request that was accepted while the stop
+// began.
+func TestShutdownCutsNoAcceptedRequest(t *testing.T) {
+	const rounds, callers = 15, 16
+	for range rounds {
+		b := newBench(t, func(s *agent.Settings) { s.Queue.Slots = callers })
+		var group sync.WaitGroup
+		var begun atomic.Int32
+		for caller := range callers {
+			group.Go(func() {
+				for i := 0; ; i++ {
+					ok := b.tryWhole(modelOffer(fmt.Sprint("r", caller, "-", i)))
+					begun.Add(1)
+					if !ok {
+						return
+					}
+				}
+			})
+		}
+		require.Eventually(t, func() bool { return begun.Load() > callers }, 5*time.Second, time.Millisecond)
+		require.NoError(t, b.agent.Shutdown(t.Context()))
+		group.Wait()
+	}
+}
+
+// tryWhole hands a request over; false when it was refused or no link was made.
+// An accepted one must end whole.
+func (b *bench) tryWhole(offer *jayv1.Offer) bool {
+	s, err := b.entry.Open(b.t.Context(), b.agent.Address(), keys.RoleAgent)
+	if err != nil || s.Send(offerFrame(offer)) != nil {
+		return false
+	}
+	defer func() { _ = s.CloseSend() }()
+	frame := &jayv1.ServerFrame{}
+	if s.Receive(frame) != nil || !frame.GetOfferReply().GetAccepted() {
+		return false
+	}
+	err = s.Send(bodyFrame("{}", true))
+	for err == nil && frame.GetEnd() == nil {
+		frame = &jayv1.ServerFrame{}
+		err = s.Receive(frame)
+	}
+	assert.NoError(b.t, err, "cut after it was accepted")
+	return assert.Equal(b.t, jayv1.Outcome_OUTCOME_DONE, frame.GetEnd().GetOutcome())
+}
+
 func TestDrainByAnOperatorRefusesNewWork(t *testing.T) {
 	holder := catalog.NewHolder()
 	b := newBench(t, func(s *agent.Settings) { s.Catalog = holder })
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -57,8 +57,8 @@
 		}
 		return reply
 	}
-	if !a.works.add(w) {
-		return &jayv1.OfferReply{Refusal: jayv1.Refusal_REFUSAL_DUPLICATE, Message: "this attempt was offered before"}
+	if refusal := a.works.add(w); refusal != 0 {
+		return &jayv1.OfferReply{Refusal: refusal, Message: "this attempt was offered before, or the agent stops"}
 	}
 	a.measure(now, w)
 	a.applyLimits(w.offer)
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 )
 
 // rememberedAttempts bounds the ids of attempts that are over, kept to refuse
@@ -18,6 +20,7 @@
 	maxKept int
 
 	mu      sync.Mutex
+	closed  bool
 	works   map[string]*work
 	past    *simplelru.LRU[string, struct{}]
 	changed chan struct{}
@@ -37,20 +40,33 @@
 	}
 }
 
-// add registers an attempt; false when the id was accepted before.
+// close takes no attempt in from now on. A stop calls it before it waits for
+// those that are there: one that passed its checks just before, and came in
+// after the wait had found nothing, would be cut off by the stop.
+func (r *registry) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+}
+
+// add registers an attempt; a refusal when the id was accepted before or the
+// registry is closed.
 //
 // An offer that comes twice, say because an entry gave its link up and sent
 // it again, would run the request twice. The id is taken before anything is
 // queued, so only one of two that come at once gets in.
-func (r *registry) add(w *work) bool {
+func (r *registry) add(w *work) jayv1.Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.past.Contains(w.id) {
-		return false
+		return jayv1.Refusal_REFUSAL_DUPLICATE
+	}
+	if r.closed {
+		return jayv1.Refusal_REFUSAL_LEAVING
 	}
 	r.past.Add(w.id, struct{}{})
 	r.works[w.id] = w
-	return true
+	return 0
 }
 
 // withdraw takes back an attempt that was not accepted after all, so that the
--- /dev/null
+++ b/internal/agent/registry_test.go
@@ -0,0 +1,22 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+)
+
+// A rolling replacement would cut a request: it passes its checks, the stop
+// begins, finds nothing to wait for and ends, and then the request comes in.
+func TestNothingComesInOnceTheStopWaits(t *testing.T) {
+	r := newRegistry(1 << 20)
+	late := newWork(t.Context(), &jayv1.Offer{RequestId: "late", Attempt: 1}, 1024, time.Now())
+	r.close()
+	require.NoError(t, r.waitEmpty(t.Context()))
+	assert.Equal(t, jayv1.Refusal_REFUSAL_LEAVING, r.add(late))
+	assert.Nil(t, r.get(late.id))
+}
