--- a/internal/spread/service.go
+++ b/internal/spread/service.go
@@ -191,45 +191,62 @@
 	return agents
 }
 
-// load takes the highest generation of table, object store and peers. Peers
+// load takes the highest generation of table, peers and object store. Peers
 // answer through the ticks that run meanwhile.
 func (s *Service) load() {
 	defer s.wg.Done()
 	defer s.once.Do(func() { close(s.loaded) })
 	ctx, cancel := context.WithTimeout(s.ctx, s.options.Settings.StartWait)
 	defer cancel()
-	if s.options.Store != nil && s.loadFromPlatform(ctx) {
+	if s.options.Store != nil && s.loadFromTable(ctx) {
 		return
 	}
-	// The table is silent, or this is an agent: an answer of any peer may be
-	// newer than the snapshot. Without waiting for it, a process that restarts
-	// in an outage would serve a configuration that was already replaced.
-	for s.options.Holder.Current().Generation() == 0 || s.options.Store != nil {
+	if s.awaitPeer(ctx) || s.options.Store == nil {
+		return
+	}
+	s.loadSnapshot()
+}
+
+// loadFromTable tells whether the table answered.
+func (s *Service) loadFromTable(ctx context.Context) bool {
+	delta, err := s.options.Store.After(ctx, s.options.Holder.Current().Generation())
+	if err == nil {
+		err = s.adopt(delta)
+	}
+	if err != nil {
+		klog.ErrorS(err, "Table does not tell the catalog; asking peers, then the object store", "process", s.options.Self.String())
+	}
+	return err == nil
+}
+
+// awaitPeer waits until a peer's generation is in force here.
+func (s *Service) awaitPeer(ctx context.Context) bool {
+	for {
 		next := s.options.Holder.Next()
+		if s.peerWasHeard() {
+			return true
+		}
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-next:
-			if s.peerWasHeard() {
-				return
-			}
 		}
 	}
 }
 
-// loadFromPlatform tells whether the table itself answered.
-func (s *Service) loadFromPlatform(ctx context.Context) bool {
-	delta, err := s.options.Store.After(ctx, s.options.Holder.Current().Generation())
+// loadSnapshot is the last resort. A snapshot is up to some hundred
+// generations old: taken before the peers were asked, it would bring back, at
+// this process and for as long as they need to answer, what was replaced since.
+func (s *Service) loadSnapshot() {
+	ctx, cancel := context.WithTimeout(s.ctx, s.options.Settings.StartWait)
+	defer cancel()
+	table, err := s.options.Store.LoadSnapshot(ctx)
 	if err == nil {
-		if err = s.adopt(delta); err == nil {
-			return true
-		}
+		err = s.adopt(&jayv1.CatalogDelta{Snapshot: table.Snapshot()})
 	}
-	klog.ErrorS(err, "Table does not tell the catalog; asking object store and peers", "process", s.options.Self.String())
-	if table, err := s.options.Store.LoadSnapshot(ctx); err == nil {
-		_ = s.adopt(&jayv1.CatalogDelta{Snapshot: table.Snapshot()})
+	if err != nil {
+		klog.ErrorS(err, "No snapshot of the catalog; waiting for table or peers", "process", s.options.Self.String())
 	}
-	return false
 }
 
 func (s *Service) peerWasHeard() bool {
--- a/test/history/catalog_test.go
+++ b/test/history/catalog_test.go
@@ -138,7 +138,7 @@
 }
 
 func catalogHistory(seed uint64) []porcupine.Operation {
-	const operators, steps = 4, 20
+	const operators, steps = 4, 30
 	p := platformtest.New()
 	var faultMu sync.Mutex
 	faults := rand.New(rand.NewPCG(seed, 99))
