Serve again at once after a kill; let entries find agents while the platform is down

Ruled out: shorter idle time (more handshakes, 6.9 KB each), keep-alive (the control budget), agents that tell all entries every few seconds (the same). Change: stateless resets under a key derived from the process's private key; a link that was silent for longer than its user waits is not used for new streams (offer timeout, lost link, failed exchange); seeds may name agents and are asked until a configuration is known. Who answers is taken from the link's certificate, no longer from the digest's own word.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -30,7 +30,7 @@
 	Attempts AttemptSettings `toml:"attempts"`
 	Ledger   LedgerSettings  `toml:"ledger"`
 
-	Seeds []string `toml:"seeds" validate:"dive,ip_port" doc:"QUIC addresses of entries to ask for the catalog while no other process is known."`
+	Seeds []string `toml:"seeds" validate:"dive,ip_port" doc:"QUIC addresses of entries and agents to ask for the catalog while no other process is known, or none that knows it. Name some agents: they are all that is left when every entry is replaced while the platform is down."`
 	// Spread of the catalog between processes.
 	Spread spread.Settings `toml:"spread"`
 	// Control is the entry's share of rollouts.
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -62,23 +62,40 @@
 func (s *Service) open(ctx context.Context, peer Peer) (*transport.Stream, error) {
 	stream, err := s.options.Node.OpenPeer(ctx, peer.ID)
 	if errors.Is(err, transport.ErrNoConnection) && peer.Address != "" {
-		stream, err = s.options.Node.Open(ctx, peer.Address, peer.ID.Role)
+		stream, err = s.options.Node.Open(ctx, peer.Address, rolesOf(peer)...)
 	}
 	if err != nil {
 		return nil, err
 	}
+	if peer.ID.Name != "" && stream.Peer() != peer.ID {
+		stream.Abort()
+		return nil, errWrongPeer
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetDeadline(deadline)
 	}
 	return stream, nil
 }
 
+// rolesOf is what a process at the peer's address may be. A seed is only an
+// address; an agent is as good as an entry, it knows the catalog too.
+func rolesOf(peer Peer) []keys.Role {
+	if peer.ID.Role == "" {
+		return []keys.Role{keys.RoleEntry, keys.RoleAgent}
+	}
+	return []keys.Role{peer.ID.Role}
+}
+
 // ask sends one frame and reads the answer.
 func (s *Service) ask(ctx context.Context, peer Peer, question *jayv1.ClientFrame) (*jayv1.ServerFrame, error) {
 	stream, err := s.open(ctx, peer)
 	if err != nil {
 		return nil, err
 	}
+	return s.askOn(stream, question)
+}
+
+func (s *Service) askOn(stream *transport.Stream, question *jayv1.ClientFrame) (*jayv1.ServerFrame, error) {
 	defer stream.Abort()
 	if err := stream.Send(question); err != nil {
 		return nil, err
@@ -92,7 +109,7 @@
 	}
 	// Read to the end: giving up a stream that is over would cost a packet.
 	if err := stream.Receive(&jayv1.ServerFrame{}); !errors.Is(err, io.EOF) {
-		klog.V(1).InfoS("Answer not ended", "peer", peer.ID.String(), "err", err)
+		klog.V(1).InfoS("Answer not ended", "peer", stream.Peer().String(), "err", err)
 	}
 	return answer, nil
 }
@@ -131,15 +148,18 @@
 	if s.introductionDue(to) {
 		s.introduce(digest)
 	}
-	answer, err := s.ask(ctx, to, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Gossip{Gossip: digest}})
-	if err == nil && to.ID.Name != "" && answer.GetGossip().GetFrom() != to.ID.Name {
-		err = errWrongPeer
+	stream, err := s.open(ctx, to)
+	if err != nil {
+		s.then(func(now time.Time) []Action { return s.core.Failed(now, to.ID) })
+		return
 	}
+	answer, err := s.askOn(stream, &jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Gossip{Gossip: digest}})
 	if err != nil {
+		stream.DoubtLink()
 		s.then(func(now time.Time) []Action { return s.core.Failed(now, to.ID) })
 		return
 	}
-	s.heardDigest(keys.Identity{Role: to.ID.Role, Name: answer.GetGossip().GetFrom()}, answer.GetGossip())
+	s.heardDigest(stream.Peer(), answer.GetGossip())
 }
 
 // lacking returns the changes that a peer is known to lack, none when they are
@@ -261,10 +281,12 @@
 	return entries
 }
 
-// greetDue tells whether seeds are to be asked: no entry is known yet. The
-// caller holds the lock.
+// greetDue tells whether seeds are to be asked: no entry is known yet, or those
+// that are know no configuration either, as after a restart of all entries
+// while the platform is down. The caller holds the lock.
 func (s *Service) greetDue(now time.Time) bool {
-	if len(s.options.Seeds) == 0 || len(s.core.entries) > 0 || now.Before(s.seedAt) {
+	lost := len(s.core.entries) == 0 || s.core.generation == 0
+	if len(s.options.Seeds) == 0 || !lost || now.Before(s.seedAt) {
 		return false
 	}
 	s.seedAt = now.Add(s.options.Settings.Interval)
@@ -275,7 +297,7 @@
 	var actions []Action
 	for _, address := range s.options.Seeds {
 		if address != s.options.Address {
-			actions = append(actions, Tell{To: Peer{ID: keys.Identity{Role: keys.RoleEntry}, Address: address}})
+			actions = append(actions, Tell{To: Peer{Address: address}})
 		}
 	}
 	s.run(actions)
@@ -290,7 +312,6 @@
 		// is in force here, and it needs not tell it again.
 		s.heardDigest(peer, first.GetGossip())
 		digest := s.digest()
-		digest.From = s.options.Self.Name
 		if first.GetGossip().GetAddress() != "" {
 			s.introduce(digest)
 		}
--- a/internal/spread/sim_test.go
+++ b/internal/spread/sim_test.go
@@ -203,7 +203,7 @@
 
 func digestSize(p *fakeProcess) int {
 	return proto.Size(&jayv1.GossipDigest{
-		From: p.peer.ID.Name, Generation: p.gen, Incarnation: 1 << 60, DataCentre: p.peer.DataCentre,
+		Generation: p.gen, Incarnation: 1 << 60, DataCentre: p.peer.DataCentre,
 		Region: p.peer.Region, Address: p.peer.Address,
 	})
 }
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -120,13 +120,17 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen address %q", options.Address)
 	}
+	reset, err := creds.resetKey()
+	if err != nil {
+		return nil, err
+	}
 	socket, err := net.ListenUDP("udp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", options.Address)
 	}
 	n := &Node{
 		options: options, creds: creds, handler: handler, socket: socket,
-		quic:   &quic.Transport{Conn: socket},
+		quic:   &quic.Transport{Conn: socket, StatelessResetKey: reset},
 		dialed: map[string]*link{}, peers: map[keys.Identity]*link{},
 		links: map[*link]struct{}{},
 	}
@@ -228,7 +232,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "open stream to %s", l.peer)
 	}
-	return newStream(s, &n.Stats, n.options.LinkTimeout), nil
+	return newStream(n, l, s), nil
 }
 
 func (n *Node) dial(ctx context.Context, address string, roles []keys.Role) (*link, error) {
@@ -281,6 +285,20 @@
 	return l, nil
 }
 
+// forget keeps new streams off a link; those that are open on it stay.
+func (n *Node) forget(l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, known := range n.dialed {
+		if known == l {
+			delete(n.dialed, address)
+		}
+	}
+	if n.peers[l.peer] == l {
+		delete(n.peers, l.peer)
+	}
+}
+
 func checkRole(l *link, roles []keys.Role) error {
 	for _, role := range roles {
 		if l.peer.Role == role {
@@ -338,7 +356,7 @@
 		n.wg.Add(1)
 		go func() {
 			defer n.wg.Done()
-			stream := newStream(s, &n.Stats, n.options.LinkTimeout)
+			stream := newStream(n, l, s)
 			n.handler(s.Context(), l.peer, stream)
 			stream.finish()
 		}()
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -13,6 +13,8 @@
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/jayproxy/jayproxy/internal/keys"
 )
 
 // MaxFrame bounds one message in bytes; a peer that announces more is cut off.
@@ -46,6 +48,8 @@
 // Stream carries typed messages both ways, each with its length in front.
 // One goroutine may send while another receives.
 type Stream struct {
+	node    *Node
+	link    *link
 	quic    *quic.Stream
 	reader  *bufio.Reader
 	stats   *Stats
@@ -62,14 +66,24 @@
 	ended atomic.Bool
 }
 
-func newStream(s *quic.Stream, stats *Stats, linkTimeout time.Duration) *Stream {
-	stream := &Stream{quic: s, reader: bufio.NewReader(s), stats: stats, timeout: linkTimeout}
+func newStream(n *Node, l *link, s *quic.Stream) *Stream {
+	linkTimeout := n.options.LinkTimeout
+	stream := &Stream{node: n, link: l, quic: s, reader: bufio.NewReader(s), stats: &n.Stats, timeout: linkTimeout}
 	stream.sendMu.Lock()
 	defer stream.sendMu.Unlock()
 	stream.beat = time.AfterFunc(linkTimeout/heartbeatShare, stream.sendHeartbeat)
 	return stream
 }
 
+// Peer is who stands at the other end, as its certificate says.
+func (s *Stream) Peer() keys.Identity { return s.link.peer }
+
+// DoubtLink makes the next Open to the peer dial anew: this stream's link has
+// been silent for longer than its user waits. A process that was replaced at
+// its address answers nothing on the old connection, which would otherwise be
+// used until it idles out. Streams that are open on it stay.
+func (s *Stream) DoubtLink() { s.node.forget(s.link) }
+
 // Send writes one message.
 func (s *Stream) Send(message proto.Message) error {
 	s.sendMu.Lock()
@@ -161,6 +175,7 @@
 	if own := s.readDeadline; !own.IsZero() && !time.Now().Before(own) {
 		return eris.Wrap(err, "receive frame")
 	}
+	s.DoubtLink()
 	return ErrLinkLost
 }
 
--- a/test/scenario/site_test.go
+++ b/test/scenario/site_test.go
@@ -288,6 +288,9 @@
 			seeds = append(seeds, fmt.Sprintf("%q", addresses.quic))
 		}
 	}
+	for _, agent := range w.links {
+		seeds = append(seeds, fmt.Sprintf("%q", agent.address()))
+	}
 	settings := fmt.Sprintf("name = %q\ndata_centre = %q\nregion = %q\ncallers = %q\noperators = %q\nadmin = %q\nlisten = %q\nkeys = %q\nplatform = %q\n%s[timeouts]\ngrace_ms = 500\n",
 		name, siteCentre, siteRegion, at.callers, at.operators, at.admin, at.quic,
 		w.keysDir(name), w.processes["platform"].url, seedsLine(seeds))
@@ -302,7 +305,7 @@
 	return err
 }
 
-// seedsLine names the other entries, to be asked while the platform is down.
+// seedsLine names the other entries and the agents, to be asked while the platform is down.
 func seedsLine(seeds []string) string {
 	return fmt.Sprintf("seeds = [%s]\n", strings.Join(seeds, ", "))
 }
