Let a suspicion fade without work; prove grey failure, outage start, explain

Cause: a server that failed once and then got no work, since others were free, stayed suspect for good and its cached prefixes went unused. Change: a suspect whose failure share has faded is healthy again. Tests of a server that takes work and fails it, of an entry that starts with the platform down, of an explanation asked of another entry.

--- /dev/null
+++ b/internal/entry/failure_test.go
@@ -0,0 +1,99 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/api/gen/jay/v1/jayv1connect"
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/entry"
+	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/platform/platformtest"
+)
+
+// Story: an engine takes every request and fails it, while its agent answers
+// offers as a healthy one does. Each caller that is sent there loses an attempt.
+func TestAServerThatTakesWorkAndFailsItIsLeftOut(t *testing.T) {
+	s := newSite(t, "b1", "b2", "b3", "b4")
+	s.agents[0].set(func(f *fakeAgent) {
+		f.answer = func(*jayv1.Offer, []byte, func(string)) *jayv1.End {
+			return &jayv1.End{Outcome: jayv1.Outcome_OUTCOME_UNKNOWN, Error: "engine broke"}
+		}
+	})
+	e := s.entry("e1")
+	taken := func(f *fakeAgent) int { return len(f.bodies) }
+	for n := 0; s.agents[0].seen(taken) == 0; n++ {
+		require.Less(t, n, 500, "the failing server was never tried")
+		call(t, "POST", e.CallersURL()+chatPath, keyQuarry, differentPrompt(n))
+	}
+	const requests = 300
+	for n := range requests {
+		r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, differentPrompt(1000+n))
+		assert.Equal(t, http.StatusOK, r.status, "started again elsewhere")
+	}
+	failed := s.agents[0].seen(taken)
+	t.Logf("%d of %d requests went to the failing server", failed, requests)
+	assert.LessOrEqual(t, failed, 5, "three in a row eject it, one more ends its probation")
+}
+
+func differentPrompt(n int) string {
+	return fmt.Sprintf(`{"model":"modelos","messages":[{"role":"user","content":"%s"}]}`, strings.Repeat(fmt.Sprint(n, " "), 300))
+}
+
+// Story: the platform is down, an entry is replaced, and callers are sent to
+// the new one as soon as it listens. It gets the catalog from a peer.
+func TestAnEntryThatStartsDuringAnOutageServesAtOnce(t *testing.T) {
+	s := newSite(t, "b1")
+	table := platformtest.New()
+	table.SetDown(true)
+	peer := s.entry("e1", with(table))
+	began := time.Now()
+	started := s.entry("e2", with(table), func(settings *entry.Settings) {
+		settings.Holder = catalog.NewHolder()
+		settings.Seeds = []string{peer.Address()}
+	})
+	require.Eventually(t, func() bool {
+		return call(t, "POST", started.CallersURL()+chatPath, keyQuarry, chatPlain).status == http.StatusOK
+	}, 3*time.Second, time.Millisecond)
+	t.Logf("first good answer %v after the start began", time.Since(began).Round(time.Millisecond))
+}
+
+// Story: an operator asks any entry why a request went where it did; another
+// entry has served it.
+func TestARequestIsExplainedByWhicheverEntryIsAsked(t *testing.T) {
+	s := newSite(t, "b1")
+	table := platformtest.New()
+	served, asked := s.entry("e1", with(table)), s.entry("e2", with(table))
+	table.SetVMs([]platform.VM{
+		{Name: "e1", Role: "entry", Address: served.Address(), State: platform.VMLive},
+		{Name: "e2", Role: "entry", Address: asked.Address(), State: platform.VMLive},
+	})
+	id := call(t, "POST", served.CallersURL()+chatPath, keyQuarry, chatPlain).header.Get(entry.HeaderRequestID)
+	creds := credentials(t, s.authority, keys.RoleViewer, "ivo")
+	client := &http.Client{Transport: &http.Transport{
+		TLSClientConfig: creds.ClientTLS([]string{"h2", "http/1.1"}, keys.RoleEntry), ForceAttemptHTTP2: true,
+	}}
+	operators := jayv1connect.NewOperatorServiceClient(client, asked.OperatorsURL())
+	var explanation *jayv1.Explanation
+	require.Eventually(t, func() bool {
+		answer, err := operators.Explain(t.Context(), connect.NewRequest(&jayv1.ExplainRequest{RequestId: id}))
+		if err != nil {
+			return false
+		}
+		explanation = answer.Msg
+		return true
+	}, 5*time.Second, 20*time.Millisecond)
+	assert.Equal(t, "e1", explanation.GetEntry())
+	assert.Equal(t, "b1", explanation.GetAttempts()[0].GetBackendServer())
+	_, err := operators.Explain(t.Context(), connect.NewRequest(&jayv1.ExplainRequest{RequestId: "req-e1-00"}))
+	assert.Equal(t, connect.CodeNotFound, connect.CodeOf(err))
+}
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -9,6 +9,11 @@
 // last five results make half.
 const gain = 0.2
 
+// forgottenShare is where a suspicion ends by itself: a suspect that gets no
+// work, because others are free, could never prove itself. One failure is
+// forgotten after two half-lives.
+const forgottenShare = gain / 4
+
 // record is how work at one server went of late.
 type record struct {
 	// share of failures: a moving average over results, which a long good
@@ -20,13 +25,18 @@
 }
 
 func (r *record) add(now time.Time, halfLife time.Duration, failed float64) {
-	if !r.at.IsZero() && now.After(r.at) {
-		r.share *= math.Exp2(-float64(now.Sub(r.at)) / float64(halfLife))
+	r.fade(now, halfLife)
+	r.share += gain * (failed - r.share)
+}
+
+func (r *record) fade(now time.Time, halfLife time.Duration) {
+	if !now.After(r.at) {
+		return
 	}
-	if now.After(r.at) {
-		r.at = now
+	if !r.at.IsZero() {
+		r.share *= math.Exp2(-float64(now.Sub(r.at)) / float64(halfLife))
 	}
-	r.share += gain * (failed - r.share)
+	r.at = now
 }
 
 // reset forgets all.
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -179,6 +179,12 @@
 		if b.state == StateEjected && !now.Before(b.until) {
 			m.fire(now, b, eventBackoffOver)
 		}
+		if b.state == StateSuspect {
+			b.record.fade(now, m.settings.HalfLife)
+			if b.record.share <= forgottenShare {
+				m.fire(now, b, eventRecover)
+			}
+		}
 		b.facts.expire(now, m.settings)
 		m.applyFacts(now, b)
 	}
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -158,6 +158,18 @@
 	assert.Equal(t, []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second, 32 * time.Second, time.Minute}, waits)
 }
 
+// Story: one answer breaks. Work goes to other servers, which are free, so the
+// suspect never gets the chance to prove itself, and its cached prefixes go
+// unused for good.
+func TestASuspicionFadesWithoutWork(t *testing.T) {
+	m, _ := pool(3)
+	m.Failed(start, "b00")
+	m.Tick(start.Add(10 * time.Second))
+	assert.Equal(t, membership.StateSuspect, m.State("b00"))
+	m.Tick(start.Add(21 * time.Second))
+	assert.Equal(t, membership.StateHealthy, m.State("b00"))
+}
+
 func TestAnotherEntrysEjectionIsNotTaken(t *testing.T) {
 	m, _ := pool(3)
 	m.News(start, []*jayv1.MemberNews{{Name: "b00", State: membership.StateEjected}})
