--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -1,7 +1,11 @@
 package agent_test
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,10 +102,13 @@
 	tests := map[string]struct {
 		err     error
 		outcome jayv1.Outcome
+		refusal jayv1.Refusal
 	}{
-		"not reached": {engine.ErrNotReached, jayv1.Outcome_OUTCOME_NOT_RUN},
-		"refused":     {engine.ErrRefused, jayv1.Outcome_OUTCOME_NOT_RUN},
-		"broken":      {engine.ErrBroken, jayv1.Outcome_OUTCOME_UNKNOWN},
+		"not reached": {engine.ErrNotReached, jayv1.Outcome_OUTCOME_NOT_RUN, jayv1.Refusal_REFUSAL_ENGINE_DOWN},
+		"busy":        {engine.ErrRefused, jayv1.Outcome_OUTCOME_NOT_RUN, jayv1.Refusal_REFUSAL_QUEUE_FULL},
+		"invalid": {errors.Join(engine.ErrRefused, engine.ErrInvalid), jayv1.Outcome_OUTCOME_NOT_RUN,
+			jayv1.Refusal_REFUSAL_INVALID},
+		"broken": {engine.ErrBroken, jayv1.Outcome_OUTCOME_UNKNOWN, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -109,10 +116,25 @@
 			b.engine.set(func(f *fakeEngine) { f.submitErr = test.err })
 			got := readAnswer(t, b.accepted(modelOffer("r1"), "{}"))
 			assert.Equal(t, test.outcome, got.end.GetOutcome())
+			assert.Equal(t, test.refusal, got.end.GetRefusal())
 		})
 	}
 }
 
+// During a rollout callers would get "invalid request": the version is unloaded
+// between the acceptance of an offer and its start, and the engine refuses it.
+func TestVersionUnloadedWhileARequestWaitsIsRefusedAsSuch(t *testing.T) {
+	b := newBench(t, func(s *agent.Settings) { s.Engine.PollMS = 60_000 })
+	b.engine.set(func(f *fakeEngine) {
+		f.state.Versions = []string{"sha256:new"}
+		f.submitErr = engine.ErrRefused
+	})
+	got := readAnswer(t, b.accepted(modelOffer("r1"), "{}"))
+	assert.Equal(t, jayv1.Outcome_OUTCOME_NOT_RUN, got.end.GetOutcome())
+	assert.Equal(t, jayv1.Refusal_REFUSAL_VERSION, got.end.GetRefusal())
+	assert.Equal(t, []string{"sha256:new"}, got.end.GetState().GetVersionDigests())
+}
+
 func TestEngineDownIsRefusedWithRetryAfter(t *testing.T) {
 	b := newBench(t, nil)
 	b.engine.set(func(f *fakeEngine) { f.down = true })
@@ -143,6 +165,52 @@
 	require.NoError(t, <-stopped)
 }
 
+// A rolling replacement would cut a request that was accepted while the stop
+// began.
+func TestShutdownCutsNoAcceptedRequest(t *testing.T) {
+	const rounds, callers = 15, 16
+	for range rounds {
+		b := newBench(t, func(s *agent.Settings) { s.Queue.Slots = callers })
+		var group sync.WaitGroup
+		var begun atomic.Int32
+		for caller := range callers {
+			group.Go(func() {
+				for i := 0; ; i++ {
+					ok := b.tryWhole(modelOffer(fmt.Sprint("r", caller, "-", i)))
+					begun.Add(1)
+					if !ok {
+						return
+					}
+				}
+			})
+		}
+		require.Eventually(t, func() bool { return begun.Load() > callers }, 5*time.Second, time.Millisecond)
+		require.NoError(t, b.agent.Shutdown(t.Context()))
+		group.Wait()
+	}
+}
+
+// tryWhole hands a request over; false when it was refused or no link was made.
+// An accepted one must end whole.
+func (b *bench) tryWhole(offer *jayv1.Offer) bool {
+	s, err := b.entry.Open(b.t.Context(), b.agent.Address(), keys.RoleAgent)
+	if err != nil || s.Send(offerFrame(offer)) != nil {
+		return false
+	}
+	defer func() { _ = s.CloseSend() }()
+	frame := &jayv1.ServerFrame{}
+	if s.Receive(frame) != nil || !frame.GetOfferReply().GetAccepted() {
+		return false
+	}
+	err = s.Send(bodyFrame("{}", true))
+	for err == nil && frame.GetEnd() == nil {
+		frame = &jayv1.ServerFrame{}
+		err = s.Receive(frame)
+	}
+	assert.NoError(b.t, err, "cut after it was accepted")
+	return assert.Equal(b.t, jayv1.Outcome_OUTCOME_DONE, frame.GetEnd().GetOutcome())
+}
+
 func TestDrainByAnOperatorRefusesNewWork(t *testing.T) {
 	holder := catalog.NewHolder()
 	b := newBench(t, func(s *agent.Settings) { s.Catalog = holder })
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -57,8 +57,8 @@
 		}
 		return reply
 	}
-	if !a.works.add(w) {
-		return &jayv1.OfferReply{Refusal: jayv1.Refusal_REFUSAL_DUPLICATE, Message: "this attempt was offered before"}
+	if refusal := a.works.add(w); refusal != 0 {
+		return &jayv1.OfferReply{Refusal: refusal, Message: "this attempt was offered before, or the agent stops"}
 	}
 	a.measure(now, w)
 	a.applyLimits(w.offer)
@@ -87,12 +87,15 @@
 }
 
 func (a *Agent) tokens(poolName string, bytes int) float64 {
+	return max(0, float64(bytes)/a.bytesPerToken(poolName))
+}
+
+func (a *Agent) bytesPerToken(poolName string) float64 {
 	pool, _ := a.catalog.Current().Pool(poolName)
-	perToken := pool.GetBytesPerToken()
-	if perToken <= 0 {
-		perToken = defaultBytesPerToken
+	if perToken := pool.GetBytesPerToken(); perToken > 0 {
+		return perToken
 	}
-	return max(0, float64(bytes)/perToken)
+	return defaultBytesPerToken
 }
 
 func (a *Agent) admissionRequest(now time.Time, w *work) admission.Request {
