--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -41,6 +41,7 @@
 	authority *keys.Authority
 	// agentCatalogs are the catalogs in force at the agents, in their order.
 	agentCatalogs []*catalog.Holder
+	agentSettings []agent.Settings
 }
 
 // Start runs a cluster until Close and puts its declaration in force.
@@ -155,9 +156,36 @@
 		return err
 	}
 	c.Agents = append(c.Agents, started)
+	settings.Listen = started.Address()
+	c.agentSettings = append(c.agentSettings, settings)
 	return nil
 }
 
+// RestartAgent kills an agent and starts it again at its address. The engine or
+// service beside it goes on.
+func (c *Cluster) RestartAgent(ctx context.Context, i int) error {
+	c.Agents[i].Close()
+	settings := c.agentSettings[i]
+	settings.Catalog = catalog.NewHolder()
+	started, err := agent.Start(ctx, settings)
+	if err != nil {
+		return eris.Wrapf(err, "restart agent %s", settings.Name)
+	}
+	c.Agents[i], c.agentCatalogs[i] = started, settings.Catalog
+	return nil
+}
+
+// maxSeeds bounds the agents that an entry may ask for the configuration.
+const maxSeeds = 3
+
+func (c *Cluster) seeds() []string {
+	var seeds []string
+	for i := 0; i < len(c.Agents) && i < maxSeeds; i++ {
+		seeds = append(seeds, c.agentSettings[i].Listen)
+	}
+	return seeds
+}
+
 func (c *Cluster) startEntries(ctx context.Context) error {
 	started := make([]*entry.Entry, c.Options.Entries)
 	var group errgroup.Group
@@ -186,6 +214,7 @@
 	settings.PlatformURL = c.Platform.URL()
 	settings.DataCentre, settings.Region = c.dataCentre(i), c.Options.Region
 	settings.Policy = c.Options.Policy
+	settings.Seeds = c.seeds()
 	settings.Timeouts.GraceMS = 0
 	if c.Options.Entry != nil {
 		c.Options.Entry(&settings)
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -46,7 +46,8 @@
 		{"platform slow", 3, i.platformFaults(platform.Faults{DelayMS: 300})},
 		{"service cuts after the run", 4, i.serviceFaults(service.Faults{CutNext: 3})},
 		{"service slow", 2, i.serviceFaults(service.Faults{DelayMS: 200})},
-		{"entry killed and replaced", 3, i.killEntries},
+		{"entries killed and replaced", 3, i.killEntries},
+		{"agent killed and started again", 3, i.killAgent},
 	}
 	return i
 }
@@ -123,3 +124,8 @@
 }
 
 func (i *injector) killEntries(ctx context.Context) error { return i.cluster.RestartEntries(ctx) }
+
+// killAgent takes the agent of an engine or of a service.
+func (i *injector) killAgent(ctx context.Context) error {
+	return i.cluster.RestartAgent(ctx, i.random.IntN(len(i.cluster.Agents)))
+}
