Leave out of an offer's cost what an earlier request is computing

Weighed: counting such blocks as cached (false: they are not) against leaving them out of the cost only; the latter.

--- a/internal/agent/admin.go
+++ b/internal/agent/admin.go
@@ -74,9 +74,10 @@
 	}
 	cached, _ := a.model.cache.look(time.Now(), req.GetChain())
 	reply.CachedBytes = uint32(cached)
+	shared := max(cached, a.underway.bytes(req.GetChain()))
 	reply.CostMs = a.schedule.cost(admission.Request{
 		Class:  req.GetClass(),
-		Tokens: a.tokens(req.GetPool(), int(req.GetPromptBytes())-cached),
+		Tokens: a.tokens(req.GetPool(), int(req.GetPromptBytes())-shared),
 	})
 	return reply
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,6 +39,7 @@
 	catalog  *catalog.Holder
 	metrics  *metrics.Registry
 	works    *registry
+	underway *underway
 	schedule *schedule
 	model    *modelBackend   // nil beside a plain service
 	service  *serviceBackend // nil beside a model engine
@@ -68,6 +69,7 @@
 		catalog:  settings.Catalog,
 		metrics:  metrics.New(maxMetricLabels),
 		works:    newRegistry(settings.Replay.TotalBytes),
+		underway: newUnderway(),
 		ready:    make(chan struct{}),
 	}
 	if a.catalog == nil {
--- a/internal/agent/engine_test.go
+++ b/internal/agent/engine_test.go
@@ -91,6 +91,30 @@
 	}
 }
 
+// A document that many ask about at once would be computed at many engines: the
+// first request computes it here, and the next is declined for that cost.
+func TestPrefixThatIsBeingComputedIsNoCostOfTheNext(t *testing.T) {
+	b := newBench(t, nil)
+	gate := make(chan struct{})
+	b.engine.set(func(f *fakeEngine) { f.gate = gate })
+	first, body := chat(t, "r1", "w1", "first")
+	alone, reply := b.offer(first)
+	send(t, alone, bodyFrame(body, true))
+	full := reply.GetCostMs()
+	second, body := chat(t, "r2", "w1", "second")
+	shared, reply := b.offer(second)
+	send(t, shared, bodyFrame(body, true))
+	assert.Greater(t, full, 200.0)
+	assert.Less(t, reply.GetCostMs()-full, 20.0, "it waits for the first, and computes its own end")
+	assert.Zero(t, reply.GetCachedBytes(), "nothing is cached yet")
+	close(gate)
+	readAnswer(t, alone)
+	readAnswer(t, shared)
+	third, _ := chat(t, "r3", "w1", "third")
+	_, reply = b.offer(third)
+	assert.Greater(t, reply.GetCostMs(), 100.0, "both have ended, and the fake caches nothing")
+}
+
 // A caller's answer would stop in silence when the engine dies under it.
 func TestEngineCrashInTheMiddleEndsInAnError(t *testing.T) {
 	for _, vendor := range []string{standin.Merle, standin.Pica} {
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -62,6 +62,7 @@
 	}
 	a.measure(now, w)
 	a.applyLimits(w.offer)
+	a.underway.add(w.offer.GetChain())
 	decision := a.schedule.offer(a.admissionRequest(now, w))
 	reply := &jayv1.OfferReply{
 		Accepted:     decision.Accepted,
@@ -71,6 +72,7 @@
 		CachedBytes:  uint32(w.cachedBytes),
 	}
 	if !decision.Accepted {
+		a.underway.remove(w.offer.GetChain())
 		a.works.withdraw(w.id)
 		reply.Message = "refused before anything ran"
 	}
@@ -83,7 +85,8 @@
 		return
 	}
 	w.cachedBytes, w.knownBytes = a.model.cache.look(now, w.offer.GetChain())
-	w.missedTokens = a.tokens(w.offer.GetPool(), int(w.offer.GetPromptBytes())-w.cachedBytes)
+	shared := max(w.cachedBytes, a.underway.bytes(w.offer.GetChain()))
+	w.missedTokens = a.tokens(w.offer.GetPool(), int(w.offer.GetPromptBytes())-shared)
 }
 
 func (a *Agent) tokens(poolName string, bytes int) float64 {
@@ -283,6 +286,7 @@
 	handed := w.handed
 	w.mu.Unlock()
 	w.cancel(nil)
+	a.underway.remove(w.offer.GetChain())
 	if !handed {
 		a.schedule.done(w.id)
 	}
