--- a/internal/entry/fakeagent_test.go
+++ b/internal/entry/fakeagent_test.go
@@ -95,6 +95,13 @@
 	return f.offers[0], f.bodies[0]
 }
 
+// last returns the latest offer.
+func (f *fakeAgent) last() *jayv1.Offer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.offers[len(f.offers)-1]
+}
+
 func (f *fakeAgent) ran(id string) int { return f.seen(func(f *fakeAgent) int { return f.runs[id] }) }
 
 func (f *fakeAgent) serve(ctx context.Context, _ keys.Identity, s *transport.Stream) {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -32,13 +34,16 @@
 	if request.ContentLength > e.settings.Limits.BodyBytes {
 		return nil, refuse(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is longer than the limit")
 	}
-	path := pathBelow(request)
+	target := pathBelow(request)
+	ruled, ok := ruledPath(target)
+	if !ok {
+		return nil, invalid("the path is not a clean absolute path")
+	}
 	w := &work{
-		service: service, method: request.Method, path: path, headers: passedHeaders(request.Header),
+		service: service, method: request.Method, path: target, headers: passedHeaders(request.Header),
 		key: request.Header.Get(HeaderIdempotencyKey),
 	}
-	bare, _, _ := strings.Cut(path, "?")
-	w.nonRepeatable = catalog.NonRepeatable(service, request.Method, bare)
+	w.nonRepeatable = catalog.NonRepeatable(service, request.Method, ruled)
 	w.repeatable = !w.nonRepeatable && safeMethod(request.Method)
 	if len(w.key) > e.settings.Limits.KeyBytes {
 		return nil, invalid("the idempotency key is longer than the limit")
@@ -55,13 +60,33 @@
 
 // pathBelow is the path and query below the service, as the caller wrote it.
 func pathBelow(request *http.Request) string {
-	path := strings.TrimPrefix(request.URL.EscapedPath(), servicesPrefix)
-	_, path, _ = strings.Cut(path, "/")
-	path = "/" + path
+	target := strings.TrimPrefix(request.URL.EscapedPath(), servicesPrefix)
+	_, target, _ = strings.Cut(target, "/")
+	target = "/" + target
 	if request.URL.RawQuery != "" {
-		path += "?" + request.URL.RawQuery
+		target += "?" + request.URL.RawQuery
+	}
+	return target
+}
+
+// ruledPath is the path that declarations are matched against: decoded and
+// without parameters of its elements, as services read it. Matched as written,
+// "/%63onfirm" or "/confirm;x" would pass for a call that may be repeated. False:
+// the path has elements that a service may resolve to another one.
+func ruledPath(target string) (string, bool) {
+	escaped, _, _ := strings.Cut(target, "?")
+	decoded, err := url.PathUnescape(escaped)
+	if err != nil {
+		return "", false
+	}
+	if cleaned := path.Clean(decoded); decoded != cleaned && decoded != cleaned+"/" {
+		return "", false
+	}
+	elements := strings.Split(decoded, "/")
+	for i, element := range elements {
+		elements[i], _, _ = strings.Cut(element, ";")
 	}
-	return path
+	return strings.Join(elements, "/"), true
 }
 
 // serviceBody streams the body, bounded in size and in patience.
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -256,6 +256,32 @@
 	assert.Zero(t, agent.seen(func(f *fakeAgent) int { return f.cancels }))
 }
 
+// Story: a caller, or a library on its way, writes the path of a booking in
+// another form. Matched as written it passes for a call that may be repeated,
+// and the service, which decodes it, books without a claim.
+func TestACallThatMayRunOnceIsKnownInEveryFormOfItsPath(t *testing.T) {
+	s, agent, table := serviceSite(t)
+	e := s.entry("e1", with(table))
+	for n, path := range []string{"/confirm", "/%63onfirm", "/confirm/", "/confirm/9", "/confirm%2F9", "/confirm;v=1", "/confirm?x=/other"} {
+		r := call(t, "POST", e.CallersURL()+"/services/reservas"+path, keyQuarry, "b", entry.HeaderIdempotencyKey, strconv.Itoa(n))
+		assert.Equal(t, 201, r.status, "%s: %s", path, r.body)
+		assert.True(t, agent.last().GetNonRepeatable(), path)
+	}
+	for _, path := range []string{"//confirm", "/x/../confirm", "/x/%2e%2e/confirm", "/./confirm", "/x%2F..%2Fconfirm"} {
+		request, err := http.NewRequestWithContext(t.Context(), "POST", e.CallersURL(), strings.NewReader("b"))
+		require.NoError(t, err)
+		request.URL.Opaque = "/services/reservas" + path // as written
+		request.Header.Set("Authorization", "Bearer "+keyQuarry)
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		assert.Equal(t, http.StatusBadRequest, response.StatusCode, path)
+	}
+	r := call(t, "POST", e.CallersURL()+"/services/reservas/confirmation", keyQuarry, "b")
+	assert.Equal(t, 201, r.status)
+	assert.False(t, agent.last().GetNonRepeatable())
+}
+
 func TestALongServiceBodyIsBounded(t *testing.T) {
 	s, agent, table := serviceSite(t)
 	e := s.entry("e1", with(table), func(settings *entry.Settings) { settings.Limits.BodyBytes = 100 << 10 })
