--- a/internal/spread/settings.go
+++ b/internal/spread/settings.go
@@ -18,7 +18,8 @@
 	SilentAfter time.Duration `toml:"silent_after" unit:"duration" doc:"an entry that heard no other for this long reads the head by itself"`
 	// PullTimeout bounds one exchange with a peer or the store.
 	PullTimeout time.Duration `toml:"pull_timeout" unit:"duration" doc:"bound of one exchange with a peer or the store"`
-	// Homes is the number of entries that look after an agent.
+	// Homes is the number of entries that look after an agent. Another one
+	// stands in for a home that can't be reached.
 	Homes int `toml:"homes" validate:"min=1,max=4" unit:"entries" doc:"entries that tell an agent of new generations"`
 	// HomeInterval between two digests to an agent that is up to date.
 	HomeInterval time.Duration `toml:"home_interval" unit:"duration" doc:"time between two digests to an agent that is up to date"`
@@ -44,7 +45,7 @@
 		PollInterval:     time.Second,
 		SilentAfter:      4 * time.Second,
 		PullTimeout:      time.Second,
-		Homes:            2,
+		Homes:            1,
 		HomeInterval:     10 * time.Second,
 		SuspectFor:       15 * time.Second,
 		VMInterval:       time.Second,
--- a/internal/spread/tick.go
+++ b/internal/spread/tick.go
@@ -38,10 +38,10 @@
 	c.overlayDirty = false
 	c.overlayLive = live
 	c.neighbours = neighbours(c.self, live, c.settings.FanOut)
-	homes := newHomes(append(slices.Clone(live), c.self), c.settings.Homes)
+	homes := newHomes(c.self, c.addressed(), live, c.settings.Homes)
 	c.homeAgents = c.homeAgents[:0]
 	for _, agent := range c.agents {
-		if agent.peer.Address != "" && homes.lookedAfterBy(agent.peer, c.self) {
+		if agent.peer.Address != "" && homes.mineToo(agent.peer) {
 			c.homeAgents = append(c.homeAgents, agent)
 		}
 	}
