Scale the weight of recomputation by the servers' own prefill time

Cause: the weight grew with the average queue over a fixed 100 ms. Change: over the time that 4,000 bytes take to prefill there.

--- a/cmd/jay-load/experiment.go
+++ b/cmd/jay-load/experiment.go
@@ -62,6 +62,7 @@
 	flags.DurationVar(&f.plan.WarmUp, "warm-up", f.plan.WarmUp, "time to fill the caches, not counted")
 	flags.DurationVar(&f.plan.Measured, "measured", f.plan.Measured, "time that is counted")
 	flags.Float64Var(&f.plan.Prefill, "prefill", f.plan.Prefill, "prompt tokens that an engine computes a second")
+	flags.Float64Var(&f.plan.Rate, "least-load-rate", 0, "calls a second that least load can carry, from an earlier run; 0: measure it")
 	flags.IntVar(&f.plan.Parallel, "parallel", f.plan.Parallel, "runs at once, each with its own cluster")
 	flags.StringVar(&f.out, "out", f.out, "folder for results.json and report.html")
 }
--- a/internal/experiment/suite.go
+++ b/internal/experiment/suite.go
@@ -24,6 +24,9 @@
 	WarmUp   time.Duration
 	Measured time.Duration
 	Prefill  float64
+	// Rate is what least load can carry, in calls a second, when an earlier run
+	// with the same mix, seed and engines measured it; 0: measure it.
+	Rate float64
 	// Parallel runs go at once, each with its own cluster.
 	Parallel int
 	// Progress gets a line for each run.
@@ -74,6 +77,9 @@
 // leastLoadRate measures the hit rate of least load at half of a first guess
 // and works out at which rate its missed tokens keep all engines busy.
 func (p Plan) leastLoadRate(ctx context.Context, mix load.Mix) (float64, error) {
+	if p.Rate > 0 {
+		return p.Rate, nil
+	}
 	spec := p.spec(mix)
 	spec.Policy, spec.Entries = routing.PolicyLeastLoad, 3
 	tokens := meanTokens(mix, p.Seed)
--- a/internal/routing/levels_test.go
+++ b/internal/routing/levels_test.go
@@ -35,7 +35,7 @@
 // of it, and the queues stay long although the caches could carry the load.
 func TestLongQueuesRaiseTheWeightOfRecomputation(t *testing.T) {
 	c := &choice{policy: &PoolPolicy{}}
-	cand := &candidate{backend: &backend{}, prefillMS: 400}
+	cand := &candidate{backend: &backend{byteMS: 0.025}, prefillMS: 400}
 	idle := c.recomputeMS(cand)
 	c.averageMS = 2000
 	assert.Zero(t, idle)
--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -5,18 +5,18 @@
 	// server outside the level's set: it would make one more copy of what the
 	// set holds, and push out what others come there for.
 	placementShare = 1.0
-	// pressureScaleMS is the average queue at which recomputed prefill counts
-	// once more on top of its own time. Work that is computed twice delays all
-	// that wait behind it, and the more the longer the queues: without this,
+	// pressureBytes of prefill as average queue count recomputed prefill once
+	// more on top of its own time. Work that is computed twice delays all that
+	// wait behind it, and the more the longer the queues: without this,
 	// differences between long queues outweigh any cached prefix, every
 	// request goes to the shortest queue, misses, and the queues stay long.
-	pressureScaleMS = 100
-	maxPressure     = 8
+	pressureBytes = 4000
+	maxPressure   = 8
 )
 
 // recomputeMS is the weight of the prefill beyond its own time.
 func (c *choice) recomputeMS(cand *candidate) float64 {
-	pressure := min(c.averageMS/pressureScaleMS, maxPressure)
+	pressure := min(c.averageMS/(pressureBytes*cand.backend.byteMS), maxPressure)
 	return (c.policy.RecomputeWeight+pressure)*cand.prefillMS + c.placementMS(cand)
 }
 
