--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # `make test` runs every test; `make help` lists the rest.
 GO ?= go
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
-BUF = $(GO) tool -modfile=tools/go.mod buf
+BUF = $(GO) tool -modfile=tools.mod buf
 BIN ?= bin
 
 .PHONY: self-check help dev build test generate docs generated-check format-check lint slopes soak
@@ -13,24 +13,24 @@
 	$(GO) run ./cmd/jay-dev
 
 build: ## build every binary into bin/
-	$(GO) build -o $(BIN)/ ./cmd/... ./test/knownred
+	$(GO) build -o $(BIN)/ ./cmd/... ./tools/knownred
 
 test: ## run all tests with the race detector; only tests in KNOWN-RED.txt may fail
-	$(GO) test -race -json -timeout 10m ./... | $(GO) run ./test/knownred -list KNOWN-RED.txt
+	$(GO) test -race -json -timeout 10m ./... | $(GO) run ./tools/knownred -list KNOWN-RED.txt
 
 generate: ## regenerate api/gen from the schema files
 	$(BUF) generate
 
 soak: ## run the whole system for ten minutes under seeded random faults and check what must hold
-	$(GO) run -race ./test/soak -for 10m -seed 1
+	$(GO) run -race ./tools/soak -for 10m -seed 1
 
 slopes: ## measure the slopes of docs/CAPACITY.md (about six minutes) and compute the page
-	$(GO) run ./test/slopes -out docs/slopes.json
-	$(GO) run ./test/capacity
+	$(GO) run ./tools/slopes -out docs/slopes.json
+	$(GO) run ./tools/capacity
 
 docs: ## regenerate the pages that are computed from the code
-	$(GO) run ./test/settingsdoc
-	$(GO) run ./test/capacity
+	$(GO) run ./tools/settingsdoc
+	$(GO) run ./tools/capacity
 
 generated-check: generate docs ## fail when committed generated code or pages are not up to date
 	git diff --exit-code --stat -- api/gen docs/operating/settings.md docs/CAPACITY.md
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -34,7 +34,7 @@
 
 const head = `# Capacity: the size of two years
 
-Computed by ` + "`go run ./test/capacity`" + ` from docs/slopes.json, which ` + "`make slopes`" + ` writes; CI checks that page and slopes agree.
+Computed by ` + "`go run ./tools/capacity`" + ` from docs/slopes.json, which ` + "`make slopes`" + ` writes; CI checks that page and slopes agree.
 Nothing here was run at this size: slopes were measured on one machine with small stand-ins and carried on in a straight line.
 Timings depend on the machine; the run's machine had 12 cores that other work shared.
 `
--- a/test/slopes/main.go
+++ b/tools/slopes/main.go
@@ -62,7 +62,7 @@
 	start := time.Now()
 	slope := capacity.Slope{
 		Name: m.name, XUnit: m.xUnit, YUnit: m.yUnit,
-		Command: fmt.Sprintf("go run ./test/slopes -only '^%s$'", m.name),
+		Command: fmt.Sprintf("go run ./tools/slopes -only '^%s$'", m.name),
 	}
 	for _, count := range m.counts {
 		value, err := m.measure(count)
