Weigh recomputation over 2,500 bytes of queued prefill

Change: the weight of recomputation grows with the average queue over the prefill of 2,500 bytes instead of 4,000.

--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -10,7 +10,7 @@
 	// wait behind it, and the more the longer the queues: without this,
 	// differences between long queues outweigh any cached prefix, every
 	// request goes to the shortest queue, misses, and the queues stay long.
-	pressureBytes = 4000
+	pressureBytes = 2500
 	maxPressure   = 8
 )
 
