--- a/internal/ctl/declare.go
+++ b/internal/ctl/declare.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -90,6 +91,11 @@
 			if err != nil {
 				return err
 			}
+			if prune && !cmd.Flags().Changed("prune") {
+				if err := a.refuseUnaskedDeletes(cmd.Context(), resources); err != nil {
+					return err
+				}
+			}
 			changeID = orNewID(changeID)
 			response, err := call(cmd.Context(), a, func(ctx context.Context, c client) (*connect.Response[jayv1.ApplyResponse], error) {
 				return c.Apply(ctx, connect.NewRequest(&jayv1.ApplyRequest{
@@ -107,7 +113,7 @@
 		},
 	}
 	flags := cmd.Flags()
-	flags.BoolVar(&prune, "prune", true, "delete what the folder does not declare")
+	flags.BoolVar(&prune, "prune", true, "delete what the folder does not declare; deletes are refused unless it is said")
 	flags.StringVar(&changeID, "change-id", "", "id of the change; repeat one whose outcome is unknown with the same id")
 	flags.Uint64Var(&expect, "expect-generation", 0, "refuse when another generation is accepted (0: any)")
 	flags.BoolVar(&unloaded, "activate-unloaded", false, "activate a version also when fewer backend servers than min_ready have it loaded")
@@ -115,6 +121,22 @@
 	return cmd
 }
 
+// refuseUnaskedDeletes stops an apply that would delete something when nobody
+// asked for it. A folder that holds one new workspace and not the rest is a
+// common mistake: without this it deletes the whole deployment, in force
+// everywhere within seconds.
+func (a *app) refuseUnaskedDeletes(ctx context.Context, resources []*jayv1.Resource) error {
+	preview, err := call(ctx, a, func(ctx context.Context, c client) (*connect.Response[jayv1.ApplyResponse], error) {
+		return c.Apply(ctx, connect.NewRequest(&jayv1.ApplyRequest{Resources: resources, Prune: true, DryRun: true}))
+	})
+	if err != nil || len(preview.GetDeleted()) == 0 {
+		return err
+	}
+	return &exitError{code: ExitFindings, cause: fmt.Errorf(
+		"the folder does not declare %s; say --prune to delete what it does not declare, --prune=false to keep it",
+		strings.Join(preview.GetDeleted(), ", "))}
+}
+
 // waitInForce asks for the status until no process is behind.
 func (a *app) waitInForce(ctx context.Context, generation uint64, wait time.Duration) error {
 	if wait == 0 {
