--- a/internal/entry/prune_test.go
+++ b/internal/entry/prune_test.go
@@ -1,6 +1,7 @@
-package entry_test
+package entry
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/ctl"
 	"github.com/jayproxy/jayproxy/internal/keys"
 )
@@ -23,7 +25,11 @@
 	require.Equal(t, ctl.ExitOK, code, errs)
 
 	dir := t.TempDir()
-	require.NoError(t, os.WriteFile(filepath.Join(dir, "new.toml"), []byte("[[workspace]]\nname = \"new\"\n"), 0o600))
+	_, key, err := catalog.NewCallerKey()
+	require.NoError(t, err)
+	text := fmt.Sprintf("[[workspace]]\nname = \"new\"\n[[workspace.keys]]\nid = %q\nsalt = \"%x\"\nhash = \"%x\"\n",
+		key.GetId(), key.GetSalt(), key.GetHash())
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "new.toml"), []byte(text), 0o600))
 	code, _, errs = p.jayctl(ana, []*controlNode{a}, "apply", dir)
 	require.Equal(t, ctl.ExitFindings, code)
 	assert.Contains(t, errs, "pool/claim-models")
