--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -62,6 +62,7 @@
 		"cutlink":  func(w *world, args []string) error { return w.setLink(args, true) },
 		"heallink": func(w *world, args []string) error { return w.setLink(args, false) },
 		"call":     (*world).cmdCall,
+		"openai":   (*world).cmdOpenAI,
 		"resume":   (*world).cmdResume,
 		"progress": (*world).cmdProgress,
 		"expect":   (*world).cmdExpect,
