--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -48,6 +48,7 @@
 	RoleHolder   = "lease holder (an entry's share)"
 	RoleOperator = "operators' calls (an entry)"
 	RolePlatform = "platform"
+	RoleLoss     = "loss of a data centre, its load on the others of its region"
 )
 
 // builder collects rows over a set of slopes.
@@ -65,6 +66,7 @@
 	b.holder()
 	b.operators()
 	b.platform()
+	b.lostDataCentre()
 	return b.rows
 }
 
@@ -125,7 +127,7 @@
 		term{slope: "route_belief_memory", perUnit: true, factor: 65536.0 / megabyte},
 		term{slope: "connection_idle_bytes", perUnit: true, factor: s.serversPerDC() / ends / megabyte})
 	b.sum(Row{Role: RoleEntry, What: "control bytes (gossip, catalog, homes of agents)", Unit: "bytes/s", Bound: s.BytesPerSec,
-		From: fmt.Sprintf("control_entry_bytes at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "digests to three neighbours, changes inside them, two home entries an agent"},
+		From: fmt.Sprintf("control_entry_bytes at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "digests to three neighbours, changes inside them, one home entry an agent and a stand-in for one that is gone"},
 		term{slope: "control_entry_bytes", at: s.entriesPerDC(), factor: 1})
 	b.sum(Row{Role: RoleEntry, What: "control CPU, gossip", Unit: "% of a core", Bound: s.CoreShare * percent,
 		From: fmt.Sprintf("control_cpu at %.0f entries", s.entriesPerDC()), Mechanism: "as above"},
@@ -146,6 +148,10 @@
 		From:      fmt.Sprintf("%.0f requests/s x 2.4 answers x answer_state_bytes at one version", s.requestsPerEntry()),
 		Mechanism: "rides on answers that flow anyway"},
 		term{slope: "answer_state_bytes", at: 1, factor: s.requestsPerEntry() * repliesPerRequest})
+	b.sum(Row{Role: RoleEntry, What: "in-band state, encode, decode and learn (request path)", Unit: "% of a core",
+		From:      fmt.Sprintf("%.0f requests/s x 2.4 answers x answer_state_cpu at one version", s.requestsPerEntry()),
+		Mechanism: "as above"},
+		term{slope: "answer_state_cpu", at: 1, factor: s.requestsPerEntry() * repliesPerRequest * nanoseconds * percent})
 	b.sum(Row{Role: RoleEntry, What: "open streams, memory (request path)", Unit: "MB",
 		From:      fmt.Sprintf("%.0f streams by Little's law x (connection_open_bytes - connection_idle_bytes) / 2 ends", s.openStreamsPerEntry()),
 		Mechanism: "one QUIC stream a request"},
@@ -172,7 +178,7 @@
 		From: fmt.Sprintf("%.0f objects x catalog_object_memory x 2", s.objects()), Mechanism: "immutable table"},
 		term{slope: "catalog_object_memory", at: s.objects(), factor: 2.0 / megabyte})
 	b.sum(Row{Role: RoleAgent, What: "control bytes", Unit: "bytes/s", Bound: s.BytesPerSec,
-		From: fmt.Sprintf("control_agent_bytes at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "told by two home entries"},
+		From: fmt.Sprintf("control_agent_bytes at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "told by its home entry, or the one that stands in"},
 		term{slope: "control_agent_bytes", at: s.entriesPerDC(), factor: 1})
 	b.sum(Row{Role: RoleAgent, What: "control CPU, adopting changes", Unit: "% of a core", Bound: s.CoreShare * percent,
 		From: fmt.Sprintf("%.3f changes/s x catalog_change_cpu", s.changesPerSecond()), Mechanism: "whole table built anew"},
@@ -227,3 +233,29 @@
 	}
 	b.rows = append(b.rows, row)
 }
+
+// lostDataCentre works out what the others of a region of three carry, which
+// is half as much again, and what the loss costs the fleet in messages.
+func (b *builder) lostDataCentre() {
+	s := b.sizes
+	const (
+		ofThree = 1.5
+		// handshakeBytes of a connection with certificates on both sides.
+		handshakeBytes = 6900
+		probesAServer  = 3
+	)
+	b.sum(Row{Role: RoleLoss, What: "routing decisions (request path)", Unit: "% of a core",
+		From: fmt.Sprintf("%.0f requests/s x route_decision_cpu", ofThree*s.requestsPerEntry()), Mechanism: "further data centres by expected time"},
+		term{slope: "route_decision_cpu", at: 2 * s.serversPerDC(), factor: ofThree * s.requestsPerEntry() * nanoseconds * percent})
+	b.sum(Row{Role: RoleLoss, What: "open streams, memory (request path)", Unit: "MB",
+		From: fmt.Sprintf("%.0f streams", ofThree*s.openStreamsPerEntry()), Mechanism: "one QUIC stream a request"},
+		term{slope: "connection_open_bytes", perUnit: true, factor: ofThree * s.openStreamsPerEntry() / 2 / megabyte},
+		term{slope: "connection_idle_bytes", perUnit: true, factor: -ofThree * s.openStreamsPerEntry() / 2 / megabyte})
+	b.rows = append(b.rows,
+		Row{Role: RoleLoss, What: "requests at a backend server of the region", Unit: "requests/s", Value: ofThree * s.requestsPerServer(), Known: true,
+			From: "half as much again as on an ordinary day", Mechanism: "pools need a third of their room free; admission sheds the lowest class first"},
+		Row{Role: RoleLoss, What: "offers of one entry to dead servers until all are ejected", Unit: "offers", Value: probesAServer * s.serversPerDC(), Known: true,
+			From: "three failures a server, only for traffic that prefers the lost data centre", Mechanism: "own evidence, then the list of VMs"},
+		Row{Role: RoleLoss, What: "handshakes of one entry with the region's other agents, once", Unit: "MB", Value: 2 * s.serversPerDC() * handshakeBytes / megabyte, Known: true,
+			From: "636 connections x 6.9 KB, spread over the requests that need them", Mechanism: "connections on use"})
+}
--- a/tools/slopes/main.go
+++ b/tools/slopes/main.go
@@ -54,6 +54,7 @@
 	list = append(list, catalogMeasurements()...)
 	list = append(list, routingMeasurements()...)
 	list = append(list, agentMeasurements()...)
+	list = append(list, gossipMeasurements()...)
 	list = append(list, controlMeasurements()...)
 	return list
 }
