--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"path"
-	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -173,11 +171,11 @@
 	if a.service == nil || offer.GetService() != a.settings.Service.Name {
 		return jayv1.Refusal_REFUSAL_NOT_FOUND, "service is not here"
 	}
-	if !cleanPath(offer.GetPath()) {
+	callPath, clean := catalog.CallPath(offer.GetPath())
+	if !clean {
 		return jayv1.Refusal_REFUSAL_INVALID, "path is not absolute and clean"
 	}
 	service, ok := a.catalog.Current().Service(offer.GetService())
-	callPath, _, _ := strings.Cut(offer.GetPath(), "?")
 	if ok && catalog.NonRepeatable(service, offer.GetMethod(), callPath) && !offer.GetNonRepeatable() {
 		return jayv1.Refusal_REFUSAL_STALE_CONFIG, "call is declared as not repeatable"
 	}
@@ -189,17 +187,6 @@
 	return 0, ""
 }
 
-// cleanPath tells whether the path has no "." or ".." elements that a service
-// would resolve to a path under other rules.
-func cleanPath(target string) bool {
-	callPath, _, _ := strings.Cut(target, "?")
-	if !strings.HasPrefix(callPath, "/") {
-		return false
-	}
-	cleaned := path.Clean(callPath)
-	return callPath == cleaned || callPath == cleaned+"/"
-}
-
 // takeBody adds a part of the body. What all attempts hold together is bounded
 // here, since the body of a plain service's call has no size in its offer.
 func (a *Agent) takeBody(w *work, data *jayv1.Data, s *transport.Stream) error {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"net/url"
-	"path"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -35,7 +33,7 @@
 		return nil, refuse(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is longer than the limit")
 	}
 	target := pathBelow(request)
-	ruled, ok := ruledPath(target)
+	ruled, ok := catalog.CallPath(target)
 	if !ok {
 		return nil, invalid("the path is not a clean absolute path")
 	}
@@ -69,26 +67,6 @@
 	return target
 }
 
-// ruledPath is the path that declarations are matched against: decoded and
-// without parameters of its elements, as services read it. Matched as written,
-// "/%63onfirm" or "/confirm;x" would pass for a call that may be repeated. False:
-// the path has elements that a service may resolve to another one.
-func ruledPath(target string) (string, bool) {
-	escaped, _, _ := strings.Cut(target, "?")
-	decoded, err := url.PathUnescape(escaped)
-	if err != nil {
-		return "", false
-	}
-	if cleaned := path.Clean(decoded); decoded != cleaned && decoded != cleaned+"/" {
-		return "", false
-	}
-	elements := strings.Split(decoded, "/")
-	for i, element := range elements {
-		elements[i], _, _ = strings.Cut(element, ";")
-	}
-	return strings.Join(elements, "/"), true
-}
-
 // serviceBody streams the body, bounded in size and in patience.
 func (e *Entry) serviceBody(c echo.Context) bodySource {
 	request := c.Request()
