Keep the defaults of a pool in one place

Cause: bytes a token and shared level of a pool that declares none stood in the entry, the agent and the router. Change: catalog.BytesPerToken and SharedLevel for entry and agent; the router keeps its own guard against zero.

--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -13,9 +13,6 @@
 	"github.com/jayproxy/jayproxy/internal/transport"
 )
 
-// defaultBytesPerToken is the size of a token where the pool declares none.
-const defaultBytesPerToken = 4.0
-
 func claimOf(req *jayv1.Resume) relay.Claim {
 	return relay.Claim{Workspace: req.GetWorkspace(), Nonce: req.GetNonce()}
 }
@@ -93,10 +90,7 @@
 
 func (a *Agent) bytesPerToken(poolName string) float64 {
 	pool, _ := a.catalog.Current().Pool(poolName)
-	if perToken := pool.GetBytesPerToken(); perToken > 0 {
-		return perToken
-	}
-	return defaultBytesPerToken
+	return catalog.BytesPerToken(pool)
 }
 
 func (a *Agent) admissionRequest(now time.Time, w *work) admission.Request {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -16,12 +16,6 @@
 // caller's own connection breaks, so that it can be resumed.
 const resumeKeep = "keep"
 
-// defaults of a pool's declaration.
-const (
-	defaultBytesPerToken = 4
-	defaultSharedLevel   = 2
-)
-
 // finisher is an answer that is closed with the request's result.
 type finisher interface {
 	answer
@@ -127,18 +121,11 @@
 }
 
 func policyOf(pool *jayv1.Pool) *routing.PoolPolicy {
-	policy := &routing.PoolPolicy{
+	return &routing.PoolPolicy{
 		Pool: pool.GetName(), RecomputeWeight: pool.GetRecomputeWeight(),
-		BytesPerToken: pool.GetBytesPerToken(), SharedLevel: int(pool.GetSharedLevel()),
+		BytesPerToken: catalog.BytesPerToken(pool), SharedLevel: catalog.SharedLevel(pool),
 		PrefillTokensPerSecond: pool.GetPrefillTokensPerSecond(),
 	}
-	if policy.BytesPerToken == 0 {
-		policy.BytesPerToken = defaultBytesPerToken
-	}
-	if policy.SharedLevel == 0 {
-		policy.SharedLevel = defaultSharedLevel
-	}
-	return policy
 }
 
 func (r *modelRequest) promptTokens(bytesPerToken float64) float64 {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -52,7 +52,7 @@
 	}
 	w.body = e.serviceBody(c)
 	w.route = &routing.Request{ID: w.id, Workspace: w.workspace.GetName(), Class: w.class, DataCentres: rule.GetDataCentres()}
-	w.policy = &routing.PoolPolicy{BytesPerToken: defaultBytesPerToken, SharedLevel: defaultSharedLevel}
+	w.policy = policyOf(nil)
 	return w, nil
 }
 
