Share agents evenly among the entries of a data centre

Rendezvous order alone gave one entry twice the mean number of agents. Weighed: a longer order of two choices (needs the others' counts, which nobody knows) against room in the order: each process computes the same shares from the same names, no entry above 1.25 times the mean. Change: internal/spread/homes.go; a row for the busiest entry on the page.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -129,6 +129,9 @@
 	b.sum(Row{Role: RoleEntry, What: "control bytes (gossip, catalog, homes of agents)", Unit: "bytes/s", Bound: s.BytesPerSec,
 		From: fmt.Sprintf("control_entry_bytes at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "digests to three neighbours, changes inside them, one home entry an agent and a stand-in for one that is gone"},
 		term{slope: "control_entry_bytes", at: s.entriesPerDC(), factor: 1})
+	b.sum(Row{Role: RoleEntry, What: "control bytes of the busiest entry", Unit: "bytes/s", Bound: s.BytesPerSec,
+		From: fmt.Sprintf("control_entry_bytes_most at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "agents shared evenly: no entry has more than 1.25 times the mean"},
+		term{slope: "control_entry_bytes_most", at: s.entriesPerDC(), factor: 1})
 	b.sum(Row{Role: RoleEntry, What: "control CPU, gossip", Unit: "% of a core", Bound: s.CoreShare * percent,
 		From: fmt.Sprintf("control_cpu at %.0f entries", s.entriesPerDC()), Mechanism: "as above"},
 		term{slope: "control_cpu", at: s.entriesPerDC(), factor: percent})
--- a/internal/spread/overlay.go
+++ b/internal/spread/overlay.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"slices"
 	"sort"
 
 	"github.com/zeebo/xxh3"
@@ -133,58 +132,3 @@
 	}
 	return false
 }
-
-// homes finds the agents that an entry looks after. An agent's home is the
-// first of its data centre's entries in rendezvous order. When a home can't be
-// reached, the entry in front of it on the ring stands in: that entry has it as
-// a neighbour and so notices within one timeout of the next change.
-type homes struct {
-	// near holds the listed entries by data centre, suspected ones too.
-	near map[string][]Peer
-	all  []Peer
-	// mine: this entry itself and those it stands in for, with their data centres.
-	mine    map[keys.Identity]bool
-	centres map[string]bool
-	count   int
-}
-
-// newHomes groups the entries once, so that the cost follows the agents of one
-// data centre and not the fleet. Entries that are not live are suspected.
-func newHomes(self Peer, listed, live []Peer, count int) homes {
-	h := homes{near: map[string][]Peer{}, count: count, mine: map[keys.Identity]bool{}, centres: map[string]bool{}}
-	h.all = append(slices.Clone(listed), self)
-	sort.Slice(h.all, func(i, j int) bool { return before(h.all[i], h.all[j]) })
-	for _, peer := range h.all {
-		h.near[peer.DataCentre] = append(h.near[peer.DataCentre], peer)
-	}
-	own := slices.IndexFunc(h.all, func(p Peer) bool { return p.ID == self.ID })
-	for i := range h.all {
-		peer := h.all[(own+i)%len(h.all)]
-		if i > 0 && slices.ContainsFunc(live, func(p Peer) bool { return p.ID == peer.ID }) {
-			break
-		}
-		h.mine[peer.ID], h.centres[peer.DataCentre] = true, true
-	}
-	return h
-}
-
-// mineToo tells whether this entry looks after the agent.
-func (h homes) mineToo(agent Peer) bool {
-	if len(h.near[agent.DataCentre]) >= h.count && !h.centres[agent.DataCentre] {
-		return false
-	}
-	return slices.ContainsFunc(h.of(agent), func(home Peer) bool { return h.mine[home.ID] })
-}
-
-// of returns the agent's homes, whether they are reached or not: entries of its
-// data centre first, of others when there are too few.
-func (h homes) of(agent Peer) []Peer {
-	key := "home/" + agent.ID.Name
-	near := h.near[agent.DataCentre]
-	if len(near) >= h.count {
-		return rank(key, near)[:h.count]
-	}
-	_, far := split(rank(key, h.all), agent.DataCentre)
-	ordered := append(rank(key, near), far...)
-	return ordered[:min(len(ordered), h.count)]
-}
--- a/internal/spread/tick.go
+++ b/internal/spread/tick.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/jayproxy/jayproxy/internal/keys"
@@ -39,15 +38,16 @@
 	c.overlayLive = live
 	c.neighbours = neighbours(c.self, live, c.settings.FanOut)
 	homes := newHomes(c.self, c.addressed(), live, c.settings.Homes)
-	c.homeAgents = c.homeAgents[:0]
+	var agents []Peer
 	for _, agent := range c.agents {
-		if agent.peer.Address != "" && homes.mineToo(agent.peer) {
-			c.homeAgents = append(c.homeAgents, agent)
+		if agent.peer.Address != "" {
+			agents = append(agents, agent.peer)
 		}
 	}
-	sort.Slice(c.homeAgents, func(i, j int) bool {
-		return c.homeAgents[i].peer.ID.Name < c.homeAgents[j].peer.ID.Name
-	})
+	c.homeAgents = c.homeAgents[:0]
+	for _, agent := range homes.share(agents) {
+		c.homeAgents = append(c.homeAgents, c.agents[agent.ID])
+	}
 }
 
 // push tells all neighbours of a new generation at once, but bursts only once
