--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -133,7 +133,7 @@
 	metricFirstToken  = "first_token"
 	metricNextToken   = "next_token"
 	metricQueueWait   = "queue_wait"
-	metricCachedShare = "cached_share_percent"
+	metricCachedShare = "cached_share_permille"
 	metricRecomputed  = "recomputed_tokens"
 	metricRequests    = "requests"
 	metricRefusals    = "refusals"
@@ -162,7 +162,7 @@
 
 // measure keeps what a finished request cost.
 func (e *Entry) measure(w *work, r result) {
-	const percent = 100
+	const permille = 1000
 	usage := r.end.GetUsage()
 	for _, label := range labels(w) {
 		e.metrics.Count(metricRequests+"_"+OutcomeName(r.outcome), label, 1)
@@ -174,7 +174,7 @@
 			continue
 		}
 		e.metrics.Time(metricQueueWait, label, time.Duration(usage.GetQueueWaitMs()*float64(time.Millisecond)))
-		e.metrics.Value(metricCachedShare, label, int64(percent*usage.GetCachedTokens()/usage.GetPromptTokens()))
+		e.metrics.Value(metricCachedShare, label, int64(permille)*int64(usage.GetCachedTokens())/int64(usage.GetPromptTokens()))
 		e.metrics.Value(metricRecomputed, label, int64(usage.GetRecomputedTokens()))
 	}
 	klog.V(1).InfoS("request over", "request", w.id, "workspace", w.workspace.GetName(), "server", r.server,
