--- a/internal/agent/observe.go
+++ b/internal/agent/observe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/catalog"
 )
 
 // Names of the agent's metrics. Each is kept per workspace and per class.
@@ -27,7 +28,7 @@
 }
 
 func className(class jayv1.Class) string {
-	return "class:" + strings.ToLower(strings.TrimPrefix(class.String(), "CLASS_"))
+	return "class:" + catalog.ClassName(class)
 }
 
 func refusalName(refusal jayv1.Refusal) string {
--- a/internal/catalog/defaults.go
+++ b/internal/catalog/defaults.go
@@ -1,6 +1,10 @@
 package catalog
 
-import jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+import (
+	"strings"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+)
 
 // What a pool that declares nothing of it is read as; see catalog.proto.
 const (
@@ -25,3 +29,8 @@
 	}
 	return DefaultSharedLevel
 }
+
+// ClassName is a class as declarations and metrics write it: "interactive".
+func ClassName(class jayv1.Class) string {
+	return strings.ToLower(strings.TrimPrefix(class.String(), "CLASS_"))
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/catalog"
 )
 
 // serve takes a request through the limits and its attempts to its answer.
@@ -142,7 +143,7 @@
 
 // labels of a request: its workspace and its class.
 func labels(w *work) [2]string {
-	return [2]string{w.workspace.GetName(), classLabelPrefix + jayv1.Class_name[int32(w.class)]}
+	return [2]string{w.workspace.GetName(), classLabelPrefix + catalog.ClassName(w.class)}
 }
 
 func (e *Entry) tokenMeter(w *work) func(time.Time, time.Duration) {
