Watch control for a minute and count its messages

Change: tools/slopes watches 60 s at each of four sizes and counts frames; rows for messages, cache events and operators' changes.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -132,6 +132,9 @@
 	b.sum(Row{Role: RoleEntry, What: "control bytes of the busiest entry", Unit: "bytes/s", Bound: s.BytesPerSec,
 		From: fmt.Sprintf("control_entry_bytes_most at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "agents shared evenly: no entry has more than 1.25 times the mean"},
 		term{slope: "control_entry_bytes_most", at: s.entriesPerDC(), factor: 1})
+	b.sum(Row{Role: RoleEntry, What: "control messages, sent and received", Unit: "messages/s",
+		From: fmt.Sprintf("control_entry_messages at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "as above"},
+		term{slope: "control_entry_messages", at: s.entriesPerDC(), factor: 1})
 	b.sum(Row{Role: RoleEntry, What: "control CPU, gossip", Unit: "% of a core", Bound: s.CoreShare * percent,
 		From: fmt.Sprintf("control_cpu at %.0f entries", s.entriesPerDC()), Mechanism: "as above"},
 		term{slope: "control_cpu", at: s.entriesPerDC(), factor: percent})
@@ -183,6 +186,11 @@
 	b.sum(Row{Role: RoleAgent, What: "control bytes", Unit: "bytes/s", Bound: s.BytesPerSec,
 		From: fmt.Sprintf("control_agent_bytes at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "told by its home entry, or the one that stands in"},
 		term{slope: "control_agent_bytes", at: s.entriesPerDC(), factor: 1})
+	b.sum(Row{Role: RoleAgent, What: "control messages, sent and received", Unit: "messages/s",
+		From: fmt.Sprintf("control_agent_messages at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "as above"},
+		term{slope: "control_agent_messages", at: s.entriesPerDC(), factor: 1})
+	b.rows = append(b.rows, Row{Role: RoleAgent, What: "cache events from the engine", Unit: "events/s", Value: s.eventsPerServer(), Known: true,
+		From: fmt.Sprintf("%.1f million a second over all", s.EventsPerSec/1e6), Mechanism: "events end here"})
 	b.sum(Row{Role: RoleAgent, What: "control CPU, adopting changes", Unit: "% of a core", Bound: s.CoreShare * percent,
 		From: fmt.Sprintf("%.3f changes/s x catalog_change_cpu", s.changesPerSecond()), Mechanism: "whole table built anew"},
 		term{slope: "catalog_change_cpu", at: s.objects(), factor: s.changesPerSecond() * nanoseconds * percent})
@@ -205,6 +213,8 @@
 
 func (b *builder) operators() {
 	s := b.sizes
+	b.rows = append(b.rows, Row{Role: RoleOperator, What: "changes accepted, whole fleet", Unit: "calls/s", Value: s.changesPerSecond(), Known: true,
+		From: "16,000 a day", Mechanism: "any entry, one transaction"})
 	b.sum(Row{Role: RoleOperator, What: "a whole catalog to a caller", Unit: "MB",
 		From: fmt.Sprintf("catalog_snapshot_bytes at %.0f objects", s.objects()), Mechanism: "list by kind"},
 		term{slope: "catalog_snapshot_bytes", at: s.objects(), factor: 1.0 / megabyte})
--- a/tools/slopes/control.go
+++ b/tools/slopes/control.go
@@ -23,7 +23,7 @@
 	changesPerSecond = 16000.0 / 86400
 	// controlWarmup lets the processes find each other and open connections.
 	controlWarmup = 8 * time.Second
-	controlWatch  = 30 * time.Second
+	controlWatch  = 60 * time.Second
 	// headersPerPacket of IPv4 and UDP, which QUIC does not count.
 	headersPerPacket = 28
 )
@@ -32,6 +32,8 @@
 type controlCost struct {
 	entryBytes, agentBytes float64 // a second, sent and received
 	entryBytesMost         float64
+	entryFrames            float64 // messages a second, sent and received
+	agentFrames            float64
 	cpuShare               float64 // of a core, a node, both roles together
 	reads                  float64 // of the platform a second, all nodes
 	spreadSeconds          float64 // of the slowest change, until in force everywhere
@@ -61,6 +63,10 @@
 			measure: of(func(c controlCost) float64 { return c.entryBytesMost })},
 		{name: "control_agent_bytes", xUnit: "entry in the fleet (nine agents each)", yUnit: "control bytes a second of an agent", counts: counts,
 			measure: of(func(c controlCost) float64 { return c.agentBytes })},
+		{name: "control_entry_messages", xUnit: "entry in the fleet (nine agents each)", yUnit: "control messages a second of an entry, sent and received", counts: counts,
+			measure: of(func(c controlCost) float64 { return c.entryFrames })},
+		{name: "control_agent_messages", xUnit: "entry in the fleet (nine agents each)", yUnit: "control messages a second of an agent, sent and received", counts: counts,
+			measure: of(func(c controlCost) float64 { return c.agentFrames })},
 		{name: "control_cpu", xUnit: "entry in the fleet (nine agents each)", yUnit: "share of a core a node", counts: counts,
 			measure: of(func(c controlCost) float64 { return c.cpuShare })},
 		{name: "control_platform_reads", xUnit: "entry in the fleet (one data centre)", yUnit: "platform reads a second", counts: counts,
@@ -76,6 +82,7 @@
 	holder *catalog.Holder
 	spread *spread.Service
 	before transport.Traffic
+	frames uint64
 }
 
 func (m *member) close() {
@@ -203,7 +210,7 @@
 func (f *controlFleet) watch() (controlCost, error) {
 	all := append(append([]*member{}, f.entries...), f.agents...)
 	for _, m := range all {
-		m.before = m.node.Traffic()
+		m.before, m.frames = m.node.Traffic(), m.allFrames()
 	}
 	readsBefore, _ := f.platform.Counts()
 	cpu, start := cpuSeconds(), time.Now()
@@ -229,10 +236,12 @@
 	for _, m := range f.entries {
 		rate := m.bytesSince() / seconds
 		cost.entryBytes += rate / float64(len(f.entries))
+		cost.entryFrames += float64(m.allFrames()-m.frames) / seconds / float64(len(f.entries))
 		cost.entryBytesMost = max(cost.entryBytesMost, rate)
 	}
 	for _, m := range f.agents {
 		cost.agentBytes += m.bytesSince() / seconds / float64(len(f.agents))
+		cost.agentFrames += float64(m.allFrames()-m.frames) / seconds / float64(len(f.agents))
 	}
 	return cost, nil
 }
@@ -253,6 +262,11 @@
 	return 0, fmt.Errorf("a change was not in force everywhere after %s", limit)
 }
 
+// allFrames is the messages sent and received so far.
+func (m *member) allFrames() uint64 {
+	return m.node.Stats.FramesSent.Load() + m.node.Stats.FramesReceived.Load()
+}
+
 // bytesSince the watch began, sent and received, with UDP and IP headers.
 func (m *member) bytesSince() float64 {
 	now := m.node.Traffic()
