Give each entry at most 1.1 times the mean of agents

Change: room in tenths of the mean, in whole numbers, so that all processes come to the same. The test's bound follows, tighter.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -130,7 +130,7 @@
 		From: fmt.Sprintf("control_entry_bytes at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "digests to three neighbours, changes inside them, one home entry an agent and a stand-in for one that is gone"},
 		term{slope: "control_entry_bytes", at: s.entriesPerDC(), factor: 1})
 	b.sum(Row{Role: RoleEntry, What: "control bytes of the busiest entry", Unit: "bytes/s", Bound: s.BytesPerSec,
-		From: fmt.Sprintf("control_entry_bytes_most at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "agents shared evenly: no entry has more than 1.25 times the mean"},
+		From: fmt.Sprintf("control_entry_bytes_most at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "agents shared evenly: no entry has more than 1.1 times the mean, rounded up"},
 		term{slope: "control_entry_bytes_most", at: s.entriesPerDC(), factor: 1})
 	b.sum(Row{Role: RoleEntry, What: "control messages, sent and received", Unit: "messages/s",
 		From: fmt.Sprintf("control_entry_messages at %.0f entries a data centre", s.entriesPerDC()), Mechanism: "as above"},
--- a/internal/spread/homes.go
+++ b/internal/spread/homes.go
@@ -1,15 +1,14 @@
 package spread
 
 import (
-	"math"
 	"slices"
 	"sort"
 
 	"github.com/jayproxy/jayproxy/internal/keys"
 )
 
-// roomShare is how many agents an entry takes at most, as a multiple of the mean.
-const roomShare = 1.25
+// roomTenths is how many agents an entry takes at most, in tenths of the mean.
+const roomTenths = 11
 
 // homes finds the agents that an entry looks after. An agent's home is the
 // first of its data centre's entries in rendezvous order that has room: taken
@@ -73,7 +72,9 @@
 // entries of its rendezvous order that are not full.
 func (h homes) withRoom(near, agents []Peer) []Peer {
 	sort.Slice(agents, func(i, j int) bool { return agents[i].ID.Name < agents[j].ID.Name })
-	room := int(math.Ceil(roomShare * float64(len(agents)*h.count) / float64(len(near))))
+	// In whole numbers: all processes must come to the same.
+	tenths := 10 * len(near)
+	room := (roomTenths*len(agents)*h.count + tenths - 1) / tenths
 	taken := make(map[keys.Identity]int, len(near))
 	var mine []Peer
 	for _, agent := range agents {
--- a/internal/spread/homes_test.go
+++ b/internal/spread/homes_test.go
@@ -30,7 +30,7 @@
 		for i := range agents {
 			behind = append(behind, named(keys.RoleAgent, fmt.Sprint("b", i), "a"))
 		}
-		room := (5*agents*count + 4*entries - 1) / (4 * entries)
+		room := (11*agents*count + 10*entries - 1) / (10 * entries)
 		owners := map[keys.Identity]int{}
 		for i, self := range all {
 			others := append(append([]Peer{}, all[:i]...), all[i+1:]...)
