--- a/internal/spread/settings.go
+++ b/internal/spread/settings.go
@@ -38,7 +38,7 @@
 // DefaultSettings are right for a few entries up to several hundred.
 func DefaultSettings() Settings {
 	return Settings{
-		Interval:         2 * time.Second,
+		Interval:         3 * time.Second,
 		FanOut:           3,
 		PushGap:          50 * time.Millisecond,
 		Pollers:          2,
