--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -215,6 +215,13 @@
 	s := b.sizes
 	b.rows = append(b.rows, Row{Role: RoleOperator, What: "changes accepted, whole fleet", Unit: "calls/s", Value: s.changesPerSecond(), Known: true,
 		From: "16,000 a day", Mechanism: "any entry, one transaction"})
+	b.sum(Row{Role: RoleOperator, What: "CPU, if one entry accepts all changes", Unit: "% of a core", Bound: s.CoreShare * percent,
+		From:      fmt.Sprintf("%.3f changes/s x accept_change_cpu at %.0f objects", s.changesPerSecond(), s.objects()),
+		Mechanism: "the whole set is checked with each change"},
+		term{slope: "accept_change_cpu", at: s.objects(), factor: s.changesPerSecond() * nanoseconds * percent})
+	b.sum(Row{Role: RoleOperator, What: "memory of the newest table beside the one in force", Unit: "MB", Bound: s.MemoryBytes / megabyte,
+		From: fmt.Sprintf("%.0f objects x catalog_object_memory", s.objects()), Mechanism: "shared with the table in force once adopted"},
+		term{slope: "catalog_object_memory", at: s.objects(), factor: 1.0 / megabyte})
 	b.sum(Row{Role: RoleOperator, What: "a whole catalog to a caller", Unit: "MB",
 		From: fmt.Sprintf("catalog_snapshot_bytes at %.0f objects", s.objects()), Mechanism: "list by kind"},
 		term{slope: "catalog_snapshot_bytes", at: s.objects(), factor: 1.0 / megabyte})
--- a/tools/slopes/catalog.go
+++ b/tools/slopes/catalog.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -8,6 +9,8 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/catalogstore"
+	"github.com/jayproxy/jayproxy/internal/platform/platformtest"
 )
 
 // shortRun is enough for a mean of operations that take microseconds.
@@ -38,6 +41,10 @@
 				return cost, fault
 			},
 		},
+		{
+			name: "accept_change_cpu", xUnit: "object in the catalog", yUnit: "nanoseconds to accept a change",
+			counts: doubled(1000, 4), measure: acceptCPU,
+		},
 		{
 			name: "catalog_change_bytes", xUnit: "object in a change", yUnit: "bytes of the change",
 			counts: doubled(1, 4),
@@ -63,10 +70,52 @@
 func backendServer(i int) *jayv1.Resource {
 	return &jayv1.Resource{Kind: &jayv1.Resource_BackendServer{BackendServer: &jayv1.BackendServer{
 		Name:         fmt.Sprintf("runner-%05d", i),
-		Pool:         fmt.Sprintf("pool-%02d", i%26),
+		Pool:         fmt.Sprintf("pool-%02d", i%poolCount),
 		AgentAddress: fmt.Sprintf("10.%d.%d.%d:7443", i>>16&255, i>>8&255, i&255),
 		DataCentre:   fmt.Sprintf("dc-%02d", i%22),
-		Region:       fmt.Sprintf("region-%d", i%7),
+		Region:       fmt.Sprintf("region-%d", i%22%7),
 		Vendor:       "merle",
 	}}}
 }
+
+// acceptCPU is the time to accept a change of one object, the check of the
+// whole catalog included, with a table that answers at once.
+func acceptCPU(n int) (float64, error) {
+	memory := platformtest.New()
+	store := catalogstore.New(memory, memory, catalogstore.Options{Check: catalog.Check})
+	at := 0
+	propose := func(resources []*jayv1.Resource) error {
+		at++
+		_, err := store.Accept(context.Background(), catalogstore.Proposal{
+			ChangeID: fmt.Sprint("change-", at),
+			Edit: func(table *catalog.Table) (catalog.Difference, error) {
+				return catalog.Diff(table, resources, false), nil
+			},
+		})
+		return err
+	}
+	resources := declared(n).GetResources()
+	for i := range poolCount {
+		resources = append(resources, declaredPool(i, 1))
+	}
+	if err := propose(resources); err != nil {
+		return 0, err
+	}
+	var fault error
+	cost := nanosecondsPer(shortRun, func() {
+		if err := propose([]*jayv1.Resource{declaredPool(0, uint32(at))}); err != nil {
+			fault = err
+		}
+	})
+	return cost, fault
+}
+
+// poolCount is the number of pools that backendServer spreads over.
+const poolCount = 26
+
+func declaredPool(i int, minReady uint32) *jayv1.Resource {
+	return &jayv1.Resource{Kind: &jayv1.Resource_Pool{Pool: &jayv1.Pool{
+		Name: fmt.Sprintf("pool-%02d", i), Model: fmt.Sprintf("model-%02d", i), MinReady: minReady % 30,
+		Versions: []*jayv1.ModelVersion{{Name: "v1", Digest: "sha256:0"}}, ActiveVersion: "v1",
+	}}}
+}
