Hash callers' keys in one place; silence logs in one place

Two tools silenced klog with the same lines. Ruled out: sharing the parsing of a key as well. catalog.ParseCallerKey refuses a secret with an underscore and its test says so; the entry takes one. Change: catalog.HashSecret and SecretMatches serve all; cli.SilenceLogs. Behaviour as before, the tests keep their assertions.

--- a/internal/catalog/callerkey.go
+++ b/internal/catalog/callerkey.go
@@ -34,7 +34,7 @@
 	id := hex.EncodeToString(random[:keyIDBytes])
 	secret := strings.ToLower(secretEncoding.EncodeToString(random[keyIDBytes : keyIDBytes+secretBytes]))
 	salt := random[keyIDBytes+secretBytes:]
-	return callerKeyPrefix + "_" + id + "_" + secret, &jayv1.ApiKey{Id: id, Salt: salt, Hash: hashSecret(salt, secret)}, nil
+	return callerKeyPrefix + "_" + id + "_" + secret, &jayv1.ApiKey{Id: id, Salt: salt, Hash: HashSecret(salt, secret)}, nil
 }
 
 // ParseCallerKey parts a caller's key into id and secret.
@@ -49,10 +49,12 @@
 
 // SecretMatches compares a secret with the hash of a key in constant time.
 func SecretMatches(key *jayv1.ApiKey, secret string) bool {
-	return subtle.ConstantTimeCompare(key.GetHash(), hashSecret(key.GetSalt(), secret)) == 1
+	return subtle.ConstantTimeCompare(key.GetHash(), HashSecret(key.GetSalt(), secret)) == 1
 }
 
-func hashSecret(salt []byte, secret string) []byte {
+// HashSecret is the hash that an ApiKey keeps of a secret: SHA-256 over salt
+// and secret.
+func HashSecret(salt []byte, secret string) []byte {
 	sum := sha256.Sum256(append(append([]byte{}, salt...), secret...))
 	return sum[:]
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -32,6 +33,15 @@
 	})
 }
 
+// SilenceLogs drops the logs of processes that run inside a program which
+// breaks them by the hundred and prints a report of its own.
+func SilenceLogs() {
+	flags := flag.NewFlagSet("klog", flag.ExitOnError)
+	klog.InitFlags(flags)
+	_ = flags.Parse([]string{"-logtostderr=false", "-stderrthreshold=FATAL", "-legacy_stderr_threshold_behavior=false"})
+	klog.SetOutput(io.Discard)
+}
+
 // Main runs a command until it ends or a signal comes, and exits with 1 when
 // it fails. A second signal ends the process at once.
 func Main(cmd *cobra.Command) {
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
 	"strings"
 
@@ -19,19 +18,11 @@
 // takes the same path, and time, as a wrong secret.
 var absentKey = &jayv1.ApiKey{Salt: make([]byte, sha256.Size), Hash: make([]byte, sha256.Size)}
 
-// HashSecret is the hash that an ApiKey keeps of a secret.
-func HashSecret(salt []byte, secret string) []byte {
-	h := sha256.New()
-	_, _ = h.Write(salt)
-	_, _ = h.Write([]byte(secret))
-	return h.Sum(nil)
-}
-
 // authenticate returns the workspace whose key the request shows.
 func authenticate(table *catalog.Table, header http.Header) (*jayv1.Workspace, *Error) {
 	id, secret, ok := parseKey(header.Get("Authorization"))
 	workspace, key := lookUpKey(table, id)
-	same := subtle.ConstantTimeCompare(HashSecret(key.GetSalt(), secret), key.GetHash()) == 1
+	same := catalog.SecretMatches(key, secret)
 	if !ok || workspace == nil || !same {
 		return nil, refuse(http.StatusUnauthorized, CodeInvalidKey, "the API key is missing or not valid")
 	}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -55,7 +55,7 @@
 func (s *site) declareWorkspace(name, id, secret string, limits *jayv1.Limits) {
 	salt := []byte("salt-of-" + id)
 	s.resources = append(s.resources, &jayv1.Resource{Kind: &jayv1.Resource_Workspace{Workspace: &jayv1.Workspace{
-		Name: name, Limits: limits, Keys: []*jayv1.ApiKey{{Id: id, Salt: salt, Hash: entry.HashSecret(salt, secret)}},
+		Name: name, Limits: limits, Keys: []*jayv1.ApiKey{{Id: id, Salt: salt, Hash: catalog.HashSecret(salt, secret)}},
 	}}})
 }
 
--- a/internal/standin/cluster/declaration.go
+++ b/internal/standin/cluster/declaration.go
@@ -1,9 +1,8 @@
 package cluster
 
 import (
-	"crypto/sha256"
-
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/catalog"
 )
 
 const operatorName = "developer"
@@ -21,9 +20,8 @@
 	var all []*jayv1.Resource
 	for _, name := range o.Workspaces {
 		salt := []byte("salt-" + name)
-		hash := sha256.Sum256(append(append([]byte(nil), salt...), secretOf(name)...))
 		all = append(all, &jayv1.Resource{Kind: &jayv1.Resource_Workspace{Workspace: &jayv1.Workspace{
-			Name: name, Keys: []*jayv1.ApiKey{{Id: name, Salt: salt, Hash: hash[:]}}, Weight: 1,
+			Name: name, Keys: []*jayv1.ApiKey{{Id: name, Salt: salt, Hash: catalog.HashSecret(salt, secretOf(name))}}, Weight: 1,
 			DefaultClass: jayv1.Class_CLASS_STANDARD,
 		}}})
 	}
--- a/tools/recovery/main.go
+++ b/tools/recovery/main.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/cli"
 	"github.com/jayproxy/jayproxy/internal/entry"
 	"github.com/jayproxy/jayproxy/internal/standin/cluster"
 	"github.com/jayproxy/jayproxy/internal/standin/engine/sim"
@@ -76,10 +76,7 @@
 func main() {
 	rounds := flag.Int("rounds", 5, "times that each failure is caused")
 	flag.Parse()
-	logs := flag.NewFlagSet("klog", flag.ExitOnError)
-	klog.InitFlags(logs)
-	_ = logs.Parse([]string{"-logtostderr=false", "-stderrthreshold=FATAL", "-legacy_stderr_threshold_behavior=false"})
-	klog.SetOutput(io.Discard)
+	cli.SilenceLogs()
 	if err := measure(*rounds); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -8,12 +8,10 @@
 	"context"
 	"flag"
 	"fmt"
-	"io"
 	"os"
 	"time"
 
-	"k8s.io/klog/v2"
-
+	"github.com/jayproxy/jayproxy/internal/cli"
 	"github.com/jayproxy/jayproxy/internal/entry"
 	"github.com/jayproxy/jayproxy/internal/standin/cluster"
 	"github.com/jayproxy/jayproxy/internal/standin/engine/sim"
@@ -34,7 +32,7 @@
 	seed := flag.Uint64("seed", 1, "seed of faults and callers")
 	callers := flag.Int("callers", 24, "callers at once")
 	flag.Parse()
-	silenceLogs()
+	cli.SilenceLogs()
 	faults, err := run(*length, *seed, *callers)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -45,14 +43,6 @@
 	}
 }
 
-// silenceLogs drops the processes' logs: faults are injected by the hundred.
-func silenceLogs() {
-	flags := flag.NewFlagSet("klog", flag.ExitOnError)
-	klog.InitFlags(flags)
-	_ = flags.Parse([]string{"-logtostderr=false", "-stderrthreshold=FATAL", "-legacy_stderr_threshold_behavior=false"})
-	klog.SetOutput(io.Discard)
-}
-
 func run(length time.Duration, seed uint64, callers int) (int, error) {
 	ctx := context.Background()
 	c, err := cluster.Start(ctx, cluster.Options{
