--- /dev/null
+++ b/cmd/jay-gateway/main.go
@@ -0,0 +1,96 @@
+// Command jay-gateway runs an entry on the users' platform: callers' HTTP calls
+// in front of backend servers that register themselves in the platform's store.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/cli"
+	"github.com/jayproxy/jayproxy/internal/gateway"
+	"github.com/jayproxy/jayproxy/platform"
+)
+
+// memoryShare of the process's limit from which the collector works harder:
+// a process over its limit is killed.
+const memoryShare = 0.6
+
+func main() {
+	cmd := &cobra.Command{
+		Use:          "jay-gateway",
+		Short:        "Forward callers' calls to the backend servers of the platform",
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE:         func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context()) },
+	}
+	cmd.AddCommand(checkCommand())
+	cli.AddLogFlags(cmd)
+	if err := cmd.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+// checkCommand reports all that is wrong with a settings file.
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file and report all findings",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			_, err := platform.LoadSettings(args[0])
+			return err
+		},
+	}
+}
+
+func serve(ctx context.Context) error {
+	stopLogs := cli.LogTo(os.Stdout)
+	defer stopLogs()
+	path := platform.SettingsPath()
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		klog.ErrorS(err, "Settings not usable", "file", path)
+		return err
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	g, err := gateway.Start(ctx, settingsOf(settings), platform.Ports(settings))
+	if err != nil {
+		klog.ErrorS(err, "Not started")
+		return err
+	}
+	for {
+		select {
+		case <-reload:
+			again, err := platform.LoadSettings(path)
+			if err != nil {
+				klog.ErrorS(err, "Settings not reloaded; the last good ones stay", "file", path)
+				continue
+			}
+			g.Reload(settingsOf(again))
+		case <-stop:
+			return g.Shutdown(ctx)
+		}
+	}
+}
+
+func settingsOf(s platform.Settings) gateway.Settings {
+	return gateway.Settings{
+		Node: s.Node, DataCentre: s.DataCentre,
+		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, ControlAddress: s.ControlAddress,
+		Seeds: s.Seeds, Grace: s.Bounds.Grace, LeaseTime: s.Bounds.Lease, VersionBound: s.Bounds.Version,
+		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack, RetryWindow: s.Bounds.RetryWindow,
+	}
+}
+
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,109 @@
+// Package fleet holds what is known of the backend servers of forwarded calls:
+// the list that they register themselves in, and what is learned beside it.
+// It has no I/O, goroutine or clock; callers lock.
+package fleet
+
+import (
+	"sort"
+	"time"
+)
+
+// Backend is one lifetime of a backend server, as its own entry in the list says.
+type Backend struct {
+	// ID is new with every start.
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	// Draining backends get no new work.
+	Draining bool
+	// Cold is how much longer it stays slow after its start.
+	Cold time.Duration
+	// Versions of the weights loaded, by model. The list lags.
+	Versions map[string]uint64
+}
+
+// List is the backends in force. An entry that vanished while the list could
+// not be read may only have expired: it stays for the grace time after the
+// list is back, and is gone if it is still missing then.
+type List struct {
+	// Grace is how long an entry may be missing after an outage.
+	grace   time.Duration
+	byID    map[string]*Backend
+	missing map[string]time.Time
+	// restoredAt is when the list was last regained.
+	restoredAt time.Time
+}
+
+// NewList makes an empty list.
+func NewList(grace time.Duration) *List {
+	return &List{grace: grace, byID: map[string]*Backend{}, missing: map[string]time.Time{}}
+}
+
+// Put takes in an entry. It returns the one before, nil when it is new.
+func (l *List) Put(b *Backend) *Backend {
+	old := l.byID[b.ID]
+	l.byID[b.ID] = b
+	delete(l.missing, b.ID)
+	return old
+}
+
+// Restored tells that the list can be read again after an outage.
+func (l *List) Restored(now time.Time) { l.restoredAt = now }
+
+// Remove takes in that an entry vanished. It goes at once, but for the grace
+// time after an outage: then it leaves with Tick unless Put brings it back.
+func (l *List) Remove(now time.Time, id string) (gone bool) {
+	if l.byID[id] == nil {
+		return false
+	}
+	if l.restoredAt.IsZero() || now.Sub(l.restoredAt) >= l.grace || l.byID[id].Draining {
+		delete(l.byID, id)
+		delete(l.missing, id)
+		return true
+	}
+	l.missing[id] = l.restoredAt.Add(l.grace)
+	return false
+}
+
+// Tick drops entries whose grace is over and returns their names.
+func (l *List) Tick(now time.Time) []string {
+	var gone []string
+	for id, until := range l.missing {
+		if !now.Before(until) {
+			delete(l.missing, id)
+			delete(l.byID, id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// Get returns a backend by its name, nil when it is not in the list.
+func (l *List) Get(id string) *Backend { return l.byID[id] }
+
+// Len counts the entries.
+func (l *List) Len() int { return len(l.byID) }
+
+// Of returns the backends of a service in order of their names.
+func (l *List) Of(service string) []*Backend {
+	var of []*Backend
+	for _, b := range l.byID {
+		if b.Service == service {
+			of = append(of, b)
+		}
+	}
+	sort.Slice(of, func(i, j int) bool { return of[i].ID < of[j].ID })
+	return of
+}
+
+// All returns every backend in order of names.
+func (l *List) All() []*Backend {
+	all := make([]*Backend, 0, len(l.byID))
+	for _, b := range l.byID {
+		all = append(all, b)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/call"
+	"github.com/jayproxy/jayproxy/internal/routetable"
+	"github.com/jayproxy/jayproxy/internal/routing"
+	"github.com/jayproxy/jayproxy/internal/upstream"
+)
+
+const (
+	// freshOnce and freshAny are how idle a kept connection may have been for a
+	// request that must not run twice, and for any other. A connection that the
+	// server closes while the request is under way leaves it unknown.
+	freshOnce = 700 * time.Millisecond
+	freshAny  = 10 * time.Second
+	// keepUnsaid is how long a connection is kept when the server names no
+	// time: it tells whole seconds, so it is below one.
+	keepUnsaid = 400 * time.Millisecond
+	// keepShare of the time that a server names is used.
+	keepShare = 0.7
+	// defaultPriority of requests without a rank.
+	defaultPriority = 5
+	spreadSteps     = 1 << 20
+)
+
+// result is how one send ended.
+type result int
+
+const (
+	// delivered: the caller has its final answer, or as much as it can get.
+	delivered result = iota
+	// notRun: proven; the request may go elsewhere.
+	notRun
+	// unknown: it may have run.
+	unknown
+	// ended: the caller has left or its time is over.
+	ended
+)
+
+// spread maps a request's id to [0, 1), alike at every entry.
+func spread(id string) float64 {
+	return float64(xxh3.HashString(id)%spreadSteps) / spreadSteps
+}
+
+// run sends the request until it is answered.
+func (j *job) run() {
+	for {
+		choice, err := j.choose()
+		if err != nil {
+			j.giveUp("no backend server: " + err.Error())
+			return
+		}
+		switch j.send(&choice) {
+		case delivered:
+			return
+		case notRun:
+			if !j.mayGoOn("refused by the server") {
+				return
+			}
+		case unknown:
+			j.ranOn++
+			if !j.mayRepeat() {
+				return
+			}
+		case ended:
+			j.ranOn++
+			j.giveUp("time over or caller gone")
+			return
+		}
+	}
+}
+
+// mayGoOn decides after a send that did not run. Refused arrivals count in the
+// budget as well.
+func (j *job) mayGoOn(why string) bool {
+	now := time.Now()
+	if j.ctx.Err() == nil && len(j.tried) < maxSends && j.gateway.state.mayResend(now, j.service.Name, j.deadline) {
+		return true
+	}
+	j.giveUp(why + ", no further send")
+	return false
+}
+
+// maxSends of one request, refused ones included.
+const maxSends = 4
+
+// mayRepeat decides after a send that may have run.
+func (j *job) mayRepeat() bool {
+	may := j.route.Repeatable() && j.ranOn < j.route.MaxAttempts && j.ctx.Err() == nil
+	if may && len(j.tried) < maxSends && j.gateway.state.mayResend(time.Now(), j.service.Name, j.deadline) {
+		return true
+	}
+	j.giveUp("outcome unknown, not repeated")
+	return false
+}
+
+// giveUp gives the final answer at once: a refusal that says when to come back
+// when nothing ran, else a failure that promises nothing.
+func (j *job) giveUp(why string) {
+	switch {
+	case j.stream.delivered > 0:
+		// The answer has begun: ending the connection shows that it is not whole.
+		j.outcome = "stream broken off: " + why
+		j.note()
+		panic(http.ErrAbortHandler)
+	case errors.Is(j.ctx.Err(), context.Canceled):
+		j.outcome = "caller left"
+	case j.ranOn > 0 && j.failure != nil:
+		j.pass(j.failure)
+	case j.ranOn > 0:
+		j.fail(why)
+	default:
+		j.refuse(why, j.comeBack())
+	}
+}
+
+// comeBack is when a refused request is worth another try.
+func (j *job) comeBack() time.Duration {
+	base := 250 * time.Millisecond
+	return base + time.Duration(spread(j.head.ID)*float64(base))
+}
+
+// choose asks the router for the next server.
+func (j *job) choose() (routing.DirectChoice, error) {
+	s := j.gateway.state
+	now := time.Now()
+	model := ""
+	if j.service.Engine != nil {
+		model = j.head.Model
+	}
+	request := routing.DirectRequest{ID: j.head.ID, Left: j.deadline.Sub(now), Target: j.route.Target}
+	store := ""
+	if model != "" {
+		request.Tokens, request.OutputTokens = j.head.InputTokens, j.head.OutputTokens
+		request.Prefix = j.head.Shared()
+		if j.workspace != nil && j.workspace.Isolated {
+			request.Wall = j.workspace.Name
+		}
+		if kept := j.table.KVStoreFor(); kept != nil {
+			store = kept.Address
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	servers := s.candidatesLocked(now, j.service.Name, model)
+	return s.router.Choose(now, &request, servers, store, j.tried)
+}
+
+// directions for the chosen server.
+func (j *job) directions(choice *routing.DirectChoice) call.Directions {
+	d := call.Directions{
+		Instance: choice.Server.ID, Left: time.Until(j.deadline), Priority: -1,
+		LastEventID: j.stream.lastID,
+	}
+	if j.workspace != nil {
+		d.Workspace = j.workspace.Name
+	}
+	if choice.Server.Version == 0 {
+		return d
+	}
+	d.Salt, d.Version = choice.Salt, choice.Server.Version
+	d.FetchFrom, d.SaveTo = choice.FetchFrom, choice.SaveTo
+	d.Priority = priorityOf(j.route, j.workspace)
+	return d
+}
+
+func priorityOf(route *routetable.Route, workspace *routetable.Workspace) int {
+	if workspace != nil && workspace.HasPriority {
+		return workspace.Priority
+	}
+	return route.Priority
+}
+
+// send makes one attempt at one server.
+func (j *job) send(choice *routing.DirectChoice) result {
+	g := j.gateway
+	server := choice.Server
+	j.sends++
+	j.tried = append(j.tried, server.ID)
+	j.message.Header = g.ports.Dialect.Forward(j.caller.Header, j.directions(choice))
+	sentAt := time.Now()
+	klog.InfoS("Placed", "request", j.head.ID, "server", server.ID, "send", j.sends, "expectedMS", int(choice.ExpectedMS),
+		"queueMS", int(choice.Terms.QueueMS), "readMS", int(choice.Terms.ReadMS), "rereadMS", int(choice.Terms.RereadMS),
+		"version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "fetch", choice.FetchFrom, "candidates", choice.Candidates)
+	response, err := g.pool.Send(j.ctx, server.Address, &j.message, j.freshness(), j.belongs)
+	if err != nil {
+		return j.sendFailed(choice, err, sentAt)
+	}
+	defer response.Close()
+	answer := g.ports.Dialect.Answer(response.Status, response.Header)
+	response.KeepFor(keepFor(answer.KeepFor))
+	g.state.told(time.Now(), server.ID, j.modelName(), &answer)
+	outcome := j.take(choice, response, &answer)
+	j.finished(choice, outcome)
+	return outcome
+}
+
+func (j *job) modelName() string {
+	if j.service.Engine == nil {
+		return ""
+	}
+	return j.head.Model
+}
+
+func (j *job) freshness() upstream.Freshness {
+	if j.route.Repeatable() {
+		return upstream.Freshness{MaxIdle: freshAny}
+	}
+	return upstream.Freshness{MaxIdle: freshOnce}
+}
+
+func keepFor(told time.Duration) time.Duration {
+	if told <= 0 {
+		return keepUnsaid
+	}
+	return time.Duration(float64(told) * keepShare)
+}
+
+// belongs tells whether an answer is ours. On a connection that carried other
+// requests an answer without an id may be a late one of theirs.
+func (j *job) belongs(h http.Header, reused bool) bool {
+	answer := j.gateway.ports.Dialect.Answer(0, h)
+	if answer.ID == "" {
+		return !reused || answer.NotRun || j.head.ID == ""
+	}
+	return answer.ID == j.head.ID
+}
+
+func (j *job) sendFailed(choice *routing.DirectChoice, err error, sentAt time.Time) result {
+	s := j.gateway.state
+	now := time.Now()
+	outcome := unknown
+	switch {
+	case errors.Is(j.ctx.Err(), context.Canceled), errors.Is(j.ctx.Err(), context.DeadlineExceeded):
+		outcome = ended
+		if errors.Is(err, upstream.ErrNotSent) {
+			outcome = notRun
+		}
+	case errors.Is(err, upstream.ErrNotSent):
+		outcome = notRun
+	}
+	klog.InfoS("Send failed", "request", j.head.ID, "server", choice.Server.ID, "err", err, "afterMS", now.Sub(sentAt).Milliseconds(), "mayHaveRun", outcome != notRun)
+	j.finished(choice, outcome)
+	if !errors.Is(j.ctx.Err(), context.Canceled) {
+		s.mu.Lock()
+		s.members.Failed(now, choice.Server.ID)
+		s.mu.Unlock()
+	}
+	return outcome
+}
+
+// finished tells the router how the send ended.
+func (j *job) finished(choice *routing.DirectChoice, outcome result) {
+	s := j.gateway.state
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if outcome == delivered && choice.SaveTo != "" {
+		s.router.Saved(now, j.head.ID)
+	}
+	s.router.Finished(now, j.head.ID, outcome == delivered)
+	if outcome == delivered {
+		s.members.Succeeded(now, choice.Server.ID)
+	}
+}
--- /dev/null
+++ b/internal/gateway/feeds.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/mirror"
+)
+
+const (
+	// operatorWait is how long a call for changes of the operator's table waits.
+	operatorWait = 20 * time.Second
+	// backendPause between two reads of the list of backend servers. It
+	// changes with every heartbeat, so a waiting call would return at once.
+	backendPause = 450 * time.Millisecond
+	// callTime bounds a call beyond what it waits on purpose.
+	callTime = 1200 * time.Millisecond
+	// failedPause after a failed call.
+	failedPause = 250 * time.Millisecond
+	// outageTime without a good read of the list that counts as an outage.
+	outageTime = 1500 * time.Millisecond
+	// sourceStore names the store in logs.
+	sourceStore = "store"
+)
+
+// feed follows one table of the store, and other entries while the store
+// turns this one away.
+type feed struct {
+	table string
+	wait  time.Duration
+	pause time.Duration
+	apply func(now time.Time, rows []mirror.Row, source string)
+
+	mu   sync.Mutex
+	copy mirror.Copy
+
+	// lastGood is when the store last answered, in Unix nanoseconds.
+	lastGood atomic.Int64
+	failing  atomic.Bool
+	// interrupt ends a call that waits.
+	interrupt atomic.Pointer[context.CancelFunc]
+}
+
+func (f *feed) version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Version()
+}
+
+func (f *feed) since(after uint64) mirror.Batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Since(after)
+}
+
+// take applies a batch, in order with any other.
+func (f *feed) take(batch mirror.Batch, source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.copy.Apply(batch)
+	f.apply(time.Now(), changed, source)
+}
+
+// follow starts all that runs beside the requests.
+func (g *Gateway) follow(ctx context.Context) {
+	operators := &feed{table: g.ports.Decoder.OperatorTable, wait: operatorWait, apply: g.applyOperator}
+	backends := &feed{table: g.ports.Decoder.BackendTable, pause: backendPause, apply: g.applyBackends}
+	entries := &feed{table: g.ports.Decoder.EntryTable, wait: operatorWait, apply: g.applyEntries}
+	g.feeds = []*feed{operators, backends, entries}
+	g.spawn(func() { g.run(ctx, operators) })
+	g.spawn(func() { g.run(ctx, backends) })
+	g.spawn(func() { g.run(ctx, entries) })
+	g.spawn(func() { g.fallBack(ctx, backends) })
+	g.spawn(func() { g.register(ctx) })
+	g.spawn(func() { g.every(ctx, stateTick, g.tick) })
+	g.startRollouts(ctx)
+}
+
+func (g *Gateway) every(ctx context.Context, period time.Duration, do func(now time.Time)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do(time.Now())
+		}
+	}
+}
+
+func (g *Gateway) tick(now time.Time) {
+	g.state.tick(now)
+	g.pool.Sweep(now)
+}
+
+func (g *Gateway) run(ctx context.Context, f *feed) {
+	for ctx.Err() == nil {
+		err := g.readOnce(ctx, f)
+		if err != nil && ctx.Err() == nil {
+			g.feedFailed(f, err)
+			sleep(ctx, failedPause)
+			continue
+		}
+		sleep(ctx, f.pause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// readOnce asks the store for changes, or for the whole table where its
+// history does not reach back.
+func (g *Gateway) readOnce(ctx context.Context, f *feed) error {
+	ctx, cancel := context.WithTimeout(ctx, f.wait+callTime)
+	defer cancel()
+	f.interrupt.Store(&cancel)
+	after := f.version()
+	var batch mirror.Batch
+	err := g.ports.HistoryGone
+	if after > 0 {
+		batch, err = g.ports.Tables.Changes(ctx, f.table, after, f.wait)
+	}
+	if errors.Is(err, g.ports.HistoryGone) {
+		batch, err = g.ports.Tables.Whole(ctx, f.table)
+	}
+	if err != nil {
+		return err
+	}
+	g.feedWorks(f)
+	f.take(batch, sourceStore)
+	return nil
+}
+
+func (g *Gateway) feedFailed(f *feed, err error) {
+	g.metrics.Count("store_errors", f.table, 1)
+	if !f.failing.Swap(true) {
+		klog.InfoS("Store lost", "table", f.table, "version", f.version(), "err", err)
+	}
+}
+
+// feedWorks notes that the store answered. After an outage entries of the list
+// may have expired though their servers are alive, and a call that waits on
+// another connection may wait for an answer that was lost.
+func (g *Gateway) feedWorks(f *feed) {
+	now := time.Now()
+	last := f.lastGood.Swap(now.UnixNano())
+	if !f.failing.Swap(false) {
+		return
+	}
+	gap := time.Duration(now.UnixNano() - last)
+	klog.InfoS("Store regained", "table", f.table, "version", f.version(), "gapMS", gap.Milliseconds())
+	if f.table != g.ports.Decoder.BackendTable {
+		return
+	}
+	if last > 0 && gap > outageTime {
+		g.state.mu.Lock()
+		g.state.list.Restored(now)
+		g.state.mu.Unlock()
+	}
+	for _, other := range g.feeds {
+		if interrupt := other.interrupt.Load(); other != f && interrupt != nil {
+			(*interrupt)()
+		}
+	}
+}
+
+// fallBack asks other entries while the store turns this one away: it serves
+// them perhaps, and the operator's changes count for all.
+func (g *Gateway) fallBack(ctx context.Context, gauge *feed) {
+	g.every(ctx, failedPause, func(time.Time) {
+		if !gauge.failing.Load() {
+			return
+		}
+		for _, f := range g.feeds {
+			batch, peer, err := g.peers.pull(ctx, f.table, f.version())
+			if err != nil {
+				klog.V(1).InfoS("No other entry gave the table", "table", f.table, "err", err)
+				continue
+			}
+			if batch.Version > 0 {
+				f.take(batch, peer)
+			}
+		}
+	})
+}
+
+func (g *Gateway) applyOperator(now time.Time, rows []mirror.Row, source string) {
+	for _, row := range rows {
+		if row.Removed {
+			continue
+		}
+		if g.ports.Decoder.IsConfig(row.Key) {
+			table, err := g.ports.Decoder.Config(row.Value)
+			if err != nil {
+				klog.ErrorS(err, "Configuration not understood; the last good one stays", "row", row.Key, "rowVersion", row.Version)
+				continue
+			}
+			g.state.adoptTable(table, source)
+			continue
+		}
+		named, ok, err := g.ports.Decoder.Named(row.Key, row.Value)
+		if err != nil {
+			klog.ErrorS(err, "Named weights not understood", "row", row.Key, "rowVersion", row.Version)
+			continue
+		}
+		if ok {
+			g.state.nameVersion(now, named, source)
+		}
+	}
+}
+
+func (g *Gateway) applyBackends(now time.Time, rows []mirror.Row, source string) {
+	for _, row := range rows {
+		if row.Removed {
+			g.state.removeBackend(now, row.Key)
+			continue
+		}
+		b, err := g.ports.Decoder.Backend(row.Key, row.Value)
+		if err != nil {
+			klog.ErrorS(err, "Backend server not understood; its last good entry stays", "row", row.Key, "rowVersion", row.Version, "source", source)
+			continue
+		}
+		g.state.putBackend(now, b)
+	}
+	g.state.mu.Lock()
+	g.state.listReady = true
+	g.state.mu.Unlock()
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/lease"
+	"github.com/jayproxy/jayproxy/internal/metrics"
+	"github.com/jayproxy/jayproxy/internal/upstream"
+)
+
+const (
+	// connectTime bounds the opening of a connection to a backend server.
+	connectTime = 700 * time.Millisecond
+	// silenceTime is how long bytes sent to one may stay unacknowledged.
+	silenceTime = 1200 * time.Millisecond
+	// stateTick lets beliefs lapse and closes idle connections.
+	stateTick = 250 * time.Millisecond
+	// firstConfigWait: callers are let in without a configuration after this
+	// time, and hear 503 until there is one.
+	firstConfigWait = 5 * time.Second
+	// maxMetricLabels bounds the names of routes in metrics.
+	maxMetricLabels = 256
+	// headerBytes and headerTime bound heads until a configuration says otherwise.
+	headerBytes = 16 << 10
+	headerTime  = 5 * time.Second
+	idleTime    = 60 * time.Second
+	// answeredSince a signal to stop before connections are closed: the
+	// balancer asks once a second and needs two refusals.
+	drainQuestions = 2
+	drainAtLeast   = 2600 * time.Millisecond
+	// drainReserve of the grace time is kept for the end of the process.
+	drainReserve = 700 * time.Millisecond
+	drainStep    = 20 * time.Millisecond
+)
+
+// Gateway is one running process. Stop it with Shutdown.
+type Gateway struct {
+	settings Settings
+	ports    Ports
+	state    *state
+	pool     *upstream.Pool
+	metrics  *metrics.Registry
+	peers    *peers
+	feeds    []*feed
+	keeper   *lease.Keeper
+
+	callers  *http.Server
+	inner    []*http.Server
+	active   atomic.Int64
+	stopping atomic.Bool
+	// notReadyAnswers counts answers to the balancer since the signal to stop.
+	notReadyAnswers atomic.Int64
+
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// Start opens the process's addresses and begins to follow the tables.
+func Start(ctx context.Context, settings Settings, ports Ports) (*Gateway, error) {
+	g := &Gateway{
+		settings: settings, ports: ports, state: newState(settings),
+		pool: upstream.NewPool(connectTime, silenceTime), metrics: metrics.New(maxMetricLabels),
+	}
+	g.peers = newPeers(settings)
+	ctx, g.cancel = context.WithCancel(ctx)
+	if err := g.listenInner(); err != nil {
+		return nil, err
+	}
+	g.follow(ctx)
+	g.awaitConfig(ctx)
+	if err := g.listenCallers(); err != nil {
+		return nil, err
+	}
+	klog.InfoS("Started", "node", settings.Node, "dataCentre", settings.DataCentre, "callers", settings.CallerAddress, "ready", g.state.ready())
+	return g, nil
+}
+
+// spawn runs a task until the process stops.
+func (g *Gateway) spawn(task func()) {
+	g.tasks.Add(1)
+	go func() {
+		defer g.tasks.Done()
+		task()
+	}()
+}
+
+// awaitConfig waits a little for the first configuration, which sets the
+// limits of callers' connections.
+func (g *Gateway) awaitConfig(ctx context.Context) {
+	until := time.Now().Add(firstConfigWait)
+	for !g.state.ready() && time.Now().Before(until) && ctx.Err() == nil {
+		time.Sleep(drainStep)
+	}
+}
+
+func (g *Gateway) listenCallers() error {
+	listener, err := net.Listen("tcp", g.settings.CallerAddress)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	g.callers = &http.Server{
+		Handler: g, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+		ErrorLog: quietLog(),
+	}
+	if table := g.state.table.Load(); table != nil {
+		limits := table.Limits
+		if limits.HeaderBytes > 0 {
+			g.callers.MaxHeaderBytes = limits.HeaderBytes
+		}
+		if limits.HeaderTimeout > 0 {
+			g.callers.ReadHeaderTimeout = limits.HeaderTimeout
+		}
+		if limits.IdleTimeout > 0 {
+			g.callers.IdleTimeout = limits.IdleTimeout
+		}
+	}
+	g.serve(g.callers, listener)
+	return nil
+}
+
+func (g *Gateway) serve(server *http.Server, listener net.Listener) {
+	g.spawn(func() {
+		if err := server.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "Server ended", "address", listener.Addr())
+		}
+	})
+}
+
+// listenInner opens what the balancer, other entries and operators ask.
+func (g *Gateway) listenInner() error {
+	handlers := map[string]http.Handler{}
+	if g.settings.ReadyAddress != "" {
+		handlers[g.settings.ReadyAddress] = http.HandlerFunc(g.answerReady)
+	}
+	if g.settings.ControlAddress != "" {
+		handlers[g.settings.ControlAddress] = g.controlRoutes()
+	}
+	if g.settings.MetricsAddress != "" {
+		mux := echo.New()
+		mux.GET("/metrics", echo.WrapHandler(g.metrics.Handler()))
+		handlers[g.settings.MetricsAddress] = mux
+	}
+	for address, handler := range handlers {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", address)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: quietLog()}
+		g.inner = append(g.inner, server)
+		g.serve(server, listener)
+	}
+	return nil
+}
+
+// answerReady tells the balancer whether callers may come.
+func (g *Gateway) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if g.stopping.Load() {
+		g.notReadyAnswers.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !g.state.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Shutdown ends without cutting a request: it stops being ready, goes on to
+// answer until the balancer has seen that, closes idle connections, and waits
+// for what is under way.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	begun := time.Now()
+	end := begun.Add(g.settings.Grace - drainReserve)
+	klog.InfoS("Stopping", "active", g.active.Load(), "until", end)
+	g.stopping.Store(true)
+	if g.keeper != nil {
+		g.keeper.Close(ctx)
+	}
+	g.unregister(ctx)
+	g.callers.SetKeepAlivesEnabled(false)
+	for time.Now().Before(end) && ctx.Err() == nil && !g.drained(begun) {
+		time.Sleep(drainStep)
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	err := g.callers.Shutdown(ctx)
+	klog.InfoS("Stopped", "active", g.active.Load(), "tookMS", time.Since(begun).Milliseconds(), "err", err)
+	g.cancel()
+	for _, server := range g.inner {
+		_ = server.Close()
+	}
+	return nil
+}
+
+// drained tells whether the balancer has stopped sending callers here.
+func (g *Gateway) drained(begun time.Time) bool {
+	return g.notReadyAnswers.Load() >= drainQuestions && time.Since(begun) >= drainAtLeast && g.active.Load() == 0
+}
+
+// Reload takes in settings that may change while the process runs.
+func (g *Gateway) Reload(settings Settings) {
+	g.peers.setSeeds(settings.Seeds)
+	klog.InfoS("Settings reloaded", "seeds", settings.Seeds)
+}
--- /dev/null
+++ b/internal/gateway/logs.go
@@ -0,0 +1,10 @@
+package gateway
+
+import (
+	"io"
+	"log"
+)
+
+// quietLog drops what net/http says of callers' broken connections: a line for
+// each would let callers fill the log.
+func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/mirror"
+	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/upstream"
+)
+
+const (
+	// entryPrefix of the rows in which entries write their addresses.
+	entryPrefix = "entries/"
+	// peerTime bounds a call to another entry.
+	peerTime = 700 * time.Millisecond
+	// peerTries of one pull.
+	peerTries     = 2
+	maxPeerBytes  = 8 << 20
+	registerPause = time.Second
+)
+
+// entryRow is the value of an entry's row.
+type entryRow struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+}
+
+// peers are the other entries, by their own rows and the seeds.
+type peers struct {
+	self string
+	http *http.Client
+
+	mu    sync.Mutex
+	seeds []string
+	named map[string]string
+}
+
+func newPeers(settings Settings) *peers {
+	transport := &http.Transport{
+		DialContext:         upstream.Dialer(peerTime, peerTime).DialContext,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     10 * time.Second,
+		DisableCompression:  true,
+	}
+	return &peers{
+		self: settings.ControlAddress, seeds: settings.Seeds, named: map[string]string{},
+		http: &http.Client{Transport: transport},
+	}
+}
+
+// all addresses of other entries, each once.
+func (p *peers) all() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seen := map[string]bool{p.self: true}
+	var all []string
+	for _, address := range p.named {
+		if !seen[address] {
+			seen[address] = true
+			all = append(all, address)
+		}
+	}
+	for _, address := range p.seeds {
+		if !seen[address] {
+			seen[address] = true
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
+func (p *peers) setSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+}
+
+// count of entries by their rows, this one included.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(1, len(p.named))
+}
+
+// pull asks other entries, in random order, for what changed in a table.
+func (p *peers) pull(ctx context.Context, table string, after uint64) (mirror.Batch, string, error) {
+	all := p.all()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	err := eris.New("no other entry is known")
+	for i, address := range all {
+		if i == peerTries {
+			break
+		}
+		var batch mirror.Batch
+		path := "/v1/tables/" + url.PathEscape(table) + "?after=" + strconv.FormatUint(after, 10)
+		if err = p.call(ctx, http.MethodGet, address, path, nil, &batch); err == nil {
+			return batch, address, nil
+		}
+	}
+	return mirror.Batch{}, "", err
+}
+
+func (p *peers) call(ctx context.Context, method, address, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+	var reader io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		reader = bytes.NewReader(text)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := p.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return eris.Errorf("%s: status %d", path, response.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.NewDecoder(io.LimitReader(response.Body, maxPeerBytes)).Decode(into)
+}
+
+// switchNews tells other entries of a server that is about to take new
+// weights, takes them, or has them.
+type switchNews struct {
+	Server  string `json:"server"`
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+	// ForMS is how long the server is to be left alone; 0: it has the version.
+	ForMS int64 `json:"for_ms"`
+	// Withdrawn: nothing came of it.
+	Withdrawn bool `json:"withdrawn,omitempty"`
+}
+
+// tell sends news to all other entries, without waiting for them.
+func (p *peers) tell(ctx context.Context, news []switchNews) {
+	for _, address := range p.all() {
+		go func() {
+			if err := p.call(ctx, http.MethodPost, address, "/v1/switches", news, nil); err != nil {
+				klog.V(1).InfoS("News not told", "entry", address, "err", err)
+			}
+		}()
+	}
+}
+
+// controlRoutes are what entries ask each other.
+func (g *Gateway) controlRoutes() http.Handler {
+	e := echo.New()
+	e.GET("/v1/tables/:table", g.giveTable)
+	e.POST("/v1/switches", g.takeSwitches)
+	e.GET("/metrics", echo.WrapHandler(g.metrics.Handler()))
+	return e
+}
+
+func (g *Gateway) giveTable(c echo.Context) error {
+	after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	for _, f := range g.feeds {
+		if f.table == c.Param("table") {
+			return c.JSON(http.StatusOK, f.since(after))
+		}
+	}
+	return c.NoContent(http.StatusNotFound)
+}
+
+func (g *Gateway) takeSwitches(c echo.Context) error {
+	var news []switchNews
+	if err := c.Bind(&news); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	g.applySwitches(news)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (g *Gateway) applySwitches(news []switchNews) {
+	for _, n := range news {
+		klog.V(1).InfoS("Switch told", "server", n.Server, "version", n.Version, "forMS", n.ForMS, "withdrawn", n.Withdrawn)
+		switch {
+		case n.Withdrawn:
+			g.state.withdrawSwitch(n.Server)
+		case n.ForMS > 0:
+			g.state.announceSwitch(n.Server, n.Version, time.Now().Add(time.Duration(n.ForMS)*time.Millisecond))
+		default:
+			g.state.sawVersion(n.Server, n.Model, n.Version, "entry")
+		}
+	}
+}
+
+// register writes this entry's address, until the store has taken it.
+func (g *Gateway) register(ctx context.Context) {
+	value, err := json.Marshal(entryRow{Address: g.settings.ControlAddress, DataCentre: g.settings.DataCentre})
+	if err != nil {
+		klog.ErrorS(err, "Entry not registered")
+		return
+	}
+	for ctx.Err() == nil && !g.stopping.Load() {
+		txn := platform.Txn{Puts: []platform.Put{{Key: entryPrefix + g.settings.Node, Value: value}}}
+		callCtx, cancel := context.WithTimeout(ctx, callTime)
+		_, err := g.ports.Table.Commit(callCtx, txn)
+		cancel()
+		if err == nil {
+			klog.InfoS("Entry registered", "node", g.settings.Node, "address", g.settings.ControlAddress)
+			return
+		}
+		klog.InfoS("Entry not registered yet", "err", err)
+		sleep(ctx, registerPause)
+	}
+}
+
+func (g *Gateway) unregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	txn := platform.Txn{Deletes: []string{entryPrefix + g.settings.Node}}
+	if _, err := g.ports.Table.Commit(ctx, txn); err != nil {
+		klog.InfoS("Entry's row not removed; it counts until another removes it", "err", err)
+	}
+}
+
+func (g *Gateway) applyEntries(_ time.Time, rows []mirror.Row, source string) {
+	g.peers.mu.Lock()
+	for _, row := range rows {
+		var entry entryRow
+		if row.Removed {
+			delete(g.peers.named, row.Key)
+			continue
+		}
+		if err := json.Unmarshal(row.Value, &entry); err != nil {
+			klog.ErrorS(err, "Entry's row not understood", "row", row.Key, "source", source)
+			continue
+		}
+		g.peers.named[row.Key] = entry.Address
+	}
+	g.peers.mu.Unlock()
+	g.state.setEntries(g.peers.count())
+}
--- /dev/null
+++ b/internal/gateway/rollouts.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/call"
+	"github.com/jayproxy/jayproxy/internal/lease"
+	"github.com/jayproxy/jayproxy/internal/rollout"
+)
+
+const (
+	// rolloutLease names the lease of the entry that gives orders.
+	rolloutLease = "rollout"
+	// rolloutTick between two looks at what is to be done.
+	rolloutTick = 50 * time.Millisecond
+	// announceTime is how long an announced server is left alone without
+	// further word: a holder that dies must not keep it idle.
+	announceTime = 1500 * time.Millisecond
+	// orderTime is the same for a server that was ordered.
+	orderTime = 2500 * time.Millisecond
+	// engineCallTime bounds a report or an order.
+	engineCallTime = 800 * time.Millisecond
+	// leaseMarginShare of the lease's time the holder stops to act before its end.
+	leaseMarginShare = 0.25
+	leaseRenewShare  = 0.3
+)
+
+// rollouts gives orders while this entry holds the lease.
+type rollouts struct {
+	gateway *Gateway
+	mu      sync.Mutex
+	plans   map[string]*rollout.Plan
+	fence   uint64
+	// since is when the lease with this fence was first seen to be held.
+	since time.Time
+}
+
+func (g *Gateway) startRollouts(ctx context.Context) {
+	bound := g.settings.LeaseTime
+	settings := lease.Settings{
+		TTL: bound, Margin: time.Duration(float64(bound) * leaseMarginShare),
+		Renew: time.Duration(float64(bound) * leaseRenewShare), Watch: time.Duration(float64(bound) * leaseRenewShare),
+	}
+	g.keeper = lease.Keep(ctx, g.ports.Table, rolloutLease, g.settings.Node, settings, lease.BootClock)
+	r := &rollouts{gateway: g, plans: map[string]*rollout.Plan{}}
+	g.spawn(func() { g.every(ctx, rolloutTick, func(now time.Time) { r.tick(ctx, now) }) })
+}
+
+func (r *rollouts) tick(ctx context.Context, now time.Time) {
+	if !r.mayAct(now) {
+		return
+	}
+	for _, model := range r.gateway.state.rollingModels() {
+		r.step(ctx, now, model)
+	}
+}
+
+// mayAct tells whether this entry gives orders now. After the lease changed
+// hands its time is waited out once more: an order of the holder before may
+// still be on its way, and servers must not see two holders by turns.
+func (r *rollouts) mayAct(now time.Time) bool {
+	fence, held := r.gateway.keeper.Held()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !held {
+		r.fence = 0
+		return false
+	}
+	if fence != r.fence {
+		klog.InfoS("Lease held", "lease", rolloutLease, "fence", fence, "inherited", r.gateway.keeper.Inherited())
+		r.fence, r.since, r.plans = fence, now, map[string]*rollout.Plan{}
+		if !r.gateway.keeper.Inherited() {
+			r.since = now.Add(-r.gateway.settings.LeaseTime)
+		}
+	}
+	return now.Sub(r.since) >= r.gateway.settings.LeaseTime
+}
+
+func (r *rollouts) step(ctx context.Context, now time.Time, model rollingModel) {
+	r.mu.Lock()
+	plan, ok := r.plans[model.name]
+	if !ok {
+		plan = rollout.New()
+		r.plans[model.name] = plan
+	}
+	actions := plan.Tick(now, model.wanted, model.servers)
+	fence := r.fence
+	r.mu.Unlock()
+	var news []switchNews
+	for _, action := range actions {
+		klog.InfoS("Rollout", "model", model.name, "action", action.Kind.String(), "server", action.Server, "version", action.Version, "orders", action.Orders)
+		switch action.Kind {
+		case rollout.Announce:
+			news = append(news, switchNews{Server: action.Server, Model: model.name, Version: action.Version, ForMS: announceTime.Milliseconds()})
+		case rollout.Order:
+			news = append(news, switchNews{Server: action.Server, Model: model.name, Version: action.Version, ForMS: orderTime.Milliseconds()})
+			go r.order(ctx, plan, model.name, action, fence)
+		case rollout.Look:
+			go r.look(ctx, plan, model.name, action)
+		case rollout.Withdraw:
+			news = append(news, switchNews{Server: action.Server, Model: model.name, Withdrawn: true})
+		}
+	}
+	r.spreadNews(ctx, news)
+}
+
+func (r *rollouts) spreadNews(ctx context.Context, news []switchNews) {
+	if len(news) == 0 {
+		return
+	}
+	r.gateway.applySwitches(news)
+	r.gateway.peers.tell(ctx, news)
+}
+
+// order gives one order, if the lease is still held.
+func (r *rollouts) order(ctx context.Context, plan *rollout.Plan, model string, action rollout.Action, fence uint64) {
+	ctx, cancel := context.WithTimeout(ctx, engineCallTime)
+	defer cancel()
+	current, held := r.gateway.keeper.Held()
+	if !held || current != fence {
+		klog.InfoS("Order not given: the lease is gone", "server", action.Server, "fence", fence)
+		return
+	}
+	outcome, err := r.gateway.ports.Engines.Order(ctx, call.LoadOrder{
+		Instance: action.Server, Address: action.Address, Model: model, Version: action.Version,
+		Mode: call.LoadWaits, Holder: r.gateway.settings.Node, Fence: fence, Expected: action.Orders,
+	})
+	klog.InfoS("Order given", "server", action.Server, "version", action.Version, "fence", fence, "outcome", outcome.String(), "err", err)
+	r.gateway.metrics.Count("orders", outcome.String(), 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch outcome {
+	case call.OrderHolds:
+		plan.Held(action.Server)
+		r.spreadNews(ctx, []switchNews{{Server: action.Server, Model: model, Version: action.Version}})
+	case call.OrderBusy, call.OrderInvalid, call.OrderMisdirected, call.OrderNotSent, call.OrderFenced:
+		plan.Refused(time.Now(), action.Server)
+	case call.OrderAccepted, call.OrderUnknown:
+	}
+}
+
+func (r *rollouts) look(ctx context.Context, plan *rollout.Plan, model string, action rollout.Action) {
+	callCtx, cancel := context.WithTimeout(ctx, engineCallTime)
+	defer cancel()
+	report, err := r.gateway.ports.Engines.Report(callCtx, action.Server, action.Address)
+	if err != nil {
+		klog.InfoS("Report failed", "server", action.Server, "err", err)
+		return
+	}
+	version := report.Versions[model]
+	r.mu.Lock()
+	plan.Saw(action.Server, rollout.Seen{Version: version, Busy: report.Busy, Orders: report.Orders, Running: report.Running, Queued: report.Queued})
+	r.mu.Unlock()
+	if version > r.gateway.state.versionOf(action.Server, model) && !report.Busy {
+		r.spreadNews(ctx, []switchNews{{Server: action.Server, Model: model, Version: version}})
+	}
+}
+
+// rollingModel is a model whose servers do not all have the newest weights.
+type rollingModel struct {
+	name    string
+	wanted  uint64
+	servers []rollout.Server
+}
+
+func (s *state) rollingModels() []rollingModel {
+	table := s.table.Load()
+	if table == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rolling []rollingModel
+	for _, name := range s.book.Models() {
+		model := rollingModel{name: name, wanted: s.book.Newest(name)}
+		for _, b := range s.list.All() {
+			if _, has := b.Versions[name]; !has || b.Draining {
+				continue
+			}
+			model.servers = append(model.servers, rollout.Server{
+				ID: b.ID, Address: b.Address, Version: s.versions[versionKey{b.ID, name}], Running: s.router.Running(b.ID),
+			})
+		}
+		rolling = append(rolling, model)
+	}
+	return rolling
+}
+
+func (s *state) versionOf(server, model string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.versions[versionKey{server, model}]
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/call"
+	"github.com/jayproxy/jayproxy/internal/fleet"
+	"github.com/jayproxy/jayproxy/internal/membership"
+	"github.com/jayproxy/jayproxy/internal/retry"
+	"github.com/jayproxy/jayproxy/internal/routetable"
+	"github.com/jayproxy/jayproxy/internal/routing"
+	"github.com/jayproxy/jayproxy/internal/weights"
+)
+
+const (
+	// listGrace is how long an entry of the list may be missing after an outage
+	// of the store: servers that are alive write themselves back within 2 s.
+	listGrace = 2500 * time.Millisecond
+	// versionMargin before the bound from which older weights get no request:
+	// the request is still on its way then.
+	versionMargin = 1500 * time.Millisecond
+	// budgetShare of the allowed second sends that all entries use together:
+	// entries that restart begin with a full budget.
+	budgetShare = 0.7
+)
+
+// state is what an entry believes. Its parts are pure; the lock is held for
+// short steps only, never over I/O.
+type state struct {
+	settings Settings
+	table    atomic.Pointer[routetable.Table]
+
+	mu       sync.Mutex
+	list     *fleet.List
+	book     *weights.Book
+	members  *membership.Members
+	router   *routing.Direct
+	versions map[versionKey]uint64
+	switches map[string]switching
+	budgets  map[string]*retry.Budget
+	entries  int
+	// listReady: the list was read at least once.
+	listReady bool
+}
+
+// versionKey is a model at one lifetime of a backend server.
+type versionKey struct{ server, model string }
+
+// switching is a server that is about to take new weights, or does so.
+type switching struct {
+	version uint64
+	until   time.Time
+}
+
+func newState(settings Settings) *state {
+	return &state{
+		settings: settings,
+		list:     fleet.NewList(listGrace),
+		book:     weights.NewBook(),
+		members:  membership.New(membership.DefaultSettings()),
+		router: routing.NewDirect(routing.DirectOptions{
+			DataCentre:    settings.DataCentre,
+			MaxVersionAge: settings.VersionBound - versionMargin,
+		}),
+		versions: map[versionKey]uint64{},
+		switches: map[string]switching{},
+		budgets:  map[string]*retry.Budget{},
+		entries:  1,
+	}
+}
+
+// adoptTable swaps the configuration for a newer one; it never goes back.
+func (s *state) adoptTable(table *routetable.Table, source string) {
+	for {
+		old := s.table.Load()
+		if old != nil && table.Version <= old.Version {
+			return
+		}
+		if s.table.CompareAndSwap(old, table) {
+			klog.InfoS("Configuration in force", "version", table.Version, "source", source)
+			return
+		}
+	}
+}
+
+// nameVersion takes in that an operator named new weights.
+func (s *state) nameVersion(now time.Time, named weights.Named, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Name(now, named) {
+		klog.InfoS("New weights named", "model", named.Model, "version", named.Version, "source", source)
+	}
+}
+
+// putBackend takes in an entry of the list of backend servers.
+func (s *state) putBackend(now time.Time, b *fleet.Backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.list.Put(b)
+	for model, version := range b.Versions {
+		s.sawVersionLocked(b.ID, model, version, "list")
+	}
+	if old == nil || old.Draining != b.Draining || old.Service != b.Service || old.Address != b.Address {
+		klog.InfoS("Backend server listed", "server", b.ID, "service", b.Service, "address", b.Address, "draining", b.Draining, "versions", b.Versions)
+		s.refreshMembersLocked(now)
+	}
+}
+
+// removeBackend takes in that an entry vanished from the list.
+func (s *state) removeBackend(now time.Time, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.list.Remove(now, id) {
+		s.leftLocked(now, id, "list")
+	}
+}
+
+func (s *state) leftLocked(now time.Time, id, source string) {
+	klog.InfoS("Backend server gone", "server", id, "source", source)
+	s.router.Left(id)
+	delete(s.switches, id)
+	for key := range s.versions {
+		if key.server == id {
+			delete(s.versions, key)
+		}
+	}
+	s.refreshMembersLocked(now)
+}
+
+func (s *state) refreshMembersLocked(now time.Time) {
+	var servers []membership.Server
+	for _, b := range s.list.All() {
+		servers = append(servers, membership.Server{Name: b.ID, Group: b.Service, Host: b.Address, Draining: b.Draining})
+	}
+	s.members.SetServers(now, servers)
+}
+
+// tick lets what is too old lapse.
+func (s *state) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range s.list.Tick(now) {
+		s.leftLocked(now, id, "missing after outage")
+	}
+	for id, sw := range s.switches {
+		if !now.Before(sw.until) {
+			delete(s.switches, id)
+		}
+	}
+	s.members.Tick(now)
+}
+
+// sawVersionLocked takes in a version that a server has. A lifetime's version
+// only rises, so the highest word is the newest, whatever its way.
+func (s *state) sawVersionLocked(server, model string, version uint64, source string) {
+	key := versionKey{server, model}
+	if version <= s.versions[key] {
+		return
+	}
+	klog.V(1).InfoS("Weights of a server", "server", server, "model", model, "version", version, "before", s.versions[key], "source", source)
+	if s.versions[key] != 0 {
+		s.router.Emptied(server)
+	}
+	s.versions[key] = version
+	if sw, ok := s.switches[server]; ok && version >= sw.version {
+		delete(s.switches, server)
+	}
+}
+
+// announceSwitch takes in that a server is about to take new weights.
+func (s *state) announceSwitch(server string, version uint64, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.switches[server] = switching{version: version, until: until}
+}
+
+// withdrawSwitch takes in that nothing came of it.
+func (s *state) withdrawSwitch(server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.switches, server)
+}
+
+// sawVersion takes in a version from an answer, a report or another entry.
+func (s *state) sawVersion(server, model string, version uint64, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.list.Get(server) != nil {
+		s.sawVersionLocked(server, model, version, source)
+	}
+}
+
+// candidatesLocked lists the backend servers of a service for a decision.
+func (s *state) candidatesLocked(now time.Time, service, model string) []routing.DirectServer {
+	of := s.list.Of(service)
+	servers := make([]routing.DirectServer, 0, len(of))
+	for _, b := range of {
+		if b.Draining {
+			continue
+		}
+		_, changing := s.switches[b.ID]
+		one := routing.DirectServer{
+			ID: b.ID, Address: b.Address, DataCentre: b.DataCentre, Slots: b.Slots, Switching: changing,
+			Usable: s.members.Usable(b.ID), Weight: s.members.Weight(b.ID),
+		}
+		if model != "" {
+			one.Version = s.versions[versionKey{b.ID, model}]
+			one.VersionAge = s.book.Age(now, model, one.Version)
+		}
+		servers = append(servers, one)
+	}
+	return servers
+}
+
+// arrived counts a caller's request for a service; it earns part of a retry.
+func (s *state) arrived(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budgetLocked(service).Succeeded()
+}
+
+// mayResend takes a second send from the service's budget.
+func (s *state) mayResend(now time.Time, service string, deadline time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budgetLocked(service).Allow(now, deadline, minUsefulTime)
+}
+
+func (s *state) budgetLocked(service string) *retry.Budget {
+	b, ok := s.budgets[service]
+	if !ok {
+		b = retry.NewBudget(s.settings.RetryRatio*budgetShare, s.settings.RetrySlack*budgetShare/float64(max(s.entries, 1)))
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// setEntries tells how many entries share the budgets.
+func (s *state) setEntries(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n == s.entries {
+		return
+	}
+	klog.InfoS("Entries that share the retry budget", "count", n, "before", s.entries)
+	s.entries = n
+	for _, b := range s.budgets {
+		b.SetBurst(s.settings.RetrySlack * budgetShare / float64(max(n, 1)))
+	}
+}
+
+// told takes in what an answer says of its server.
+func (s *state) told(now time.Time, server, model string, answer *call.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.list.Get(server) == nil {
+		return
+	}
+	if answer.HasLoad {
+		s.router.Told(now, server, answer.Load)
+	}
+	if model != "" && answer.Version > 0 {
+		s.sawVersionLocked(server, model, answer.Version, "answer")
+	}
+}
+
+func (s *state) ready() bool {
+	if s.table.Load() == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listReady
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/jayproxy/jayproxy/internal/routing"
+	"github.com/jayproxy/jayproxy/internal/upstream"
+)
+
+const (
+	// maxEventBytes of one event.
+	maxEventBytes    = 1 << 20
+	eventReaderBytes = 4 << 10
+)
+
+var errEventTooLong = errors.New("event too long")
+
+// streamState is how far the caller's stream has come.
+type streamState struct {
+	// delivered counts the events that the caller was sent.
+	delivered int
+	// lastID of them, as the server wrote it.
+	lastID string
+}
+
+// event is one whole event, with the blank line that ends it.
+type event struct {
+	text []byte
+	id   string
+}
+
+// events reads whole events: a server that dies may leave half of one, which
+// must not reach the caller.
+type events struct{ reader *bufio.Reader }
+
+func (e *events) next() (event, error) {
+	var one event
+	for {
+		line, err := e.reader.ReadSlice('\n')
+		one.text = append(one.text, line...)
+		if errors.Is(err, bufio.ErrBufferFull) && len(one.text) < maxEventBytes {
+			continue
+		}
+		if err != nil {
+			return one, endOfEvents(one, err)
+		}
+		if len(one.text) > maxEventBytes {
+			return one, eris.Wrapf(errEventTooLong, "%d bytes", len(one.text))
+		}
+		whole := bytes.TrimRight(line, "\r\n")
+		if len(whole) == 0 {
+			return one, nil
+		}
+		if id, ok := strings.CutPrefix(string(whole), "id:"); ok {
+			one.id = strings.TrimSpace(id)
+		}
+	}
+}
+
+func endOfEvents(one event, err error) error {
+	if errors.Is(err, io.EOF) && len(one.text) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// relay forwards a stream event by event.
+func (j *job) relay(choice *routing.DirectChoice, response *upstream.Response) result {
+	source := events{bufio.NewReaderSize(response.Body, eventReaderBytes)}
+	first := true
+	for {
+		one, err := source.next()
+		if errors.Is(err, io.EOF) {
+			return j.streamEnded()
+		}
+		if err != nil {
+			return j.brokenOff(choice, err)
+		}
+		if first {
+			first = false
+			j.firstToken()
+		}
+		if j.delivered(one) {
+			continue
+		}
+		if err := j.forward(response, one); err != nil {
+			j.outcome = "caller not reached: " + err.Error()
+			return delivered
+		}
+	}
+}
+
+func (j *job) streamEnded() result {
+	if j.stream.delivered == 0 {
+		// A stream without an event answers nothing.
+		return unknown
+	}
+	j.outcome = "streamed"
+	return delivered
+}
+
+func (j *job) firstToken() {
+	s := j.gateway.state
+	now := time.Now()
+	s.mu.Lock()
+	s.router.FirstToken(now, j.head.ID)
+	s.mu.Unlock()
+	j.gateway.metrics.Time("first_token", j.class(), now.Sub(j.arrived))
+}
+
+// delivered tells whether the caller has the event already: a run that goes on
+// elsewhere may begin with one that it had.
+func (j *job) delivered(one event) bool {
+	if j.stream.lastID == "" || one.id == "" || j.sends == 1 {
+		return false
+	}
+	had, errHad := strconv.ParseInt(j.stream.lastID, 10, 64)
+	id, errID := strconv.ParseInt(one.id, 10, 64)
+	return errHad == nil && errID == nil && id <= had
+}
+
+func (j *job) forward(response *upstream.Response, one event) error {
+	if j.stream.delivered == 0 {
+		j.copyHead(j.gateway.ports.Dialect.Back(response.Header))
+		j.writer.WriteHeader(response.Status)
+	}
+	if _, err := j.writer.Write(one.text); err != nil {
+		return err
+	}
+	j.stream.delivered++
+	if one.id != "" {
+		j.stream.lastID = one.id
+	}
+	return http.NewResponseController(j.writer).Flush()
+}
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -41,6 +41,13 @@
 	return k.lease.Held(k.clock())
 }
 
+// Inherited tells whether somebody held the lease before this holder.
+func (k *Keeper) Inherited() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease.Inherited()
+}
+
 // Close gives the lease back and stops. The holder must have stopped to act.
 func (k *Keeper) Close(ctx context.Context) {
 	k.cancel()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -95,6 +95,8 @@
 	seen    bool
 	current record
 
+	// inherited: the row was there when the lease was taken.
+	inherited bool
 	// fence and until are of the holder's own lease.
 	fence  uint64
 	until  time.Time
@@ -127,6 +129,10 @@
 	return l.fence, now.Before(l.until)
 }
 
+// Inherited tells whether somebody held the lease before: work of that holder
+// may still be on its way.
+func (l *Lease) Inherited() bool { return l.inherited }
+
 func (l *Lease) fire(event string) {
 	next, err := chart.Next(l.state, event)
 	if err != nil {
@@ -173,6 +179,7 @@
 }
 
 func (l *Lease) take(now time.Time) *Action {
+	l.inherited = l.version != 0
 	l.fire(eventLapsed)
 	return l.write(now, record{Holder: l.holder})
 }
--- /dev/null
+++ b/internal/routing/direct.go
@@ -0,0 +1,327 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/jayproxy/jayproxy/internal/call"
+)
+
+// DirectServer is a backend server that is called without an agent beside it,
+// as a decision sees it. The caller builds the list; At is not needed, since
+// each field says how old it may be.
+type DirectServer struct {
+	// ID is new with every start of the server.
+	ID         string
+	Address    string
+	DataCentre string
+	Slots      int
+	// Version of the model's weights as last believed; 0 for plain services.
+	Version uint64
+	// VersionAge is how long ago a newer version was named; 0: it is the newest.
+	VersionAge time.Duration
+	// Switching servers are about to take new weights, or do so now.
+	Switching bool
+	// Usable and Weight are membership's word.
+	Usable bool
+	Weight float64
+}
+
+// DirectRequest is what a decision needs to know of a request.
+type DirectRequest struct {
+	ID string
+	// Wall keeps the cached parts of an isolated workspace apart; empty: shared by all.
+	Wall string
+	// Prefix holds the parts that other requests may share, outermost first.
+	Prefix []call.Part
+	// Tokens of the whole prompt, and at most of the answer.
+	Tokens       int
+	OutputTokens int
+	// Left until the caller's deadline.
+	Left time.Duration
+	// Target latency to the first token or the answer.
+	Target time.Duration
+}
+
+// DirectChoice is where to send a request and what to tell the server.
+type DirectChoice struct {
+	Server DirectServer
+	// Salt that the server's cached parts stand under.
+	Salt string
+	// FetchFrom is the address of a holder of the prefix; empty: none.
+	FetchFrom string
+	// SaveTo is the store's address when it is not known to hold the prefix.
+	SaveTo string
+	// ExpectedMS to the first token, Terms the parts of the score, for logs.
+	ExpectedMS float64
+	Terms      DirectTerms
+	// Candidates that passed the filter.
+	Candidates int
+}
+
+// DirectTerms are the parts of a score, in milliseconds.
+type DirectTerms struct {
+	QueueMS    float64
+	ReadMS     float64
+	RereadMS   float64
+	VersionMS  float64
+	DistanceMS float64
+	PenaltyMS  float64
+}
+
+func (t DirectTerms) total() float64 {
+	return t.QueueMS + t.ReadMS + t.RereadMS + t.VersionMS + t.DistanceMS + t.PenaltyMS
+}
+
+// DirectOptions tune the choice. Zero values take the defaults.
+type DirectOptions struct {
+	DataCentre string
+	// MaxVersionAge beyond which a server with older weights gets nothing.
+	MaxVersionAge time.Duration
+}
+
+const (
+	// tokensPerMS that an engine reads, until it was measured.
+	tokensPerMS = 50
+	// rereadMSPerToken weighs reading again what another server or the store
+	// holds: the operator pays for it, and it delays all that wait behind it.
+	rereadMSPerToken = 0.2
+	// copyMSPerToken weighs one more copy of a prefix, which pushes out others.
+	copyMSPerToken = 0.012
+	// fetchMSPerToken is how long a prefix takes over the link between engines.
+	fetchMSPerToken = 0.003
+	// oldVersionMS weighs a run on weights that were replaced.
+	oldVersionMS = 250
+	// versionFree is how long after a new version was named older weights are
+	// as good, and versionStep is over what time the weight then rises.
+	versionFree = 900 * time.Millisecond
+	versionStep = 600 * time.Millisecond
+	// runMS is what each request under way adds to the time of a new one, by
+	// sharing the engine's steps.
+	runMS = 1.5
+	// otherMS is what a request of another entry adds: its prompt is not known.
+	otherMS = 12
+	// reportLife is how long a server's word on its load counts, fading.
+	reportLife = 2 * time.Second
+	// plainMS is the guess of a plain call's service time until one was seen.
+	plainMS = 40
+	// meanGain weighs one result in the running means.
+	meanGain = 0.1
+)
+
+// Direct chooses backend servers that are called directly, and remembers what
+// it sent to them and what their answers taught. Not safe for concurrent use.
+type Direct struct {
+	options  DirectOptions
+	loads    map[string]*directLoad
+	pending  map[string]*pendingRun
+	prefixes *holders
+}
+
+// directLoad is what is known of the work at one server.
+type directLoad struct {
+	// running counts our own requests there; readMS is the prompt work of those
+	// without a first token yet.
+	running int
+	readMS  float64
+	// others counts requests of other entries, as of othersAt.
+	others   float64
+	othersAt time.Time
+	// serviceMS is the mean time of an answer of a plain service.
+	serviceMS float64
+}
+
+type pendingRun struct {
+	server string
+	readMS float64
+	key    uint64
+	at     time.Time
+	first  bool
+}
+
+// NewDirect makes a router that knows nothing.
+func NewDirect(options DirectOptions) *Direct {
+	return &Direct{
+		options: options, loads: map[string]*directLoad{}, pending: map[string]*pendingRun{},
+		prefixes: newHolders(),
+	}
+}
+
+func (d *Direct) load(server string) *directLoad {
+	l, ok := d.loads[server]
+	if !ok {
+		l = &directLoad{serviceMS: plainMS}
+		d.loads[server] = l
+	}
+	return l
+}
+
+// Choose decides where to send a request, and counts it there until Finished.
+// tried servers are left out. ErrNoServer when none may take it.
+func (d *Direct) Choose(now time.Time, req *DirectRequest, servers []DirectServer, store string, tried []string) (DirectChoice, error) {
+	usable := d.filter(servers, tried)
+	if len(usable) == 0 {
+		return DirectChoice{}, ErrNoServer
+	}
+	p := d.plan(now, req, usable, store)
+	best := DirectChoice{ExpectedMS: math.Inf(1)}
+	bestTotal := math.Inf(1)
+	for i := range usable {
+		choice := d.score(now, req, &usable[i], p)
+		if total := choice.Terms.total(); total < bestTotal {
+			best, bestTotal = choice, total
+		}
+	}
+	best.Candidates = len(usable)
+	d.commit(now, req, &best, p)
+	return best, nil
+}
+
+// filter leaves the servers that may serve. Servers that change weights, or
+// that failed of late, are taken when there is nothing else.
+func (d *Direct) filter(servers []DirectServer, tried []string) []DirectServer {
+	var good, poor []DirectServer
+	for _, s := range servers {
+		switch {
+		case contains(tried, s.ID):
+		case d.options.MaxVersionAge > 0 && s.VersionAge > d.options.MaxVersionAge:
+		case s.Switching || !s.Usable:
+			poor = append(poor, s)
+		default:
+			good = append(good, s)
+		}
+	}
+	if len(good) > 0 {
+		return good
+	}
+	return poor
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// commit counts the chosen request at its server.
+func (d *Direct) commit(now time.Time, req *DirectRequest, choice *DirectChoice, p *prefixPlan) {
+	l := d.load(choice.Server.ID)
+	l.running++
+	run := &pendingRun{server: choice.Server.ID, readMS: choice.Terms.ReadMS, at: now}
+	l.readMS += run.readMS
+	if p != nil {
+		run.key = p.keyOf(choice.Server.Version)
+		d.prefixes.coming(now, run.key, choice.Server.ID, choice.Server.Address)
+	}
+	d.pending[req.ID] = run
+}
+
+func (d *Direct) queueMS(now time.Time, s *DirectServer, plain bool) float64 {
+	l := d.load(s.ID)
+	others := l.others * max(0, 1-float64(now.Sub(l.othersAt))/float64(reportLife))
+	if !plain {
+		return l.readMS + runMS*float64(l.running) + otherMS*others
+	}
+	// Work beyond the slots waits for one of them.
+	slots := float64(max(s.Slots, 1))
+	ahead := float64(l.running) + others
+	wait := max(0, ahead+1-slots) / slots * l.serviceMS
+	return wait + l.serviceMS*(1+ahead/slots/2)
+}
+
+func (d *Direct) score(now time.Time, req *DirectRequest, s *DirectServer, p *prefixPlan) DirectChoice {
+	choice := DirectChoice{Server: *s}
+	t := &choice.Terms
+	t.QueueMS = d.queueMS(now, s, p == nil)
+	if p != nil {
+		d.scorePrefix(now, req, s, p, &choice)
+	}
+	if s.DataCentre != d.options.DataCentre {
+		t.DistanceMS = otherDataCentreMS
+	}
+	t.VersionMS = versionMS(s.VersionAge)
+	if weight := max(s.Weight, leastWeight); weight < 1 {
+		t.PenaltyMS = (t.QueueMS + t.ReadMS + slownessFloor) * (1/weight - 1)
+	}
+	choice.ExpectedMS = t.QueueMS + t.ReadMS
+	return choice
+}
+
+// versionMS rises from nothing to its weight around the moment from which a
+// run on older weights is worth less.
+func versionMS(age time.Duration) float64 {
+	if age <= versionFree {
+		return 0
+	}
+	return oldVersionMS * min(1, float64(age-versionFree)/float64(versionStep))
+}
+
+// FirstToken tells that the prompt of a request was read: its prefix is cached there.
+func (d *Direct) FirstToken(now time.Time, request string) {
+	run := d.pending[request]
+	if run == nil || run.first {
+		return
+	}
+	run.first = true
+	l := d.load(run.server)
+	l.readMS = max(0, l.readMS-run.readMS)
+	if run.key != 0 {
+		d.prefixes.held(now, run.key, run.server)
+	}
+}
+
+// Finished tells that a request came to its end. ran is false when the server
+// proved that it did not run there, or it was never sent.
+func (d *Direct) Finished(now time.Time, request string, ran bool) {
+	run := d.pending[request]
+	if run == nil {
+		return
+	}
+	delete(d.pending, request)
+	l := d.load(run.server)
+	l.running = max(0, l.running-1)
+	if !run.first {
+		l.readMS = max(0, l.readMS-run.readMS)
+	}
+	if run.key != 0 && !run.first {
+		d.prefixes.lost(run.key, run.server)
+	}
+	if ran {
+		took := float64(now.Sub(run.at)) / float64(time.Millisecond)
+		l.serviceMS += meanGain * (took - l.serviceMS)
+	}
+}
+
+// Told takes in the load that came with an answer of the server; our own
+// requests there are in it.
+func (d *Direct) Told(now time.Time, server string, load call.Load) {
+	l := d.load(server)
+	l.others = float64(max(0, load.Running+load.Waiting-l.running))
+	l.othersAt = now
+}
+
+// Left forgets a server that is gone.
+func (d *Direct) Left(server string) {
+	delete(d.loads, server)
+	d.prefixes.forget(server)
+}
+
+// Emptied tells that a server holds nothing any more: it took new weights.
+func (d *Direct) Emptied(server string) { d.prefixes.forget(server) }
+
+// Running counts our own requests at a server.
+func (d *Direct) Running(server string) int { return d.load(server).running }
+
+func hashOf(texts ...string) uint64 {
+	var h xxh3.Hasher
+	for _, text := range texts {
+		_, _ = h.WriteString(text) // A hash takes all.
+		_, _ = h.WriteString("\x00")
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/weights/weights.go
@@ -0,0 +1,89 @@
+// Package weights holds which version of each model's weights is named, and
+// which version each backend server is believed to have. It has no I/O,
+// goroutine or clock; callers lock.
+package weights
+
+import "time"
+
+// Named is a version that an operator named for a model.
+type Named struct {
+	Model   string
+	Version uint64
+}
+
+// Wanted is the newest version of a model and when this process heard of each
+// step, for how long older ones may still serve.
+type Wanted struct {
+	Version uint64
+	// Since is when this version was first heard of.
+	Since time.Time
+	// since of older versions' successors, newest last, bounded.
+	steps []step
+}
+
+type step struct {
+	version uint64
+	at      time.Time
+}
+
+// keptSteps bounds the history; a version older than all of them is as old as
+// the oldest kept successor.
+const keptSteps = 16
+
+// Book is the newest named version of every model.
+type Book struct {
+	models map[string]*Wanted
+}
+
+// NewBook is empty.
+func NewBook() *Book { return &Book{models: map[string]*Wanted{}} }
+
+// Name takes in a named version; older ones than known change nothing.
+func (b *Book) Name(now time.Time, named Named) bool {
+	w := b.models[named.Model]
+	if w == nil {
+		w = &Wanted{}
+		b.models[named.Model] = w
+	}
+	if named.Version <= w.Version {
+		return false
+	}
+	w.Version, w.Since = named.Version, now
+	w.steps = append(w.steps, step{named.Version, now})
+	if len(w.steps) > keptSteps {
+		w.steps = w.steps[1:]
+	}
+	return true
+}
+
+// Newest version named for the model; 0 when none was.
+func (b *Book) Newest(model string) uint64 {
+	if w := b.models[model]; w != nil {
+		return w.Version
+	}
+	return 0
+}
+
+// Models that a version was named for.
+func (b *Book) Models() []string {
+	var models []string
+	for name := range b.models {
+		models = append(models, name)
+	}
+	return models
+}
+
+// Age is how long ago a newer version than the given one was first named; 0
+// when it is the newest.
+func (b *Book) Age(now time.Time, model string, version uint64) time.Duration {
+	w := b.models[model]
+	if w == nil || version >= w.Version {
+		return 0
+	}
+	for _, s := range w.steps {
+		if s.version > version {
+			return now.Sub(s.at)
+		}
+	}
+	return now.Sub(w.Since)
+}
