Let a new holder order at once what the one before did not; end a stop earlier

A stop waited for a moment without requests, which never came while the others stopped too. Ruled out: slow loads (0.76 s each), refused orders (none). Change: a holder waits only when it started less than a lease ago, and leaves alone servers that another ordered within a lease; listeners close once the balancer has asked twice; the store of kept cache is asked always; the list is read 0.35 of the drain bound apart.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -15,9 +15,10 @@
 const (
 	// operatorWait is how long a call for changes of the operator's table waits.
 	operatorWait = 20 * time.Second
-	// backendPause between two reads of the list of backend servers. It
-	// changes with every heartbeat, so a waiting call would return at once.
-	backendPause = 450 * time.Millisecond
+	// backendPauseShare of the bound on leaving servers is between two reads of
+	// the list of backend servers. It changes with every heartbeat, so a call
+	// that waits for changes would return at once.
+	backendPauseShare = 0.35
 	// callTime bounds a call beyond what it waits on purpose.
 	callTime = 1200 * time.Millisecond
 	// failedPause after a failed call.
@@ -69,7 +70,7 @@
 // follow starts all that runs beside the requests.
 func (g *Gateway) follow(ctx context.Context) {
 	operators := &feed{table: g.ports.Decoder.OperatorTable, wait: operatorWait, apply: g.applyOperator}
-	backends := &feed{table: g.ports.Decoder.BackendTable, pause: backendPause, apply: g.applyBackends}
+	backends := &feed{table: g.ports.Decoder.BackendTable, pause: time.Duration(float64(g.settings.DrainBound) * backendPauseShare), apply: g.applyBackends}
 	entries := &feed{table: g.ports.Decoder.EntryTable, wait: operatorWait, apply: g.applyEntries}
 	g.feeds = []*feed{operators, backends, entries}
 	g.spawn(func() { g.run(ctx, operators) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,10 +33,13 @@
 	headerBytes = 16 << 10
 	headerTime  = 5 * time.Second
 	idleTime    = 60 * time.Second
-	// answeredSince a signal to stop before connections are closed: the
-	// balancer asks once a second and needs two refusals.
+	// The balancer asks once a second and needs two refusals; then no new
+	// callers come, and what is on its way arrives within drainOnWay.
 	drainQuestions = 2
-	drainAtLeast   = 2600 * time.Millisecond
+	drainOnWay     = 500 * time.Millisecond
+	// drainAtMost is when connections are closed though the balancer has not
+	// asked: its questions may be lost.
+	drainAtMost = 3500 * time.Millisecond
 	// drainReserve of the grace time is kept for the end of the process.
 	drainReserve = 700 * time.Millisecond
 	drainStep    = 20 * time.Millisecond
@@ -176,8 +179,10 @@
 }
 
 // Shutdown ends without cutting a request: it stops being ready, goes on to
-// answer until the balancer has seen that, closes idle connections, and waits
-// for what is under way.
+// answer until the balancer has seen that, closes the listener and idle
+// connections, and waits for what is under way. It does not wait for a moment
+// without requests: while others stop too, callers would come until the end,
+// and the last of them would be cut.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	begun := time.Now()
 	end := begun.Add(g.settings.Grace - drainReserve)
@@ -188,9 +193,10 @@
 	}
 	g.unregister(ctx)
 	g.callers.SetKeepAlivesEnabled(false)
-	for time.Now().Before(end) && ctx.Err() == nil && !g.drained(begun) {
+	for time.Since(begun) < drainAtMost && ctx.Err() == nil && g.notReadyAnswers.Load() < drainQuestions {
 		time.Sleep(drainStep)
 	}
+	sleep(ctx, drainOnWay)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	err := g.callers.Shutdown(ctx)
@@ -202,11 +208,6 @@
 	return nil
 }
 
-// drained tells whether the balancer has stopped sending callers here.
-func (g *Gateway) drained(begun time.Time) bool {
-	return g.notReadyAnswers.Load() >= drainQuestions && time.Since(begun) >= drainAtLeast && g.active.Load() == 0
-}
-
 // Reload takes in settings that may change while the process runs.
 func (g *Gateway) Reload(settings Settings) {
 	g.peers.setSeeds(settings.Seeds)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -151,6 +151,8 @@
 	Version uint64 `json:"version"`
 	// ForMS is how long the server is to be left alone; 0: it has the version.
 	ForMS int64 `json:"for_ms"`
+	// Ordered: the holder of the lease gives the order just now.
+	Ordered bool `json:"ordered,omitempty"`
 	// Withdrawn: nothing came of it.
 	Withdrawn bool `json:"withdrawn,omitempty"`
 }
@@ -193,18 +195,22 @@
 	if err := c.Bind(&news); err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	g.applySwitches(news)
+	g.applySwitches(news, true)
 	return c.NoContent(http.StatusNoContent)
 }
 
-func (g *Gateway) applySwitches(news []switchNews) {
+func (g *Gateway) applySwitches(news []switchNews, ofOther bool) {
+	now := time.Now()
 	for _, n := range news {
+		if n.Ordered && ofOther {
+			g.state.heardOrder(now, n.Server)
+		}
 		klog.V(1).InfoS("Switch told", "server", n.Server, "version", n.Version, "forMS", n.ForMS, "withdrawn", n.Withdrawn)
 		switch {
 		case n.Withdrawn:
 			g.state.withdrawSwitch(n.Server)
 		case n.ForMS > 0:
-			g.state.announceSwitch(n.Server, n.Version, time.Now().Add(time.Duration(n.ForMS)*time.Millisecond))
+			g.state.announceSwitch(n.Server, n.Version, now.Add(time.Duration(n.ForMS)*time.Millisecond))
 		default:
 			g.state.sawVersion(n.Server, n.Model, n.Version, "entry")
 		}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -85,6 +85,8 @@
 	Seeds []string
 	// Grace between the signal to stop and the end of the process.
 	Grace time.Duration
+	// DrainBound: a leaving server gets no request later than this after its word.
+	DrainBound time.Duration
 	// LeaseTime within which two holders must not both act.
 	LeaseTime time.Duration
 	// VersionBound: a request must not begin on weights replaced longer ago.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -35,8 +35,8 @@
 	mu      sync.Mutex
 	plans   map[string]*rollout.Plan
 	fence   uint64
-	// since is when the lease with this fence was first seen to be held.
-	since time.Time
+	// started is when this process began to hear what other holders order.
+	started time.Time
 }
 
 func (g *Gateway) startRollouts(ctx context.Context) {
@@ -46,7 +46,7 @@
 		Renew: time.Duration(float64(bound) * leaseRenewShare), Watch: time.Duration(float64(bound) * leaseRenewShare),
 	}
 	g.keeper = lease.Keep(ctx, g.ports.Table, rolloutLease, g.settings.Node, settings, lease.BootClock)
-	r := &rollouts{gateway: g, plans: map[string]*rollout.Plan{}}
+	r := &rollouts{gateway: g, plans: map[string]*rollout.Plan{}, started: time.Now()}
 	g.spawn(func() { g.every(ctx, rolloutTick, func(now time.Time) { r.tick(ctx, now) }) })
 }
 
@@ -54,14 +54,15 @@
 	if !r.mayAct(now) {
 		return
 	}
-	for _, model := range r.gateway.state.rollingModels() {
+	for _, model := range r.gateway.state.rollingModels(now) {
 		r.step(ctx, now, model)
 	}
 }
 
-// mayAct tells whether this entry gives orders now. After the lease changed
-// hands its time is waited out once more: an order of the holder before may
-// still be on its way, and servers must not see two holders by turns.
+// mayAct tells whether this entry gives orders now. One that started less than
+// a lease ago may not have heard what an earlier holder ordered, and a server
+// must not see two holders by turns: it waits, unless it is the first holder
+// of all. One that heard leaves just those servers alone (state.orderedAt).
 func (r *rollouts) mayAct(now time.Time) bool {
 	fence, held := r.gateway.keeper.Held()
 	r.mu.Lock()
@@ -72,12 +73,9 @@
 	}
 	if fence != r.fence {
 		klog.InfoS("Lease held", "lease", rolloutLease, "fence", fence, "inherited", r.gateway.keeper.Inherited())
-		r.fence, r.since, r.plans = fence, now, map[string]*rollout.Plan{}
-		if !r.gateway.keeper.Inherited() {
-			r.since = now.Add(-r.gateway.settings.LeaseTime)
-		}
+		r.fence, r.plans = fence, map[string]*rollout.Plan{}
 	}
-	return now.Sub(r.since) >= r.gateway.settings.LeaseTime
+	return !r.gateway.keeper.Inherited() || now.Sub(r.started) >= r.gateway.settings.LeaseTime
 }
 
 func (r *rollouts) step(ctx context.Context, now time.Time, model rollingModel) {
@@ -97,7 +95,7 @@
 		case rollout.Announce:
 			news = append(news, switchNews{Server: action.Server, Model: model.name, Version: action.Version, ForMS: announceTime.Milliseconds()})
 		case rollout.Order:
-			news = append(news, switchNews{Server: action.Server, Model: model.name, Version: action.Version, ForMS: orderTime.Milliseconds()})
+			news = append(news, switchNews{Server: action.Server, Model: model.name, Version: action.Version, ForMS: orderTime.Milliseconds(), Ordered: true})
 			go r.order(ctx, plan, model.name, action, fence)
 		case rollout.Look:
 			go r.look(ctx, plan, model.name, action)
@@ -112,7 +110,7 @@
 	if len(news) == 0 {
 		return
 	}
-	r.gateway.applySwitches(news)
+	r.gateway.applySwitches(news, false)
 	r.gateway.peers.tell(ctx, news)
 }
 
@@ -167,7 +165,7 @@
 	servers []rollout.Server
 }
 
-func (s *state) rollingModels() []rollingModel {
+func (s *state) rollingModels(now time.Time) []rollingModel {
 	table := s.table.Load()
 	if table == nil {
 		return nil
@@ -178,7 +176,7 @@
 	for _, name := range s.book.Models() {
 		model := rollingModel{name: name, wanted: s.book.Newest(name)}
 		for _, b := range s.list.All() {
-			if _, has := b.Versions[name]; !has || b.Draining {
+			if _, has := b.Versions[name]; !has || b.Draining || now.Sub(s.orderedAt[b.ID]) < s.settings.LeaseTime {
 				continue
 			}
 			model.servers = append(model.servers, rollout.Server{
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -41,8 +41,10 @@
 	router   *routing.Direct
 	versions map[versionKey]uint64
 	switches map[string]switching
-	budgets  map[string]*retry.Budget
-	entries  int
+	// orderedAt is when another entry last ordered a server.
+	orderedAt map[string]time.Time
+	budgets   map[string]*retry.Budget
+	entries   int
 	// listReady: the list was read at least once.
 	listReady bool
 }
@@ -67,9 +69,9 @@
 			MaxVersionAge: settings.VersionBound - versionMargin,
 		}),
 		versions: map[versionKey]uint64{},
-		switches: map[string]switching{},
-		budgets:  map[string]*retry.Budget{},
-		entries:  1,
+		switches: map[string]switching{}, orderedAt: map[string]time.Time{},
+		budgets: map[string]*retry.Budget{},
+		entries: 1,
 	}
 }
 
@@ -123,6 +125,7 @@
 	klog.InfoS("Backend server gone", "server", id, "source", source)
 	s.router.Left(id)
 	delete(s.switches, id)
+	delete(s.orderedAt, id)
 	for key := range s.versions {
 		if key.server == id {
 			delete(s.versions, key)
@@ -178,6 +181,13 @@
 	s.switches[server] = switching{version: version, until: until}
 }
 
+// heardOrder takes in that another entry orders a server.
+func (s *state) heardOrder(now time.Time, server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orderedAt[server] = now
+}
+
 // withdrawSwitch takes in that nothing came of it.
 func (s *state) withdrawSwitch(server string) {
 	s.mu.Lock()
--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -15,6 +15,8 @@
 	// heldFor is how long a holder is believed without being used: engines
 	// drop what was not used for some seconds.
 	heldFor = 20 * time.Second
+	// freshHolder is how long after its last use a holder is preferred to the store.
+	freshHolder = 4 * time.Second
 	// comingFor bounds how long a prefix may take to be read.
 	comingFor = 5 * time.Second
 )
@@ -186,7 +188,7 @@
 }
 
 // scorePrefix weighs what the server must read, fetch or copy of the prompt.
-func (d *Direct) scorePrefix(_ time.Time, req *DirectRequest, s *DirectServer, p *prefixPlan, choice *DirectChoice) {
+func (d *Direct) scorePrefix(now time.Time, req *DirectRequest, s *DirectServer, p *prefixPlan, choice *DirectChoice) {
 	v := p.byVer[s.Version]
 	t := &choice.Terms
 	own := float64(max(0, req.Tokens-p.tokens)) / tokensPerMS
@@ -199,20 +201,23 @@
 	if p.store != "" && !v.saved {
 		choice.SaveTo = p.store
 	}
+	// A server that is believed to hold the prefix may have dropped it: asking
+	// the store for what is there already costs a millisecond at most.
+	choice.FetchFrom = p.store
 	switch {
 	case holds(v.holders, s.ID):
 		return
 	case v.ready != nil:
-		choice.FetchFrom = v.ready.address
+		if p.store == "" || now.Sub(v.ready.at) < freshHolder {
+			choice.FetchFrom = v.ready.address
+		}
 		t.ReadMS += shared * fetchMSPerToken
 		t.RereadMS = shared * copyMSPerToken
 	case len(v.holders) > 0:
 		// It is being read elsewhere just now: nothing can be fetched yet.
-		choice.FetchFrom = p.store
 		t.ReadMS += shared / tokensPerMS
 		t.RereadMS = shared * rereadMSPerToken
 	default:
-		choice.FetchFrom = p.store
 		t.ReadMS += shared / tokensPerMS
 		if s.ID != v.home {
 			t.RereadMS = shared * rereadMSPerToken
