Close a connection whose body was not read; never answer a caller that left

Ruled out: half-closed connections, the deadline of heads (traced each read and deadline). Change: body time of 2 s at least, 408 and Connection: close after a failed read, abort instead of return.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -112,7 +112,11 @@
 		j.note()
 		panic(http.ErrAbortHandler)
 	case errors.Is(j.ctx.Err(), context.Canceled):
+		// Nobody reads an answer. Returning without one would be sent as an empty
+		// success, if the connection is open after all.
 		j.outcome = "caller left"
+		j.note()
+		panic(http.ErrAbortHandler)
 	case j.ranOn > 0 && j.failure != nil:
 		j.pass(j.failure)
 	case j.ranOn > 0:
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -22,6 +22,9 @@
 	answerMargin = 15 * time.Millisecond
 	// defaultPatience of a caller that names no deadline, on a route without one.
 	defaultPatience = 30 * time.Second
+	// bodyTime is how long a body may take at least, however short the caller's
+	// own deadline is.
+	bodyTime = 2 * time.Second
 	// unknownYet is when to come back while nothing is known yet.
 	unknownYet = 400 * time.Millisecond
 )
@@ -171,7 +174,7 @@
 		r.Body = http.MaxBytesReader(j.writer, r.Body, limit)
 	}
 	control := http.NewResponseController(j.writer)
-	_ = control.SetReadDeadline(j.deadline)
+	_ = control.SetReadDeadline(j.arrived.Add(max(j.deadline.Sub(j.arrived), bodyTime)))
 	body, err := io.ReadAll(r.Body)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
@@ -179,7 +182,10 @@
 	case errors.As(err, &tooLarge):
 		return j.reject(http.StatusRequestEntityTooLarge, "body too large")
 	case err != nil:
-		return j.reject(http.StatusBadRequest, "body not read: "+err.Error())
+		// After a failed read the library takes the caller of every later request
+		// on the connection to have left.
+		j.writer.Header().Set("Connection", "close")
+		return j.reject(http.StatusRequestTimeout, "body not read: "+err.Error())
 	}
 	j.message.Body, j.message.HasBody = body, true
 	return true
