Let runs go on while weights change; order the next when a load should be over

Cause: an order that waits for runs held a server up to 2 s, with at most two loading; 27 of 36 servers were reached. Change: runs go on under the new weights (mode keep) after 0.3 s without new work; the next order follows the estimated end of a load.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -125,7 +125,7 @@
 	}
 	outcome, err := r.gateway.ports.Engines.Order(ctx, call.LoadOrder{
 		Instance: action.Server, Address: action.Address, Model: model, Version: action.Version,
-		Mode: call.LoadWaits, Holder: r.gateway.settings.Node, Fence: fence, Expected: action.Orders,
+		Mode: call.LoadKeeps, Holder: r.gateway.settings.Node, Fence: fence, Expected: action.Orders,
 	})
 	klog.InfoS("Order given", "server", action.Server, "version", action.Version, "fence", fence, "outcome", outcome.String(), "err", err)
 	r.gateway.metrics.Count("orders", outcome.String(), 1)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -61,11 +61,13 @@
 const (
 	// drainAtMost is how long a server is kept from work before its order; what
 	// runs longer than that holds the order up at the server.
-	drainAtMost = 500 * time.Millisecond
+	drainAtMost = 300 * time.Millisecond
 	// drainAtLeast lets requests that are on their way arrive before the order.
 	drainAtLeast = 120 * time.Millisecond
 	// lookEvery bounds the questions to one server: each has a price.
-	lookEvery = 150 * time.Millisecond
+	lookEvery = 120 * time.Millisecond
+	// reportLag is how old a server's word on itself is about.
+	reportLag = 200 * time.Millisecond
 	// loadGuess until the time of a load was measured.
 	loadGuess = 700 * time.Millisecond
 	// loadAtMost after which an order is taken to be lost and given again.
@@ -126,7 +128,11 @@
 		actions = append(actions, p.advance(now, t, s)...)
 		switch t.phase {
 		case ordered:
-			loading++
+			// What a server says of itself lags: the next order goes out when
+			// this load should be over, not when it shows.
+			if now.Sub(t.since) < p.loadTime {
+				loading++
+			}
 		case announced:
 			waiting++
 		}
@@ -170,7 +176,7 @@
 	switch t.phase {
 	case ordered:
 		if s.Version >= t.version {
-			p.loadTime += time.Duration(gain * float64(now.Sub(t.since)-p.loadTime))
+			p.loadTime += time.Duration(gain * float64(now.Sub(t.since)-reportLag-p.loadTime))
 			t.phase = idle
 			return nil
 		}
@@ -180,7 +186,7 @@
 			t.phase, t.orders, t.until = idle, -1, now.Add(retryAfter)
 			return []Action{{Kind: Withdraw, Server: s.ID}}
 		}
-		if now.Sub(t.since) >= p.loadTime*8/10 && !now.Before(t.lookAt) {
+		if now.Sub(t.since) >= p.loadTime && !now.Before(t.lookAt) {
 			t.lookAt = now.Add(lookEvery)
 			return []Action{{Kind: Look, Server: s.ID, Address: s.Address}}
 		}
