--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,9 @@
 	missing map[string]time.Time
 	// restoredAt is when the list was last regained.
 	restoredAt time.Time
+	// byHash and sorted are derived from byID, nil when it changed.
+	byHash map[uint32]*Backend
+	sorted map[string][]*Backend
 }
 
 // NewList makes an empty list.
@@ -45,6 +48,7 @@
 func (l *List) Put(b *Backend) *Backend {
 	old := l.byID[b.ID]
 	l.byID[b.ID] = b
+	l.changed()
 	delete(l.missing, b.ID)
 	return old
 }
@@ -61,6 +65,7 @@
 	if l.restoredAt.IsZero() || now.Sub(l.restoredAt) >= l.grace || l.byID[id].Draining {
 		delete(l.byID, id)
 		delete(l.missing, id)
+		l.changed()
 		return true
 	}
 	l.missing[id] = l.restoredAt.Add(l.grace)
@@ -74,6 +79,7 @@
 		if !now.Before(until) {
 			delete(l.missing, id)
 			delete(l.byID, id)
+			l.changed()
 			gone = append(gone, id)
 		}
 	}
@@ -86,18 +92,33 @@
 // Len counts the entries.
 func (l *List) Len() int { return len(l.byID) }
 
-// Of returns the backends of a service in order of their names.
+// Of returns the backends of a service in order of their names. The caller must
+// not change the slice.
 func (l *List) Of(service string) []*Backend {
-	var of []*Backend
-	for _, b := range l.byID {
-		if b.Service == service {
-			of = append(of, b)
+	if l.sorted == nil {
+		l.sorted = map[string][]*Backend{}
+		for _, b := range l.All() {
+			l.sorted[b.Service] = append(l.sorted[b.Service], b)
+		}
+	}
+	return l.sorted[service]
+}
+
+// ByHash returns the backends by the hash of their names. It is made anew only
+// when the list changed.
+func (l *List) ByHash(hash func(string) uint32) map[uint32]*Backend {
+	if l.byHash == nil {
+		l.byHash = make(map[uint32]*Backend, len(l.byID))
+		for id, b := range l.byID {
+			l.byHash[hash(id)] = b
 		}
 	}
-	sort.Slice(of, func(i, j int) bool { return of[i].ID < of[j].ID })
-	return of
+	return l.byHash
 }
 
+// changed forgets what was derived from the list.
+func (l *List) changed() { l.byHash, l.sorted = nil, nil }
+
 // All returns every backend in order of names.
 func (l *List) All() []*Backend {
 	all := make([]*Backend, 0, len(l.byID))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,7 @@
 	pool     *upstream.Pool
 	metrics  *metrics.Registry
 	peers    *peers
+	hints    *hints
 	feeds    []*feed
 	keeper   *lease.Keeper
 
@@ -78,6 +79,7 @@
 	if err := g.listenInner(); err != nil {
 		return nil, err
 	}
+	g.startHints(ctx)
 	g.follow(ctx)
 	g.awaitConfig(ctx)
 	if err := g.listenCallers(); err != nil {
--- /dev/null
+++ b/internal/gateway/hints.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/routing"
+)
+
+const (
+	// hintPause collects hints for one datagram. It bounds how long another
+	// entry does not know that a prefix is being read.
+	hintPause = 15 * time.Millisecond
+	// loadPause is the least time between two words on our unread prompts.
+	loadPause = 60 * time.Millisecond
+	// hintBytesPerSecond is what all hints of one entry may take: control of a
+	// node has 2 KB/s. Loads go out as often as that allows, prefixes first.
+	hintBytesPerSecond = 2048
+	// hintBurstBytes may be saved up while there is nothing to tell.
+	hintBurstBytes = 4096
+	maxDatagram    = 1400
+	// overheadBytes of a datagram's own headers.
+	overheadBytes = 28
+)
+
+// hints tells other entries where prefixes are read and what waits where.
+// Datagrams, not streams: a hint is worth nothing once it is late, and a lost
+// one costs a prompt that is read again.
+type hints struct {
+	gateway *Gateway
+	conn    *net.UDPConn
+	self    uint32
+
+	mu      sync.Mutex
+	targets []*net.UDPAddr
+	// budget of bytes, filled over time.
+	budget   float64
+	filledAt time.Time
+	loadsAt  time.Time
+}
+
+// startHints opens the port; without one there are no hints.
+func (g *Gateway) startHints(ctx context.Context) {
+	if g.settings.HintAddress == "" {
+		return
+	}
+	address, err := net.ResolveUDPAddr("udp4", g.settings.HintAddress)
+	if err != nil {
+		klog.ErrorS(err, "No hints", "address", g.settings.HintAddress)
+		return
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		klog.ErrorS(err, "No hints", "address", g.settings.HintAddress)
+		return
+	}
+	h := &hints{gateway: g, conn: conn, self: uint32(xxh3.HashString(g.settings.Node)), budget: hintBurstBytes, filledAt: time.Now()} //nolint:gosec // the low half of a hash
+	g.hints = h
+	g.spawn(h.receive)
+	g.spawn(func() {
+		g.every(ctx, hintPause, h.send)
+		_ = conn.Close()
+	})
+}
+
+// setEntries tells where the other entries are; all use the same port.
+func (h *hints) setEntries(addresses []string) {
+	var targets []*net.UDPAddr
+	port := h.conn.LocalAddr().(*net.UDPAddr).Port
+	for _, address := range addresses {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			continue
+		}
+		if ip := net.ParseIP(host); ip != nil {
+			targets = append(targets, &net.UDPAddr{IP: ip, Port: port})
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.targets = targets
+}
+
+func (h *hints) send(now time.Time) {
+	h.mu.Lock()
+	targets := h.targets
+	h.budget = min(hintBurstBytes, h.budget+hintBytesPerSecond*now.Sub(h.filledAt).Seconds())
+	h.filledAt = now
+	loadsDue := now.Sub(h.loadsAt) >= loadPause
+	h.mu.Unlock()
+	if len(targets) == 0 {
+		return
+	}
+	message := h.message(loadsDue)
+	if message == nil {
+		return
+	}
+	h.sendAll(now, message, targets)
+}
+
+// message is what there is to tell; nil when nothing.
+func (h *hints) message(loadsDue bool) *jayv1.Hints {
+	s := h.gateway.state
+	s.mu.Lock()
+	news := s.router.News()
+	var loads []routing.LoadHint
+	if loadsDue {
+		loads = s.router.Loads()
+	}
+	s.mu.Unlock()
+	if len(news) == 0 && len(loads) == 0 {
+		return nil
+	}
+	message := &jayv1.Hints{Entry: h.self}
+	for _, n := range news {
+		message.Prefix = append(message.Prefix, n.Prefix)
+		message.PrefixServer = append(message.PrefixServer, nameHash(n.Server))
+		message.PrefixReady = append(message.PrefixReady, n.Ready)
+	}
+	for _, l := range loads {
+		message.LoadServer = append(message.LoadServer, nameHash(l.Server))
+		message.LoadMs = append(message.LoadMs, uint32(l.ReadMS))
+	}
+	return message
+}
+
+func nameHash(name string) uint32 { return uint32(xxh3.HashString(name)) } //nolint:gosec // the low half of a hash
+
+// sendAll sends the message to every entry, as far as the budget reaches:
+// without loads first, then not at all.
+func (h *hints) sendAll(now time.Time, message *jayv1.Hints, targets []*net.UDPAddr) {
+	size := (proto.Size(message) + overheadBytes) * len(targets)
+	h.mu.Lock()
+	if float64(size) > h.budget && len(message.GetLoadServer()) > 0 {
+		message.LoadServer, message.LoadMs = nil, nil
+		size = (proto.Size(message) + overheadBytes) * len(targets)
+	}
+	affordable := float64(size) <= h.budget && len(message.GetPrefix())+len(message.GetLoadServer()) > 0
+	if affordable {
+		h.budget -= float64(size)
+	}
+	if len(message.GetLoadServer()) > 0 {
+		h.loadsAt = now
+	}
+	h.mu.Unlock()
+	if !affordable {
+		h.gateway.metrics.Count("hints", "dropped", int64(len(message.GetPrefix())))
+		return
+	}
+	text, err := proto.Marshal(message)
+	if err != nil || len(text) > maxDatagram {
+		h.gateway.metrics.Count("hints", "not_sent", 1)
+		return
+	}
+	for _, target := range targets {
+		if _, err := h.conn.WriteToUDP(text, target); err != nil {
+			h.gateway.metrics.Count("hints", "send_failed", 1)
+		}
+	}
+	h.gateway.metrics.Count("hints", "sent", int64(len(targets)))
+}
+
+func (h *hints) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := h.conn.ReadFromUDP(buffer)
+		if err != nil {
+			klog.V(1).InfoS("Hints end", "err", err)
+			return
+		}
+		var message jayv1.Hints
+		if err := proto.Unmarshal(buffer[:n], &message); err != nil {
+			h.gateway.metrics.Count("hints", "malformed", 1)
+			continue
+		}
+		h.take(&message)
+	}
+}
+
+func (h *hints) take(message *jayv1.Hints) {
+	servers, ready := message.GetPrefixServer(), message.GetPrefixReady()
+	if len(servers) != len(message.GetPrefix()) || len(ready) != len(servers) || len(message.GetLoadMs()) != len(message.GetLoadServer()) {
+		h.gateway.metrics.Count("hints", "malformed", 1)
+		return
+	}
+	s := h.gateway.state
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byHash := s.list.ByHash(nameHash)
+	var prefixes []routing.PrefixHint
+	for i, key := range message.GetPrefix() {
+		if b := byHash[servers[i]]; b != nil {
+			prefixes = append(prefixes, routing.PrefixHint{Prefix: key, Server: b.ID, Address: b.Address, Ready: ready[i]})
+		}
+	}
+	s.router.Hear(now, prefixes)
+	if len(message.GetLoadServer()) == 0 {
+		return
+	}
+	var loads []routing.LoadHint
+	for i, hash := range message.GetLoadServer() {
+		if b := byHash[hash]; b != nil {
+			loads = append(loads, routing.LoadHint{Server: b.ID, ReadMS: float64(message.GetLoadMs()[i])})
+		}
+	}
+	s.router.HearLoads(now, message.GetEntry(), loads)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -263,4 +263,7 @@
 	}
 	g.peers.mu.Unlock()
 	g.state.setEntries(g.peers.count())
+	if g.hints != nil {
+		g.hints.setEntries(g.peers.all())
+	}
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -81,6 +81,8 @@
 	ControlAddress string
 	// MetricsAddress may be empty.
 	MetricsAddress string
+	// HintAddress for datagrams between entries; empty: none. All entries use one port.
+	HintAddress string
 	// Seeds are control addresses of other entries.
 	Seeds []string
 	// Grace between the signal to stop and the end of the process.
--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -112,6 +112,7 @@
 	// now is in no report yet, and they choose alike. Counting it lowered late
 	// answers while weights change: credit before prices 0.899 -> 0.934.
 	maxEntryFactor = 6
+	guessShare     = 0.5
 	// reportLife is how long a server's word on its load counts, fading.
 	reportLife = 2 * time.Second
 	// plainMS is the guess of a plain call's service time until one was seen.
@@ -129,6 +130,8 @@
 	prefixes *holders
 	// entries that send to the same servers, this one included.
 	entries int
+	// news for the other entries.
+	news []PrefixHint
 	// saves: prefixes go to the store of kept KV cache as well.
 	saves bool
 }
@@ -142,6 +145,8 @@
 	// others counts requests of other entries, as of othersAt.
 	others   float64
 	othersAt time.Time
+	// heard is what other entries said of their unread prompts here.
+	heard map[uint32]heardLoad
 	// serviceMS is the mean time of an answer of a plain service.
 	serviceMS float64
 }
@@ -234,7 +239,9 @@
 	if p != nil {
 		for _, level := range p.byVer[choice.Server.Version].levels {
 			run.keys = append(run.keys, level.key)
-			d.prefixes.coming(now, level.key, choice.Server.ID, choice.Server.Address)
+			if d.prefixes.coming(now, level.key, choice.Server.ID, choice.Server.Address) {
+				d.note(level.key, choice.Server.ID, false)
+			}
 		}
 	}
 	d.pending[req.ID] = run
@@ -244,7 +251,7 @@
 	l := d.load(s.ID)
 	others := l.others * max(0, 1-float64(now.Sub(l.othersAt))/float64(reportLife))
 	if !plain {
-		return l.readMS*float64(min(max(d.entries, 1), maxEntryFactor)) + runMS*float64(l.running) + otherMS*others
+		return l.readMS + d.otherReadMS(now, l) + runMS*float64(l.running) + otherMS*others
 	}
 	// Work beyond the slots waits for one of them.
 	slots := float64(max(s.Slots, 1))
@@ -253,6 +260,14 @@
 	return wait + l.serviceMS*(1+ahead/slots/2)
 }
 
+// otherReadMS is what the unread prompts of other entries at a server take: as
+// they tell, or guessed from our own where they have told nothing of late.
+func (d *Direct) otherReadMS(now time.Time, l *directLoad) float64 {
+	guess := l.readMS * float64(min(max(d.entries, 1), maxEntryFactor)-1)
+	told := l.othersMS(now)
+	return guessShare*guess + (1-guessShare)*told
+}
+
 func (d *Direct) score(now time.Time, req *DirectRequest, s *DirectServer, p *prefixPlan) DirectChoice {
 	choice := DirectChoice{Server: *s}
 	t := &choice.Terms
@@ -290,7 +305,9 @@
 	l := d.load(run.server)
 	l.readMS = max(0, l.readMS-run.readMS)
 	for _, key := range run.keys {
-		d.prefixes.held(now, key, run.server)
+		if d.prefixes.held(now, key, run.server) {
+			d.note(key, run.server, true)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/routing/direct_hints.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"time"
+)
+
+// PrefixHint tells that a server reads a prefix, or holds it. It comes from
+// another entry, is some milliseconds old and may be wrong by now.
+type PrefixHint struct {
+	// Prefix is the key of one level of a prefix under its salt.
+	Prefix uint64
+	Server string
+	// Address of the server; empty in hints that are sent.
+	Address string
+	Ready   bool
+}
+
+// LoadHint tells of another entry's unread prompts at a server.
+type LoadHint struct {
+	Server string
+	ReadMS float64
+}
+
+// maxNews bounds the hints that wait to be sent; the newest are dropped.
+const maxNewsHints = 256
+
+// loadHintLife is how long another entry's word on its unread prompts counts,
+// fading: engines read them in some hundred milliseconds.
+const loadHintLife = 400 * time.Millisecond
+
+// heardLoad is what one other entry said of one server.
+type heardLoad struct {
+	readMS float64
+	at     time.Time
+}
+
+// note keeps a hint for the other entries.
+func (d *Direct) note(prefix uint64, server string, ready bool) {
+	if len(d.news) < maxNewsHints {
+		d.news = append(d.news, PrefixHint{Prefix: prefix, Server: server, Ready: ready})
+	}
+}
+
+// News returns what others should hear since the last call.
+func (d *Direct) News() []PrefixHint {
+	news := d.news
+	d.news = nil
+	return news
+}
+
+// HasNews tells whether News would return anything.
+func (d *Direct) HasNews() bool { return len(d.news) > 0 }
+
+// Hear takes in hints of another entry.
+func (d *Direct) Hear(now time.Time, hints []PrefixHint) {
+	for _, h := range hints {
+		d.prefixes.coming(now, h.Prefix, h.Server, h.Address)
+		if h.Ready {
+			d.prefixes.held(now, h.Prefix, h.Server)
+		}
+	}
+}
+
+// Loads returns our own unread prompts at each server that has any.
+func (d *Direct) Loads() []LoadHint {
+	var loads []LoadHint
+	for server, l := range d.loads {
+		if l.readMS >= 1 {
+			loads = append(loads, LoadHint{Server: server, ReadMS: l.readMS})
+		}
+	}
+	return loads
+}
+
+// HearLoads takes in another entry's unread prompts. Servers that it does not
+// name have none of them.
+func (d *Direct) HearLoads(now time.Time, entry uint32, loads []LoadHint) {
+	for _, l := range d.loads {
+		delete(l.heard, entry)
+	}
+	for _, hint := range loads {
+		l := d.load(hint.Server)
+		if l.heard == nil {
+			l.heard = map[uint32]heardLoad{}
+		}
+		l.heard[entry] = heardLoad{readMS: hint.ReadMS, at: now}
+	}
+}
+
+// othersMS is what the other entries' unread prompts at a server take.
+func (l *directLoad) othersMS(now time.Time) float64 {
+	sum := 0.0
+	for _, h := range l.heard {
+		age := now.Sub(h.at)
+		sum += h.readMS * max(0, 1-float64(age)/float64(loadHintLife))
+	}
+	return sum
+}
--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -60,29 +60,35 @@
 	return live
 }
 
-// coming notes that a request that reads the prefix was sent to a server.
-func (h *holders) coming(now time.Time, key uint64, server, address string) {
+// coming notes that a request that reads the prefix was sent to a server. It
+// tells whether that is new.
+func (h *holders) coming(now time.Time, key uint64, server, address string) bool {
 	all := h.live(now, key)
 	for i := range all {
 		if all[i].server == server {
 			all[i].at = now
 			h.of.Add(key, all)
-			return
+			return false
 		}
 	}
 	if len(all) >= maxHolders {
 		all = all[1:]
 	}
 	h.of.Add(key, append(all, holding{server: server, address: address, at: now}))
+	return true
 }
 
-func (h *holders) held(now time.Time, key uint64, server string) {
+// held notes that a server has read the prefix. It tells whether that is new.
+func (h *holders) held(now time.Time, key uint64, server string) bool {
 	all, _ := h.of.Get(key)
 	for i := range all {
 		if all[i].server == server {
+			before := all[i].ready
 			all[i].ready, all[i].at = true, now
+			return !before
 		}
 	}
+	return false
 }
 
 // lost notes that a request ended before its prompt was read.
