Hints of one word a prefix: when the server should have read it

Cause: two messages a prefix and a datagram every 15 ms spent the bytes of control; what was not affordable was dropped. Change: keys of 32 bits, the expected time of reading instead of a second message, prefixes kept until the budget allows.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -194,7 +194,7 @@
 	sentAt := time.Now()
 	klog.InfoS("Placed", "request", j.head.ID, "server", server.ID, "send", j.sends, "expectedMS", int(choice.ExpectedMS),
 		"queueMS", int(choice.Terms.QueueMS), "readMS", int(choice.Terms.ReadMS), "rereadMS", int(choice.Terms.RereadMS),
-		"version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "prefix", strconv.FormatUint(choice.Prefix, 36), "source", choice.Source.String(), "fetch", choice.FetchFrom, "save", choice.SaveTo != "", "candidates", choice.Candidates)
+		"version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "prefix", strconv.FormatUint(uint64(choice.Prefix), 36), "source", choice.Source.String(), "fetch", choice.FetchFrom, "save", choice.SaveTo != "", "candidates", choice.Candidates)
 	response, err := g.pool.Send(j.ctx, server.Address, &j.message, j.freshness(), j.belongs)
 	if err != nil {
 		return j.sendFailed(choice, err, sentAt)
--- a/internal/gateway/hints.go
+++ b/internal/gateway/hints.go
@@ -17,15 +17,18 @@
 const (
 	// hintPause collects hints for one datagram. It bounds how long another
 	// entry does not know that a prefix is being read.
-	hintPause = 15 * time.Millisecond
+	hintPause = 20 * time.Millisecond
 	// loadPause is the least time between two words on our unread prompts.
-	loadPause = 60 * time.Millisecond
+	loadPause = 100 * time.Millisecond
 	// hintBytesPerSecond is what all hints of one entry may take: control of a
 	// node has 2 KB/s. Loads go out as often as that allows, prefixes first.
-	hintBytesPerSecond = 2048
+	hintBytesPerSecond = 4096
 	// hintBurstBytes may be saved up while there is nothing to tell.
 	hintBurstBytes = 4096
-	maxDatagram    = 1400
+	// prefixReserve of the saved bytes is kept for prefixes: what waits where
+	// is guessed from our own requests when it is not told.
+	prefixReserve = hintBurstBytes / 2
+	maxDatagram   = 1400
 	// overheadBytes of a datagram's own headers.
 	overheadBytes = 28
 )
@@ -44,6 +47,8 @@
 	budget   float64
 	filledAt time.Time
 	loadsAt  time.Time
+	// waiting are prefixes that the budget did not allow to tell yet.
+	waiting *jayv1.Hints
 }
 
 // startHints opens the port; without one there are no hints.
@@ -115,14 +120,20 @@
 		loads = s.router.Loads()
 	}
 	s.mu.Unlock()
-	if len(news) == 0 && len(loads) == 0 {
+	h.mu.Lock()
+	message := h.waiting
+	h.waiting = nil
+	h.mu.Unlock()
+	if message == nil && len(news) == 0 && len(loads) == 0 {
 		return nil
 	}
-	message := &jayv1.Hints{Entry: h.self}
+	if message == nil {
+		message = &jayv1.Hints{Entry: h.self}
+	}
 	for _, n := range news {
 		message.Prefix = append(message.Prefix, n.Prefix)
 		message.PrefixServer = append(message.PrefixServer, nameHash(n.Server))
-		message.PrefixReady = append(message.PrefixReady, n.Ready)
+		message.PrefixReadyMs = append(message.PrefixReadyMs, uint32(n.ReadyIn.Milliseconds())) //nolint:gosec // below a minute
 	}
 	for _, l := range loads {
 		message.LoadServer = append(message.LoadServer, nameHash(l.Server))
@@ -138,7 +149,7 @@
 func (h *hints) sendAll(now time.Time, message *jayv1.Hints, targets []*net.UDPAddr) {
 	size := (proto.Size(message) + overheadBytes) * len(targets)
 	h.mu.Lock()
-	if float64(size) > h.budget && len(message.GetLoadServer()) > 0 {
+	if float64(size) > h.budget-prefixReserve && len(message.GetLoadServer()) > 0 {
 		message.LoadServer, message.LoadMs = nil, nil
 		size = (proto.Size(message) + overheadBytes) * len(targets)
 	}
@@ -151,7 +162,7 @@
 	}
 	h.mu.Unlock()
 	if !affordable {
-		h.gateway.metrics.Count("hints", "dropped", int64(len(message.GetPrefix())))
+		h.postpone(message)
 		return
 	}
 	text, err := proto.Marshal(message)
@@ -167,6 +178,15 @@
 	h.gateway.metrics.Count("hints", "sent", int64(len(targets)))
 }
 
+// postpone keeps prefixes until the budget allows to tell them.
+func (h *hints) postpone(message *jayv1.Hints) {
+	h.gateway.metrics.Count("hints", "postponed", int64(len(message.GetPrefix())))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	message.LoadServer, message.LoadMs = nil, nil
+	h.waiting = message
+}
+
 func (h *hints) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -185,7 +205,7 @@
 }
 
 func (h *hints) take(message *jayv1.Hints) {
-	servers, ready := message.GetPrefixServer(), message.GetPrefixReady()
+	servers, ready := message.GetPrefixServer(), message.GetPrefixReadyMs()
 	if len(servers) != len(message.GetPrefix()) || len(ready) != len(servers) || len(message.GetLoadMs()) != len(message.GetLoadServer()) {
 		h.gateway.metrics.Count("hints", "malformed", 1)
 		return
@@ -198,7 +218,7 @@
 	var prefixes []routing.PrefixHint
 	for i, key := range message.GetPrefix() {
 		if b := byHash[servers[i]]; b != nil {
-			prefixes = append(prefixes, routing.PrefixHint{Prefix: key, Server: b.ID, Address: b.Address, Ready: ready[i]})
+			prefixes = append(prefixes, routing.PrefixHint{Prefix: key, Server: b.ID, Address: b.Address, ReadyIn: time.Duration(ready[i]) * time.Millisecond})
 		}
 	}
 	s.router.Hear(now, prefixes)
--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -61,7 +61,7 @@
 	Candidates int
 	// Prefix names the shared prefix under the salt, Source says why the server
 	// is thought to hold it or where it gets it from; for logs.
-	Prefix uint64
+	Prefix uint32
 	Source PrefixSource
 }
 
@@ -155,7 +155,7 @@
 	server string
 	readMS float64
 	// keys of the prefix's levels, outermost first.
-	keys  []uint64
+	keys  []uint32
 	at    time.Time
 	first bool
 }
@@ -239,8 +239,8 @@
 	if p != nil {
 		for _, level := range p.byVer[choice.Server.Version].levels {
 			run.keys = append(run.keys, level.key)
-			if d.prefixes.coming(now, level.key, choice.Server.ID, choice.Server.Address) {
-				d.note(level.key, choice.Server.ID, false)
+			if d.prefixes.coming(now, level.key, choice.Server.ID, choice.Server.Address, never) {
+				d.note(level.key, choice.Server.ID, durationOf(choice.ExpectedMS))
 			}
 		}
 	}
@@ -305,9 +305,7 @@
 	l := d.load(run.server)
 	l.readMS = max(0, l.readMS-run.readMS)
 	for _, key := range run.keys {
-		if d.prefixes.held(now, key, run.server) {
-			d.note(key, run.server, true)
-		}
+		d.prefixes.held(now, key, run.server)
 	}
 }
 
@@ -326,7 +324,7 @@
 	}
 	for _, key := range run.keys {
 		if !run.first {
-			d.prefixes.lost(key, run.server)
+			d.prefixes.lost(now, key, run.server)
 		}
 	}
 	if ran {
@@ -355,6 +353,9 @@
 // Running counts our own requests at a server.
 func (d *Direct) Running(server string) int { return d.load(server).running }
 
+// durationOf milliseconds.
+func durationOf(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 func hashOf(texts ...string) uint64 {
 	var h xxh3.Hasher
 	for _, text := range texts {
--- a/internal/routing/direct_hints.go
+++ b/internal/routing/direct_hints.go
@@ -4,15 +4,17 @@
 	"time"
 )
 
-// PrefixHint tells that a server reads a prefix, or holds it. It comes from
-// another entry, is some milliseconds old and may be wrong by now.
+// PrefixHint tells that a server reads a prefix. It comes from another entry,
+// is some milliseconds old and may be wrong by now.
 type PrefixHint struct {
-	// Prefix is the key of one level of a prefix under its salt.
-	Prefix uint64
+	// Prefix is the key of one level of a prefix under its salt. Two prefixes may
+	// share a key: that costs a prompt read again, as the salt keeps them apart.
+	Prefix uint32
 	Server string
 	// Address of the server; empty in hints that are sent.
 	Address string
-	Ready   bool
+	// ReadyIn is the expected time until others can fetch the prefix there.
+	ReadyIn time.Duration
 }
 
 // LoadHint tells of another entry's unread prompts at a server.
@@ -35,9 +37,9 @@
 }
 
 // note keeps a hint for the other entries.
-func (d *Direct) note(prefix uint64, server string, ready bool) {
+func (d *Direct) note(prefix uint32, server string, readyIn time.Duration) {
 	if len(d.news) < maxNewsHints {
-		d.news = append(d.news, PrefixHint{Prefix: prefix, Server: server, Ready: ready})
+		d.news = append(d.news, PrefixHint{Prefix: prefix, Server: server, ReadyIn: readyIn})
 	}
 }
 
@@ -48,16 +50,10 @@
 	return news
 }
 
-// HasNews tells whether News would return anything.
-func (d *Direct) HasNews() bool { return len(d.news) > 0 }
-
 // Hear takes in hints of another entry.
 func (d *Direct) Hear(now time.Time, hints []PrefixHint) {
 	for _, h := range hints {
-		d.prefixes.coming(now, h.Prefix, h.Server, h.Address)
-		if h.Ready {
-			d.prefixes.held(now, h.Prefix, h.Server)
-		}
+		d.prefixes.coming(now, h.Prefix, h.Server, h.Address, now.Add(h.ReadyIn))
 	}
 }
 
--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -23,37 +23,43 @@
 type holding struct {
 	server  string
 	address string
-	// at of the last use; ready is false until the first token of the request
-	// that reads the prefix there: nothing can be fetched before.
-	at    time.Time
-	ready bool
+	// at of the last use.
+	at time.Time
+	// readyAt is when the prefix has been read there, so that it can be fetched:
+	// with the first token of our own request, or as another entry expects.
+	readyAt time.Time
 }
 
+func (h *holding) ready(now time.Time) bool { return !h.readyAt.After(now) }
+
+// never is the readyAt of a prefix whose reading has not shown its end.
+var never = time.Unix(1<<40, 0)
+
 // holders remembers where prefixes were sent.
 type holders struct {
-	of *simplelru.LRU[uint64, []holding]
+	of *simplelru.LRU[uint32, []holding]
 	// saved prefixes were sent to the store.
-	saved *simplelru.LRU[uint64, time.Time]
+	saved *simplelru.LRU[uint32, time.Time]
 }
 
 func newHolders() *holders {
-	of, err := simplelru.NewLRU[uint64, []holding](rememberedPrefixes, nil)
+	of, err := simplelru.NewLRU[uint32, []holding](rememberedPrefixes, nil)
 	if err != nil {
 		panic(err) // Only a size below 1 is refused.
 	}
-	saved, err := simplelru.NewLRU[uint64, time.Time](rememberedPrefixes, nil)
+	saved, err := simplelru.NewLRU[uint32, time.Time](rememberedPrefixes, nil)
 	if err != nil {
 		panic(err) // Only a size below 1 is refused.
 	}
 	return &holders{of: of, saved: saved}
 }
 
-func (h *holders) live(now time.Time, key uint64) []holding {
+func (h *holders) live(now time.Time, key uint32) []holding {
 	all, _ := h.of.Get(key)
 	var live []holding
 	for _, one := range all {
 		age := now.Sub(one.at)
-		if one.ready && age < heldFor || !one.ready && age < comingFor {
+		if one.ready(now) && age < heldFor || !one.ready(now) && age < comingFor {
 			live = append(live, one)
 		}
 	}
@@ -62,11 +68,14 @@
 
 // coming notes that a request that reads the prefix was sent to a server. It
 // tells whether that is new.
-func (h *holders) coming(now time.Time, key uint64, server, address string) bool {
+func (h *holders) coming(now time.Time, key uint32, server, address string, readyAt time.Time) bool {
 	all := h.live(now, key)
 	for i := range all {
 		if all[i].server == server {
 			all[i].at = now
+			if readyAt.Before(all[i].readyAt) {
+				all[i].readyAt = readyAt
+			}
 			h.of.Add(key, all)
 			return false
 		}
@@ -74,32 +83,32 @@
 	if len(all) >= maxHolders {
 		all = all[1:]
 	}
-	h.of.Add(key, append(all, holding{server: server, address: address, at: now}))
+	h.of.Add(key, append(all, holding{server: server, address: address, at: now, readyAt: readyAt}))
 	return true
 }
 
-// held notes that a server has read the prefix. It tells whether that is new.
-func (h *holders) held(now time.Time, key uint64, server string) bool {
+// held notes that a server has read the prefix.
+func (h *holders) held(now time.Time, key uint32, server string) {
 	all, _ := h.of.Get(key)
 	for i := range all {
 		if all[i].server == server {
-			before := all[i].ready
-			all[i].ready, all[i].at = true, now
-			return !before
+			all[i].at = now
+			if !all[i].ready(now) {
+				all[i].readyAt = now
+			}
 		}
 	}
-	return false
 }
 
 // lost notes that a request ended before its prompt was read.
-func (h *holders) lost(key uint64, server string) {
+func (h *holders) lost(now time.Time, key uint32, server string) {
 	all, ok := h.of.Get(key)
 	if !ok {
 		return
 	}
 	var kept []holding
 	for _, one := range all {
-		if one.server != server || one.ready {
+		if one.server != server || one.ready(now) {
 			kept = append(kept, one)
 		}
 	}
@@ -165,14 +174,14 @@
 
 // levelPlan is one nested part of the prefix.
 type levelPlan struct {
-	key uint64
+	key uint32
 	// tokens of the prefix up to and with this level.
 	tokens  int
 	holders []holding
 }
 
 // deepest returns the key of the whole prefix; 0 when there is none.
-func (v *versionPlan) deepest() uint64 {
+func (v *versionPlan) deepest() uint32 {
 	if len(v.levels) == 0 {
 		return 0
 	}
@@ -191,11 +200,11 @@
 
 // best returns the last used holder of the deepest level that another server
 // holds ready, and how many tokens it has; 0 when none is known.
-func (v *versionPlan) best(server string) (holding, int) {
+func (v *versionPlan) best(now time.Time, server string) (holding, int) {
 	for i := len(v.levels) - 1; i >= 0; i-- {
 		var found holding
 		for _, one := range v.levels[i].holders {
-			if one.ready && one.server != server && one.at.After(found.at) {
+			if one.ready(now) && one.server != server && one.at.After(found.at) {
 				found = one
 			}
 		}
@@ -207,12 +216,12 @@
 }
 
 // comingElsewhere tells whether another server reads the whole prefix just now.
-func (v *versionPlan) comingElsewhere(server string) bool {
+func (v *versionPlan) comingElsewhere(now time.Time, server string) bool {
 	if len(v.levels) == 0 {
 		return false
 	}
 	for _, one := range v.levels[len(v.levels)-1].holders {
-		if !one.ready && one.server != server {
+		if !one.ready(now) && one.server != server {
 			return true
 		}
 	}
@@ -242,7 +251,7 @@
 
 // rank places a candidate in the rendezvous order.
 func (v *versionPlan) rank(s *DirectServer) {
-	w := mix(v.deepest(), hashOf(s.ID))
+	w := mix(uint64(v.deepest()), hashOf(s.ID))
 	switch {
 	case v.home == nil || w > v.homeWeight:
 		v.second, v.secondWeight = v.home, v.homeWeight
@@ -254,10 +263,11 @@
 
 func (d *Direct) versionPlan(now time.Time, req *DirectRequest, version uint64) *versionPlan {
 	v := &versionPlan{salt: Salt(version, req.Wall)}
-	tokens, key := 0, hashOf(v.salt)
+	tokens, chain := 0, hashOf(v.salt)
 	for _, part := range req.Prefix {
 		tokens += part.Tokens
-		key = mix(key, hashOf(part.ID)) | 1
+		chain = mix(chain, hashOf(part.ID))
+		key := uint32(chain) | 1 //nolint:gosec // the low half of a hash; 0 is kept for none
 		v.levels = append(v.levels, levelPlan{key: key, tokens: tokens, holders: d.prefixes.live(now, key)})
 	}
 	_, v.saved = d.prefixes.saved.Get(v.deepest())
@@ -289,7 +299,7 @@
 		choice.Source = SourceHeld
 		return
 	}
-	other, theirs := v.best(s.ID)
+	other, theirs := v.best(now, s.ID)
 	fetched := max(0, theirs-held)
 	if fetched > 0 {
 		choice.FetchFrom = other.address
@@ -301,7 +311,7 @@
 	switch {
 	case missing == 0:
 		choice.Source = SourceHolder
-	case v.comingElsewhere(s.ID):
+	case v.comingElsewhere(now, s.ID):
 		// It is being read elsewhere just now: nothing can be fetched yet.
 		choice.Source = SourceComing
 		t.RereadMS += missing * rereadMSPerToken
