Score servers without copies; tests of the pure parts

Change: indexes, precomputed hashes, scratch, a bound on the servers scored; a load is guessed at 0.9 s first, since the test of a rollout showed four loads at once for a moment.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,8 +10,9 @@
 
 // Backend is one lifetime of a backend server, as its own entry in the list says.
 type Backend struct {
-	// ID is new with every start.
+	// ID is new with every start; Hash is its rendezvous hash.
 	ID         string
+	Hash       uint64
 	Service    string
 	Address    string
 	DataCentre string
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -45,6 +45,8 @@
 	orderedAt map[string]time.Time
 	budgets   map[string]*retry.Budget
 	entries   int
+	// scratch of candidatesLocked.
+	scratch []routing.DirectServer
 	// listReady: the list was read at least once.
 	listReady bool
 }
@@ -102,6 +104,7 @@
 func (s *state) putBackend(now time.Time, b *fleet.Backend) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	b.Hash = routing.ServerHash(b.ID)
 	old := s.list.Put(b)
 	for model, version := range b.Versions {
 		s.sawVersionLocked(b.ID, model, version, "list")
@@ -204,17 +207,17 @@
 	}
 }
 
-// candidatesLocked lists the backend servers of a service for a decision.
+// candidatesLocked lists the backend servers of a service for a decision. The
+// list is good until the next call.
 func (s *state) candidatesLocked(now time.Time, service, model string) []routing.DirectServer {
-	of := s.list.Of(service)
-	servers := make([]routing.DirectServer, 0, len(of))
-	for _, b := range of {
+	servers := s.scratch[:0]
+	for _, b := range s.list.Of(service) {
 		if b.Draining {
 			continue
 		}
 		_, changing := s.switches[b.ID]
 		one := routing.DirectServer{
-			ID: b.ID, Address: b.Address, DataCentre: b.DataCentre, Slots: b.Slots, Switching: changing,
+			ID: b.ID, Hash: b.Hash, Address: b.Address, DataCentre: b.DataCentre, Slots: b.Slots, Switching: changing,
 			Usable: s.members.Usable(b.ID), Weight: s.members.Weight(b.ID),
 		}
 		if model != "" {
@@ -223,6 +226,7 @@
 		}
 		servers = append(servers, one)
 	}
+	s.scratch = servers
 	return servers
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -68,8 +68,9 @@
 	lookEvery = 120 * time.Millisecond
 	// reportLag is how old a server's word on itself is about.
 	reportLag = 200 * time.Millisecond
-	// loadGuess until the time of a load was measured.
-	loadGuess = 700 * time.Millisecond
+	// loadGuess until the time of a load was measured; rather long, as loads that
+	// overlap slow each other.
+	loadGuess = 900 * time.Millisecond
 	// loadAtMost after which an order is taken to be lost and given again.
 	loadAtMost = 4 * time.Second
 	// retryAfter a refused or failed order.
--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -13,8 +13,9 @@
 // as a decision sees it. The caller builds the list; At is not needed, since
 // each field says how old it may be.
 type DirectServer struct {
-	// ID is new with every start of the server.
+	// ID is new with every start of the server, Hash is its rendezvous hash.
 	ID         string
+	Hash       uint64
 	Address    string
 	DataCentre string
 	Slots      int
@@ -107,6 +108,10 @@
 	runMS = 1.5
 	// otherMS is what a request of another entry adds: its prompt is not known.
 	otherMS = 12
+	// scoredAtMost servers are all looked at closely in one decision; of more,
+	// sampled besides those near to the prefix.
+	scoredAtMost = 64
+	sampled      = 24
 	// maxEntryFactor bounds by how much our own unread prompts at a server are
 	// multiplied to stand for those of all entries: what the others sent just
 	// now is in no report yet, and they choose alike. Counting it lowered late
@@ -132,6 +137,8 @@
 	entries int
 	// news for the other entries.
 	news []PrefixHint
+	// good, poor and few are scratch of one decision.
+	good, poor, few []int32
 	// saves: prefixes go to the store of kept KV cache as well.
 	saves bool
 }
@@ -181,44 +188,66 @@
 func (d *Direct) SetEntries(n int) { d.entries = n }
 
 // Choose decides where to send a request, and counts it there until Finished.
-// tried servers are left out. ErrNoServer when none may take it.
+// tried servers are left out. ErrNoServer when none may take it. The servers
+// are read only, and not kept.
 func (d *Direct) Choose(now time.Time, req *DirectRequest, servers []DirectServer, store string, tried []string) (DirectChoice, error) {
 	usable := d.filter(servers, tried)
 	if len(usable) == 0 {
 		return DirectChoice{}, ErrNoServer
 	}
-	p := d.plan(now, req, usable, store)
-	best := DirectChoice{ExpectedMS: math.Inf(1)}
-	bestTotal := math.Inf(1)
-	for i := range usable {
-		choice := d.score(now, req, &usable[i], p)
-		if total := choice.Terms.total(); total < bestTotal {
-			best, bestTotal = choice, total
+	p := d.plan(now, req, servers, usable, store)
+	best, bestTotal := usable[0], math.Inf(1)
+	var bestTerms DirectTerms
+	for _, index := range d.narrow(req, servers, usable, p) {
+		terms := d.score(now, req, &servers[index], p)
+		if total := terms.total(); total < bestTotal {
+			best, bestTotal, bestTerms = index, total, terms
 		}
 	}
-	best.Candidates = len(usable)
-	d.commit(now, req, &best, p)
-	return best, nil
+	choice := d.conclude(now, &servers[best], p, bestTerms)
+	choice.Candidates = len(usable)
+	d.commit(now, req, &choice, p)
+	return choice, nil
 }
 
-// filter leaves the servers that may serve. Servers that change weights, or
-// that failed of late, are taken when there is nothing else.
-func (d *Direct) filter(servers []DirectServer, tried []string) []DirectServer {
-	var good, poor []DirectServer
-	for _, s := range servers {
+// filter leaves the indexes of the servers that may serve. Servers that change
+// weights, or that failed of late, are taken when there is nothing else.
+func (d *Direct) filter(servers []DirectServer, tried []string) []int32 {
+	d.good, d.poor = d.good[:0], d.poor[:0]
+	for i := range servers {
+		s := &servers[i]
 		switch {
 		case contains(tried, s.ID):
 		case d.options.MaxVersionAge > 0 && s.VersionAge > d.options.MaxVersionAge:
 		case s.Switching || !s.Usable:
-			poor = append(poor, s)
+			d.poor = append(d.poor, int32(i)) //nolint:gosec // an index of a short list
 		default:
-			good = append(good, s)
+			d.good = append(d.good, int32(i)) //nolint:gosec // an index of a short list
 		}
 	}
-	if len(good) > 0 {
-		return good
+	if len(d.good) > 0 {
+		return d.good
 	}
-	return poor
+	return d.poor
+}
+
+// narrow bounds the servers that are scored in a large pool: the first ones of
+// the prefix's order, its holders, and some that the request's id picks.
+func (d *Direct) narrow(req *DirectRequest, servers []DirectServer, usable []int32, p *prefixPlan) []int32 {
+	if len(usable) <= scoredAtMost {
+		return usable
+	}
+	d.few = d.few[:0]
+	for i, index := range usable {
+		if p != nil && p.near(&servers[index]) {
+			d.few = append(d.few, usable[i])
+		}
+	}
+	step := len(usable) / sampled
+	for at := int(hashOf(req.ID) % uint64(step)); at < len(usable); at += step {
+		d.few = append(d.few, usable[at])
+	}
+	return d.few
 }
 
 func contains(names []string, name string) bool {
@@ -237,7 +266,7 @@
 	run := &pendingRun{server: choice.Server.ID, readMS: choice.Terms.ReadMS, at: now}
 	l.readMS += run.readMS
 	if p != nil {
-		for _, level := range p.byVer[choice.Server.Version].levels {
+		for _, level := range p.byVer(choice.Server.Version).levels {
 			run.keys = append(run.keys, level.key)
 			if d.prefixes.coming(now, level.key, choice.Server.ID, choice.Server.Address, never) {
 				d.note(level.key, choice.Server.ID, durationOf(choice.ExpectedMS))
@@ -268,12 +297,11 @@
 	return guessShare*guess + (1-guessShare)*told
 }
 
-func (d *Direct) score(now time.Time, req *DirectRequest, s *DirectServer, p *prefixPlan) DirectChoice {
-	choice := DirectChoice{Server: *s}
-	t := &choice.Terms
+func (d *Direct) score(now time.Time, req *DirectRequest, s *DirectServer, p *prefixPlan) DirectTerms {
+	var t DirectTerms
 	t.QueueMS = d.queueMS(now, s, p == nil)
 	if p != nil {
-		d.scorePrefix(now, req, s, p, &choice)
+		d.scorePrefix(now, req, s, p, &t)
 	}
 	if s.DataCentre != d.options.DataCentre {
 		t.DistanceMS = otherDataCentreMS
@@ -282,7 +310,22 @@
 	if weight := max(s.Weight, leastWeight); weight < 1 {
 		t.PenaltyMS = (t.QueueMS + t.ReadMS + slownessFloor) * (1/weight - 1)
 	}
-	choice.ExpectedMS = t.QueueMS + t.ReadMS
+	return t
+}
+
+// conclude makes the choice of the best server.
+func (d *Direct) conclude(now time.Time, s *DirectServer, p *prefixPlan, terms DirectTerms) DirectChoice {
+	choice := DirectChoice{Server: *s, Terms: terms, ExpectedMS: terms.QueueMS + terms.ReadMS}
+	if p == nil {
+		return choice
+	}
+	v := p.byVer(s.Version)
+	choice.Salt, choice.Prefix = v.salt, v.deepest()
+	from := p.source(now, v, s)
+	choice.Source, choice.FetchFrom = from.kind, from.address
+	if p.store != "" && d.saves && !v.saved && from.missing > 0 {
+		choice.SaveTo = p.store
+	}
 	return choice
 }
 
@@ -356,6 +399,9 @@
 // durationOf milliseconds.
 func durationOf(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
+// ServerHash is the rendezvous hash of a server's name, alike at every entry.
+func ServerHash(id string) uint64 { return hashOf(id) }
+
 func hashOf(texts ...string) uint64 {
 	var h xxh3.Hasher
 	for _, text := range texts {
--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -154,14 +154,43 @@
 // prefixPlan is what one decision knows of the request's prefix, for each
 // version of the weights that a candidate has.
 type prefixPlan struct {
-	tokens int
-	store  string
-	byVer  map[uint64]*versionPlan
+	tokens   int
+	store    string
+	versions []versionPlan
+}
+
+// byVer returns the plan of a version; there are few.
+func (p *prefixPlan) byVer(version uint64) *versionPlan {
+	for i := range p.versions {
+		if p.versions[i].version == version {
+			return &p.versions[i]
+		}
+	}
+	return nil
+}
+
+// near tells whether the server is one of the first in the prefix's order, or
+// holds part of it.
+func (p *prefixPlan) near(s *DirectServer) bool {
+	v := p.byVer(s.Version)
+	if v.home == s || v.second == s {
+		return true
+	}
+	return len(v.levels) > 0 && holds(v.levels[len(v.levels)-1].holders, s.ID)
+}
+
+// sourceOf a prefix at one server.
+type sourceOf struct {
+	kind    PrefixSource
+	address string
+	// fetched and missing tokens: from another server, and to be read.
+	fetched, missing int
 }
 
 // versionPlan is the prefix under one salt.
 type versionPlan struct {
-	salt string
+	version uint64
+	salt    string
 	// levels of the prefix, outermost first; each is held only with those before.
 	levels []levelPlan
 	// home is the first candidate of the rendezvous order of the deepest level,
@@ -229,20 +258,20 @@
 }
 
 // plan returns nil for a request without a prompt.
-func (d *Direct) plan(now time.Time, req *DirectRequest, usable []DirectServer, store string) *prefixPlan {
+func (d *Direct) plan(now time.Time, req *DirectRequest, servers []DirectServer, usable []int32, store string) *prefixPlan {
 	if req.Tokens == 0 {
 		return nil
 	}
-	p := &prefixPlan{store: store, byVer: map[uint64]*versionPlan{}}
+	p := &prefixPlan{store: store}
 	for _, part := range req.Prefix {
 		p.tokens += part.Tokens
 	}
-	for i := range usable {
-		s := &usable[i]
-		v := p.byVer[s.Version]
+	for _, index := range usable {
+		s := &servers[index]
+		v := p.byVer(s.Version)
 		if v == nil {
-			v = d.versionPlan(now, req, s.Version)
-			p.byVer[s.Version] = v
+			p.versions = append(p.versions, d.versionPlan(now, req, s.Version))
+			v = &p.versions[len(p.versions)-1]
 		}
 		v.rank(s)
 	}
@@ -251,7 +280,7 @@
 
 // rank places a candidate in the rendezvous order.
 func (v *versionPlan) rank(s *DirectServer) {
-	w := mix(uint64(v.deepest()), hashOf(s.ID))
+	w := mix(uint64(v.deepest()), s.Hash)
 	switch {
 	case v.home == nil || w > v.homeWeight:
 		v.second, v.secondWeight = v.home, v.homeWeight
@@ -261,8 +290,8 @@
 	}
 }
 
-func (d *Direct) versionPlan(now time.Time, req *DirectRequest, version uint64) *versionPlan {
-	v := &versionPlan{salt: Salt(version, req.Wall)}
+func (d *Direct) versionPlan(now time.Time, req *DirectRequest, version uint64) versionPlan {
+	v := versionPlan{version: version, salt: Salt(version, req.Wall)}
 	tokens, chain := 0, hashOf(v.salt)
 	for _, part := range req.Prefix {
 		tokens += part.Tokens
@@ -286,49 +315,47 @@
 }
 
 // scorePrefix weighs what the server must read, fetch or copy of the prompt.
-func (d *Direct) scorePrefix(now time.Time, req *DirectRequest, s *DirectServer, p *prefixPlan, choice *DirectChoice) {
-	v := p.byVer[s.Version]
-	t := &choice.Terms
-	choice.Salt, choice.Prefix = v.salt, v.deepest()
+func (d *Direct) scorePrefix(now time.Time, req *DirectRequest, s *DirectServer, p *prefixPlan, t *DirectTerms) {
 	t.ReadMS = float64(max(0, req.Tokens-p.tokens)) / tokensPerMS
 	if p.tokens == 0 {
 		return
 	}
+	from := p.source(now, p.byVer(s.Version), s)
+	t.ReadMS += float64(from.fetched)*fetchMSPerToken + float64(from.missing)/tokensPerMS
+	t.RereadMS = float64(from.fetched) * copyMSPerToken
+	if from.kind == SourceComing || from.kind == SourceNone {
+		t.RereadMS += float64(from.missing) * rereadMSPerToken
+	}
+}
+
+// source finds out where the server gets the prefix from.
+func (p *prefixPlan) source(now time.Time, v *versionPlan, s *DirectServer) sourceOf {
 	held := v.heldBy(s.ID)
 	if held == p.tokens {
-		choice.Source = SourceHeld
-		return
+		return sourceOf{kind: SourceHeld}
 	}
 	other, theirs := v.best(now, s.ID)
-	fetched := max(0, theirs-held)
-	if fetched > 0 {
-		choice.FetchFrom = other.address
-		t.ReadMS += float64(fetched) * fetchMSPerToken
-		t.RereadMS += float64(fetched) * copyMSPerToken
+	from := sourceOf{fetched: max(0, theirs-held)}
+	if from.fetched > 0 {
+		from.address = other.address
 	}
-	missing := float64(p.tokens - held - fetched)
-	t.ReadMS += missing / tokensPerMS
+	from.missing = p.tokens - held - from.fetched
 	switch {
-	case missing == 0:
-		choice.Source = SourceHolder
+	case from.missing == 0:
+		from.kind = SourceHolder
 	case v.comingElsewhere(now, s.ID):
 		// It is being read elsewhere just now: nothing can be fetched yet.
-		choice.Source = SourceComing
-		t.RereadMS += missing * rereadMSPerToken
-	case v.home != nil && s.ID == v.home.ID:
-		choice.Source = SourceHome
-		if choice.FetchFrom == "" && v.second != nil {
-			choice.FetchFrom = v.second.Address
+		from.kind = SourceComing
+	case s == v.home:
+		from.kind = SourceHome
+		if from.address == "" && v.second != nil {
+			from.address = v.second.Address
 		}
 	default:
 		// Another entry may have sent it to its home.
-		choice.Source = SourceNone
-		choice.FetchFrom = v.home.Address
-		t.RereadMS += missing * rereadMSPerToken
-	}
-	if p.store != "" && !v.saved && d.saves {
-		choice.SaveTo = p.store
+		from.kind, from.address = SourceNone, v.home.Address
 	}
+	return from
 }
 
 func holds(all []holding, server string) bool {
--- /dev/null
+++ b/internal/routing/direct_test.go
@@ -0,0 +1,185 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jayproxy/jayproxy/internal/call"
+	"github.com/jayproxy/jayproxy/internal/routing"
+)
+
+var directStart = time.Unix(1000, 0)
+
+func directServers(n int) []routing.DirectServer {
+	var servers []routing.DirectServer
+	for i := range n {
+		servers = append(servers, routing.DirectServer{
+			ID: fmt.Sprintf("s%d", i), Hash: routing.ServerHash(fmt.Sprintf("s%d", i)), Address: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: "a", Slots: 64, Version: 1, Usable: true, Weight: 1,
+		})
+	}
+	return servers
+}
+
+func prompt(id, document string) *routing.DirectRequest {
+	return &routing.DirectRequest{
+		ID: id, Tokens: 10000, OutputTokens: 50, Left: 10 * time.Second, Target: time.Second,
+		Prefix: []call.Part{{ID: "common", Tokens: 500}, {ID: document, Tokens: 5000}},
+	}
+}
+
+func newDirect() *routing.Direct {
+	return routing.NewDirect(routing.DirectOptions{DataCentre: "a", MaxVersionAge: 8 * time.Second})
+}
+
+func choose(t *testing.T, d *routing.Direct, at time.Duration, req *routing.DirectRequest, servers []routing.DirectServer) routing.DirectChoice {
+	t.Helper()
+	choice, err := d.Choose(directStart.Add(at), req, servers, "", nil)
+	require.NoError(t, err)
+	return choice
+}
+
+func served(d *routing.Direct, at time.Duration, id string) {
+	d.FirstToken(directStart.Add(at), id)
+	d.Finished(directStart.Add(at), id, true)
+}
+
+func TestTheSecondRequestGoesWhereThePrefixWasRead(t *testing.T) {
+	d, servers := newDirect(), directServers(8)
+	first := choose(t, d, 0, prompt("r1", "contract"), servers)
+	served(d, 300*time.Millisecond, "r1")
+	second := choose(t, d, time.Second, prompt("r2", "contract"), servers)
+	assert.Equal(t, first.Server.ID, second.Server.ID)
+	assert.Equal(t, routing.SourceHeld, second.Source)
+	assert.Less(t, second.Terms.ReadMS, first.Terms.ReadMS)
+}
+
+// A hot contract is read again at every server it spreads to. A server that
+// does not hold a prefix must be told where to fetch it, at the deepest level
+// that another holds.
+func TestAServerThatLacksThePrefixFetchesIt(t *testing.T) {
+	d, servers := newDirect(), directServers(2)
+	first := choose(t, d, 0, prompt("r1", "contract"), servers)
+	served(d, 300*time.Millisecond, "r1")
+	req := prompt("r2", "contract")
+	other, err := d.Choose(directStart.Add(time.Second), req, servers, "", []string{first.Server.ID})
+	require.NoError(t, err)
+	assert.Equal(t, first.Server.Address, other.FetchFrom)
+	assert.Equal(t, routing.SourceHolder, other.Source)
+}
+
+// Two requests for a new prefix are read at two servers at once. The second
+// can't fetch what is not read yet, so it goes where the first went.
+func TestConcurrentFirstRequestsMeet(t *testing.T) {
+	d, servers := newDirect(), directServers(8)
+	first := choose(t, d, 0, prompt("r1", "contract"), servers)
+	second := choose(t, d, 20*time.Millisecond, prompt("r2", "contract"), servers)
+	assert.Equal(t, first.Server.ID, second.Server.ID)
+}
+
+// Half of all prompts are read twice. Each entry knew only where it had sent a
+// prefix itself; the other's first request went elsewhere.
+func TestAnotherEntrysHintCountsAsOurOwnRequest(t *testing.T) {
+	one, two, servers := newDirect(), newDirect(), directServers(8)
+	busy := choose(t, one, 0, prompt("r0", "contract"), servers[:1]) // not the home of every prefix
+	hints := one.News()
+	require.Len(t, hints, 2, "one for each level of the prefix")
+	for i := range hints {
+		hints[i].Address = busy.Server.Address
+	}
+	two.Hear(directStart, hints)
+	choice := choose(t, two, 2*time.Second, prompt("r1", "contract"), servers)
+	assert.Contains(t, []routing.PrefixSource{routing.SourceHeld, routing.SourceHolder}, choice.Source)
+	assert.Empty(t, one.News(), "a hint is told once")
+}
+
+// New servers drown in prompts. Only few have the new weights, every entry
+// sees them as idle, and all send there at once.
+func TestUnreadPromptsOfOtherEntriesCount(t *testing.T) {
+	d, servers := newDirect(), directServers(2)
+	d.SetEntries(4)
+	first := choose(t, d, 0, prompt("r1", "one"), servers[:1])
+	alone := choose(t, d, time.Millisecond, prompt("r2", "two"), servers[:1])
+	assert.Greater(t, alone.Terms.QueueMS, 2*first.Terms.ReadMS, "one of ours stands for more of theirs")
+	d.HearLoads(directStart, 7, []routing.LoadHint{{Server: "s1", ReadMS: 5000}})
+	choice := choose(t, d, 2*time.Millisecond, prompt("r3", "three"), servers)
+	assert.Equal(t, "s0", choice.Server.ID)
+}
+
+func TestCachedPartsStandApartByVersionAndWall(t *testing.T) {
+	salts := map[string]bool{}
+	for _, version := range []uint64{1, 2} {
+		for _, wall := range []string{"", "1", "2"} {
+			salts[routing.Salt(version, wall)] = true
+		}
+	}
+	assert.Len(t, salts, 6)
+}
+
+// A request begins on weights that were replaced long ago, because the only
+// server with new ones is busy.
+func TestTooOldWeightsGetNothing(t *testing.T) {
+	d, servers := newDirect(), directServers(2)
+	servers[0].VersionAge = 9 * time.Second
+	servers[1].Version = 2
+	for i := range 20 {
+		assert.Equal(t, "s1", choose(t, d, 0, prompt(fmt.Sprint(i), "contract"), servers).Server.ID)
+	}
+	_, err := d.Choose(directStart, prompt("x", "contract"), servers[:1], "", nil)
+	assert.ErrorIs(t, err, routing.ErrNoServer)
+}
+
+func TestNewerWeightsArePreferredWhileTheyAreNotSwamped(t *testing.T) {
+	d, servers := newDirect(), directServers(2)
+	servers[0].VersionAge = 2 * time.Second
+	servers[1].Version = 2
+	assert.Equal(t, "s1", choose(t, d, 0, prompt("r1", "contract"), servers).Server.ID)
+	d.HearLoads(directStart, 7, []routing.LoadHint{{Server: "s1", ReadMS: 3000}})
+	assert.Equal(t, "s0", choose(t, d, time.Millisecond, prompt("r2", "other"), servers).Server.ID)
+}
+
+func TestServersThatSwitchAreTakenOnlyWhenNothingElseIsThere(t *testing.T) {
+	d, servers := newDirect(), directServers(2)
+	servers[0].Switching = true
+	assert.Equal(t, "s1", choose(t, d, 0, prompt("r1", "contract"), servers).Server.ID)
+	assert.Equal(t, "s0", choose(t, d, 0, prompt("r2", "contract"), servers[:1]).Server.ID)
+}
+
+// The count of requests at a server drifts. One that was refused there and sent
+// elsewhere must leave nothing behind.
+func TestFinishedRequestsLeaveNoLoad(t *testing.T) {
+	d, servers := newDirect(), directServers(3)
+	for i := range 50 {
+		id := fmt.Sprint(i)
+		choose(t, d, 0, prompt(id, id), servers)
+		if i%2 == 0 {
+			d.FirstToken(directStart, id)
+		}
+		d.Finished(directStart, id, i%3 == 0)
+	}
+	assert.Empty(t, d.Loads())
+	for _, s := range servers {
+		assert.Zero(t, d.Running(s.ID))
+	}
+}
+
+func BenchmarkDirectChoice(b *testing.B) {
+	for _, n := range []int{12, 56, 318} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d, servers := newDirect(), directServers(n)
+			now := directStart
+			for i := range b.N {
+				id := fmt.Sprint(i)
+				now = now.Add(time.Millisecond)
+				if _, err := d.Choose(now, prompt(id, fmt.Sprint(i%100)), servers, "", nil); err != nil {
+					b.Fatal(err)
+				}
+				d.FirstToken(now, id)
+				d.Finished(now, id, true)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/weights/weights_test.go
@@ -0,0 +1,33 @@
+package weights_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jayproxy/jayproxy/internal/weights"
+)
+
+var start = time.Unix(1000, 0)
+
+// A request begins on weights that were replaced twice. The age that counts is
+// that of the first newer version, not of the newest one.
+func TestAgeCountsFromTheFirstNewerVersion(t *testing.T) {
+	b := weights.NewBook()
+	assert.True(t, b.Name(start, weights.Named{Model: "m", Version: 1}))
+	b.Name(start.Add(5*time.Second), weights.Named{Model: "m", Version: 2})
+	b.Name(start.Add(9*time.Second), weights.Named{Model: "m", Version: 3})
+	now := start.Add(10 * time.Second)
+	assert.Equal(t, 5*time.Second, b.Age(now, "m", 1))
+	assert.Equal(t, time.Second, b.Age(now, "m", 2))
+	assert.Zero(t, b.Age(now, "m", 3))
+	assert.Zero(t, b.Age(now, "unknown", 1))
+}
+
+func TestAnOlderNameChangesNothing(t *testing.T) {
+	b := weights.NewBook()
+	b.Name(start, weights.Named{Model: "m", Version: 4})
+	assert.False(t, b.Name(start, weights.Named{Model: "m", Version: 3}))
+	assert.Equal(t, uint64(4), b.Newest("m"))
+}
