--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 	inner    []*http.Server
 	active   atomic.Int64
 	stopping atomic.Bool
+	// open: callers' address is listened on.
+	open atomic.Bool
 	// notReadyAnswers counts answers to the balancer since the signal to stop.
 	notReadyAnswers atomic.Int64
 
@@ -129,6 +131,7 @@
 		}
 	}
 	g.serve(g.callers, listener)
+	g.open.Store(true)
 	return nil
 }
 
@@ -173,7 +176,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if !g.state.ready() {
+	if !g.open.Load() || !g.state.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
