Learn the ages of weights from another entry at start; serve metrics

Cause: an entry that restarts takes the time of its first read for the time at which weights were named (VERSION risk while entries are replaced in turn). Change: /v1/weights between entries; text metrics with gauges of every belief at the metrics address. Test: weights, failing without Learn.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -91,6 +91,7 @@
 	g.spawn(func() { g.run(ctx, entries) })
 	g.spawn(func() { g.fallBack(ctx, backends) })
 	g.spawn(func() { g.register(ctx) })
+	g.spawn(func() { g.learnWeights(ctx) })
 	g.spawn(func() { g.every(ctx, stateTick, g.tick) })
 	g.startRollouts(ctx)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,7 @@
 	}
 	if g.settings.MetricsAddress != "" {
 		mux := echo.New()
-		mux.GET("/metrics", echo.WrapHandler(g.metrics.Handler()))
+		mux.GET("/metrics", g.giveMetrics)
 		handlers[g.settings.MetricsAddress] = mux
 	}
 	for address, handler := range handlers {
@@ -169,6 +169,37 @@
 	return nil
 }
 
+// giveMetrics writes all metrics as text, gauges as of now.
+func (g *Gateway) giveMetrics(c echo.Context) error {
+	g.gauges(time.Now())
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMETextPlainCharsetUTF8)
+	c.Response().WriteHeader(http.StatusOK)
+	g.metrics.WriteText(c.Response())
+	return nil
+}
+
+// gauges shows how old each belief is, and what is left of each budget.
+func (g *Gateway) gauges(now time.Time) {
+	for _, f := range g.feeds {
+		g.metrics.Gauge("belief_version", f.table, int64(f.version())) //nolint:gosec // a count
+		g.metrics.Gauge("belief_age_ms", f.table, f.age(now).Milliseconds())
+	}
+	s := g.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.metrics.Gauge("backend_servers", "listed", int64(s.list.Len()))
+	g.metrics.Gauge("backend_servers", "switching", int64(len(s.switches)))
+	g.metrics.Gauge("prefix_survival_ms", "estimate", s.router.Survival().Milliseconds())
+	for service, budget := range s.budgets {
+		g.metrics.Gauge("retry_budget", service, int64(budget.Tokens()))
+	}
+	for _, model := range s.book.Models() {
+		g.metrics.Gauge("weights_named", model, int64(s.book.Newest(model))) //nolint:gosec // a count
+	}
+	g.metrics.Gauge("requests_active", "all", g.active.Load())
+	g.metrics.Gauge("connections_opened", "all", g.pool.Opened())
+}
+
 // answerReady tells the balancer whether callers may come.
 func (g *Gateway) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if g.stopping.Load() {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -21,6 +21,7 @@
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/upstream"
+	"github.com/jayproxy/jayproxy/internal/weights"
 )
 
 const (
@@ -29,8 +30,11 @@
 	// peerTime bounds a call to another entry.
 	peerTime = 700 * time.Millisecond
 	// peerTries of one pull.
-	peerTries     = 2
-	maxPeerBytes  = 8 << 20
+	peerTries    = 2
+	maxPeerBytes = 8 << 20
+	// weightTries to learn the ages of weights, weightPause apart.
+	weightTries   = 10
+	weightPause   = 150 * time.Millisecond
 	registerPause = time.Second
 )
 
@@ -234,7 +238,8 @@
 	e := echo.New()
 	e.GET("/v1/tables/:table", g.giveTable)
 	e.POST("/v1/switches", g.takeSwitches)
-	e.GET("/metrics", echo.WrapHandler(g.metrics.Handler()))
+	e.GET("/v1/weights", g.giveWeights)
+	e.GET("/metrics", g.giveMetrics)
 	return e
 }
 
@@ -251,6 +256,35 @@
 	return c.NoContent(http.StatusNotFound)
 }
 
+func (g *Gateway) giveWeights(c echo.Context) error {
+	s := g.state
+	s.mu.Lock()
+	steps := s.book.Steps(time.Now())
+	s.mu.Unlock()
+	return c.JSON(http.StatusOK, steps)
+}
+
+// learnWeights asks another entry how long ago versions were named, once after
+// the start.
+func (g *Gateway) learnWeights(ctx context.Context) {
+	for try := 0; try < weightTries && ctx.Err() == nil; try++ {
+		sleep(ctx, weightPause)
+		if !g.state.ready() {
+			continue
+		}
+		for _, address := range g.peers.all() {
+			var steps map[string][]weights.Step
+			if err := g.peers.call(ctx, http.MethodGet, address, "/v1/weights", nil, &steps); err != nil {
+				continue
+			}
+			g.state.learnWeights(time.Now(), steps)
+			klog.InfoS("Ages of weights learned", "entry", address, "models", len(steps))
+			return
+		}
+	}
+	klog.InfoS("No other entry told the ages of weights")
+}
+
 func (g *Gateway) takeSwitches(c echo.Context) error {
 	var news []switchNews
 	if err := c.Bind(&news); err != nil {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// learnWeights takes in another entry's history of named versions.
+func (s *state) learnWeights(now time.Time, steps map[string][]weights.Step) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for model, of := range steps {
+		s.book.Learn(now, model, of)
+	}
+}
+
 // putBackend takes in an entry of the list of backend servers.
 func (s *state) putBackend(now time.Time, b *fleet.Backend) {
 	s.mu.Lock()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sort"
 	"strings"
@@ -148,16 +149,20 @@
 // Handler serves the metrics as JSON, or as text with ?format=text.
 func (r *Registry) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		samples := r.Samples()
 		if req.URL.Query().Get("format") != "text" {
 			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(samples)
+			_ = json.NewEncoder(w).Encode(r.Samples())
 			return
 		}
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		for _, s := range samples {
-			fmt.Fprintf(w, "%s{%s} count=%d mean=%.1f p50=%.1f p95=%.1f p99=%.1f max=%d\n",
-				s.Name, s.Label, s.Count, s.Mean, s.P50, s.P95, s.P99, s.Max)
-		}
+		r.WriteText(w)
 	})
 }
+
+// WriteText writes all metrics, a line each.
+func (r *Registry) WriteText(w io.Writer) {
+	for _, s := range r.Samples() {
+		_, _ = fmt.Fprintf(w, "%s{%s} count=%d mean=%.1f p50=%.1f p95=%.1f p99=%.1f max=%d\n",
+			s.Name, s.Label, s.Count, s.Mean, s.P50, s.P95, s.P99, s.Max)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -128,15 +128,15 @@
 	c.used++
 	// A caller that leaves ends the work at once: the backend server sees the
 	// connection close.
-	response.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	response.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	message := r.bytes()
 	go func() {
-		_, err := c.Conn.Write(message)
+		_, err := c.Write(message)
 		response.written <- err
 	}()
 	if err := response.readHead(r.Method, belongs); err != nil {
 		response.stop()
-		_ = c.Conn.Close()
+		_ = c.Close()
 		return nil, err
 	}
 	return response, nil
@@ -145,7 +145,7 @@
 func (r *Response) readHead(method string, belongs func(http.Header) bool) error {
 	request := &http.Request{Method: method}
 	for strays := 0; ; {
-		inner, err := http.ReadResponse(r.conn.reader, request)
+		inner, err := http.ReadResponse(r.conn.reader, request) //nolint:bodyclose // Response.Close ends or keeps the connection
 		if err != nil {
 			return headError(err)
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -118,7 +118,7 @@
 }
 
 func (p *Pool) drop(c *conn) {
-	_ = c.Conn.Close()
+	_ = c.Close()
 	p.closed(c)
 }
 
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -3,7 +3,10 @@
 // goroutine or clock; callers lock.
 package weights
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // Named is a version that an operator named for a model.
 type Named struct {
@@ -56,6 +59,52 @@
 	return true
 }
 
+// Step is a version with how long ago it was named.
+type Step struct {
+	Version uint64        `json:"version"`
+	Age     time.Duration `json:"age_ns"`
+}
+
+// Steps returns the kept history of every model.
+func (b *Book) Steps(now time.Time) map[string][]Step {
+	all := make(map[string][]Step, len(b.models))
+	for name, w := range b.models {
+		for _, s := range w.steps {
+			all[name] = append(all[name], Step{Version: s.version, Age: now.Sub(s.at)})
+		}
+	}
+	return all
+}
+
+// Learn takes in another process's history. A process that just started knows
+// only the newest version, and when it read that itself: older weights would
+// seem to have been replaced just now, and get requests long after their time.
+func (b *Book) Learn(now time.Time, model string, steps []Step) {
+	w := b.models[model]
+	if w == nil {
+		return
+	}
+	merged := map[uint64]time.Time{}
+	for _, s := range w.steps {
+		merged[s.version] = s.at
+	}
+	for _, s := range steps {
+		at, known := merged[s.Version]
+		if said := now.Add(-s.Age); s.Version <= w.Version && (!known || said.Before(at)) {
+			merged[s.Version] = said
+		}
+	}
+	w.steps = w.steps[:0]
+	for version, at := range merged {
+		w.steps = append(w.steps, step{version, at})
+	}
+	sort.Slice(w.steps, func(i, j int) bool { return w.steps[i].version < w.steps[j].version })
+	if len(w.steps) > keptSteps {
+		w.steps = w.steps[len(w.steps)-keptSteps:]
+	}
+	w.Since = merged[w.Version]
+}
+
 // Newest version named for the model; 0 when none was.
 func (b *Book) Newest(model string) uint64 {
 	if w := b.models[model]; w != nil {
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -31,3 +31,20 @@
 	assert.False(t, b.Name(start, weights.Named{Model: "m", Version: 3}))
 	assert.Equal(t, uint64(4), b.Newest("m"))
 }
+
+// Requests begin on weights that were replaced 14 s ago, at an entry that just
+// restarted: it read the newest version a second ago and took that for the
+// time at which it was named.
+func TestAProcessThatStartedLearnsHowOldVersionsAre(t *testing.T) {
+	old, fresh := weights.NewBook(), weights.NewBook()
+	old.Name(start, weights.Named{Model: "m", Version: 2})
+	old.Name(start.Add(5*time.Second), weights.Named{Model: "m", Version: 3})
+	now := start.Add(12 * time.Second)
+	fresh.Name(now, weights.Named{Model: "m", Version: 3})
+	assert.Zero(t, fresh.Age(now, "m", 1))
+	fresh.Learn(now, "m", old.Steps(now)["m"])
+	assert.Equal(t, 12*time.Second, fresh.Age(now, "m", 1))
+	assert.Equal(t, 7*time.Second, fresh.Age(now, "m", 2))
+	fresh.Learn(now, "m", []weights.Step{{Version: 9, Age: time.Hour}})
+	assert.Equal(t, uint64(3), fresh.Newest("m"), "history names no new version")
+}
