--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,154 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/jayproxy/jayproxy/internal/upstream"
+)
+
+// server answers each request of a connection with what script says; nil ends it.
+func server(t *testing.T, script func(n int, r *http.Request, c net.Conn) bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil || !script(n, r, c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func reply(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(p *upstream.Pool, address, id, body string) (string, *upstream.Response, error) {
+	request := &upstream.Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body)}
+	response, err := p.Send(context.Background(), address, request, upstream.Freshness{MaxIdle: time.Second},
+		func(h http.Header, _ bool) bool { return h.Get("Id") == id })
+	if err != nil {
+		return "", nil, err
+	}
+	defer response.Close()
+	text, err := io.ReadAll(response.Body)
+	response.KeepFor(time.Second)
+	return string(text), response, err
+}
+
+func newPool() *upstream.Pool { return upstream.NewPool(time.Second, time.Second) }
+
+func TestAConnectionIsUsedAgain(t *testing.T) {
+	address := server(t, func(_ int, r *http.Request, c net.Conn) bool { reply(c, r.Header.Get("Id"), "ok"); return true })
+	p := newPool()
+	for i := range 5 {
+		text, _, err := send(p, address, fmt.Sprint(i), "")
+		require.NoError(t, err)
+		assert.Equal(t, "ok", text)
+	}
+	assert.Equal(t, int64(1), p.Opened())
+}
+
+// A late answer to a request that was given up stands where the next answer is
+// due. Its id tells, and it is read over.
+func TestAStrayAnswerIsSkipped(t *testing.T) {
+	address := server(t, func(_ int, r *http.Request, c net.Conn) bool {
+		reply(c, "somebody else", "not yours")
+		reply(c, r.Header.Get("Id"), "yours")
+		return true
+	})
+	text, _, err := send(newPool(), address, "1", "")
+	require.NoError(t, err)
+	assert.Equal(t, "yours", text)
+}
+
+// A server answers before it has read a long body, and keeps the connection.
+// The rest of that body is still due there: the next request's head would be
+// taken for it.
+func TestAnEarlyAnswerEndsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReaderSize(c, 16)) // the head, not the body
+				reply(c, "1", "early")
+				time.Sleep(2 * time.Second)
+				_ = c.Close()
+			}()
+		}
+	}()
+	p := newPool()
+	address := l.Addr().String()
+	text, _, err := send(p, address, "1", strings.Repeat("x", 64<<20))
+	require.NoError(t, err)
+	assert.Equal(t, "early", text)
+	assert.Zero(t, p.Open(address), "not kept")
+}
+
+// An answer without a length that is reset on the way would look complete.
+func TestAnAnswerThatBreaksOffIsAnError(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhalf",
+		"chunks": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"reset":  "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := server(t, func(_ int, _ *http.Request, c net.Conn) bool {
+				_, _ = io.WriteString(c, text)
+				if name == "reset" {
+					time.Sleep(20 * time.Millisecond)
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				return false
+			})
+			_, _, err := send(newPool(), address, "1", "")
+			assert.Error(t, err)
+		})
+	}
+}
+
+func TestErrorsTellHowFarTheRequestCame(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := l.Addr().String()
+	_ = l.Close()
+	_, _, err = send(newPool(), closed, "1", "")
+	assert.ErrorIs(t, err, upstream.ErrNotSent)
+	silent := server(t, func(int, *http.Request, net.Conn) bool { return false })
+	_, _, err = send(newPool(), silent, "1", "")
+	assert.ErrorIs(t, err, upstream.ErrNoAnswer)
+	garbled := server(t, func(_ int, _ *http.Request, c net.Conn) bool { _, _ = io.WriteString(c, "what?\r\n\r\n"); return true })
+	_, _, err = send(newPool(), garbled, "1", "")
+	assert.ErrorIs(t, err, upstream.ErrGarbled)
+}
