--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -57,22 +57,26 @@
 	return &holders{of: of, saved: saved, survival: heldAtMost}
 }
 
-func (h *holders) live(now time.Time, key uint32) []holding {
+// live returns who is believed to hold or read the prefix, and who held it
+// last but may have dropped it since.
+func (h *holders) live(now time.Time, key uint32) (live []holding, last holding) {
 	all, _ := h.of.Get(key)
-	var live []holding
 	for _, one := range all {
+		if one.at.After(last.at) && one.ready(now) {
+			last = one
+		}
 		age := now.Sub(one.at)
 		if one.ready(now) && age < h.survival || !one.ready(now) && age < comingFor {
 			live = append(live, one)
 		}
 	}
-	return live
+	return live, last
 }
 
 // coming notes that a request that reads the prefix was sent to a server. It
 // tells whether that is new.
 func (h *holders) coming(now time.Time, key uint32, server, address string, readyAt time.Time) bool {
-	all := h.live(now, key)
+	all, _ := h.live(now, key)
 	for i := range all {
 		if all[i].server == server {
 			all[i].at = now
@@ -199,6 +203,8 @@
 	// home is the first candidate of the rendezvous order of the deepest level,
 	// second the one behind it: every entry sends the first request there.
 	home, second *DirectServer
+	// last server that held the whole prefix; it may have dropped it.
+	last         holding
 	homeWeight   uint64
 	secondWeight uint64
 	saved        bool
@@ -300,7 +306,9 @@
 		tokens += part.Tokens
 		chain = mix(chain, hashOf(part.ID))
 		key := uint32(chain) | 1 //nolint:gosec // the low half of a hash; 0 is kept for none
-		v.levels = append(v.levels, levelPlan{key: key, tokens: tokens, holders: d.prefixes.live(now, key)})
+		live, last := d.prefixes.live(now, key)
+		v.levels = append(v.levels, levelPlan{key: key, tokens: tokens, holders: live})
+		v.last = last
 	}
 	_, v.saved = d.prefixes.saved.Get(v.deepest())
 	return v
@@ -346,6 +354,7 @@
 	switch {
 	case from.missing == 0:
 		from.kind = SourceHolder
+		return from
 	case v.comingElsewhere(now, s.ID):
 		// It is being read elsewhere just now: nothing can be fetched yet.
 		from.kind = SourceComing
@@ -358,6 +367,10 @@
 		// Another entry may have sent it to its home.
 		from.kind, from.address = SourceNone, v.home.Address
 	}
+	if v.last.server != "" && v.last.server != s.ID {
+		// It may have dropped the prefix by now; asking costs a millisecond.
+		from.address = v.last.address
+	}
 	return from
 }
 
