A server that was not reached takes nothing from the retry budget

Ruled out: full servers, the window of the budget. Test with no budget at all fails without the change.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,7 +38,9 @@
 const (
 	// delivered: the caller has its final answer, or as much as it can get.
 	delivered result = iota
-	// notRun: proven; the request may go elsewhere.
+	// notSent: no byte reached a server; the request may go elsewhere.
+	notSent
+	// notRun: the server proved it; the request may go elsewhere.
 	notRun
 	// unknown: it may have run.
 	unknown
@@ -62,6 +64,10 @@
 		switch j.send(&choice) {
 		case delivered:
 			return
+		case notSent:
+			if !j.mayTryAnother("server not reached") {
+				return
+			}
 		case notRun:
 			if !j.mayGoOn("refused by the server") {
 				return
@@ -79,6 +85,17 @@
 	}
 }
 
+// mayTryAnother decides after a send that reached no server: it arrived
+// nowhere, so it takes nothing from the budget. Without that difference a few
+// dead servers used the budget up, and requests were refused beside idle ones.
+func (j *job) mayTryAnother(why string) bool {
+	if j.ctx.Err() == nil && len(j.tried) < maxSends {
+		return true
+	}
+	j.giveUp(why + ", no further send")
+	return false
+}
+
 // mayGoOn decides after a send that did not run. Refused arrivals count in the
 // budget as well.
 func (j *job) mayGoOn(why string) bool {
@@ -247,12 +264,12 @@
 	case errors.Is(j.ctx.Err(), context.Canceled), errors.Is(j.ctx.Err(), context.DeadlineExceeded):
 		outcome = ended
 		if errors.Is(err, upstream.ErrNotSent) {
-			outcome = notRun
+			outcome = notSent
 		}
 	case errors.Is(err, upstream.ErrNotSent):
-		outcome = notRun
+		outcome = notSent
 	}
-	klog.InfoS("Send failed", "request", j.head.ID, "server", choice.Server.ID, "err", err, "afterMS", now.Sub(sentAt).Milliseconds(), "mayHaveRun", outcome != notRun)
+	klog.InfoS("Send failed", "request", j.head.ID, "server", choice.Server.ID, "err", err, "afterMS", now.Sub(sentAt).Milliseconds(), "mayHaveRun", outcome != notSent)
 	j.finished(choice, outcome)
 	if !errors.Is(j.ctx.Err(), context.Canceled) {
 		s.mu.Lock()
