Pass over a relay that does not answer

Cause: the row of an entry lost for good stays, and the others of its data centre asked it first at each read, 0.7 s each. Test: fails without the change (relays named the lost entry again).

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -134,8 +134,11 @@
 // ask the store. False: this entry is one of them, or none has a fresh copy.
 // With every entry asking by itself the store's calls grow with the fleet.
 func (g *Gateway) throughRelay(ctx context.Context, f *feed) bool {
-	for _, relay := range g.peers.relays() {
+	for _, relay := range g.peers.relays(time.Now()) {
 		batch, err := g.peers.table(ctx, relay, f.table, f.version())
+		if err != nil && ctx.Err() == nil {
+			g.peers.didNotAnswer(time.Now(), relay)
+		}
 		if err != nil || batch.AgeMS > relayFresh.Milliseconds() || batch.Version == 0 {
 			g.metrics.Count("relay_failed", f.table, 1)
 			continue
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -54,6 +54,8 @@
 	named map[string]entryRow
 	// node and dataCentre of this entry.
 	node, dataCentre string
+	// downUntil is until when an entry that did not answer is passed over.
+	downUntil map[string]time.Time
 }
 
 func newPeers(settings Settings) *peers {
@@ -65,7 +67,7 @@
 	}
 	return &peers{
 		self: settings.ControlAddress, seeds: settings.Seeds, named: map[string]entryRow{},
-		node: settings.Node, dataCentre: settings.DataCentre,
+		node: settings.Node, dataCentre: settings.DataCentre, downUntil: map[string]time.Time{},
 		http: &http.Client{Transport: transport},
 	}
 }
@@ -137,10 +139,22 @@
 	return len(ahead), before
 }
 
+// downTime is how long an entry that did not answer as a relay is passed over.
+// The row of an entry that is lost for good stays; asked first each time, it
+// would hold up every read of the list by a time-out.
+const downTime = 5 * time.Second
+
+// didNotAnswer passes an entry over for a while.
+func (p *peers) didNotAnswer(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.downUntil[address] = now.Add(downTime)
+}
+
 // relays are the entries that this one reads the store's tables from; none
 // when it asks the store itself.
-func (p *peers) relays() []string {
-	rank, before := p.rank(func(e entryRow) bool { return e.DataCentre == p.dataCentre })
+func (p *peers) relays(now time.Time) []string {
+	rank, before := p.rank(func(e entryRow) bool { return e.DataCentre == p.dataCentre && !now.Before(p.downUntil[e.Address]) })
 	if rank < relaysPerDataCentre {
 		return nil
 	}
