Keep to a share of the connections that a server takes; drop unused settings

Cause: a server resets connections beyond its bound, and nothing held the entries to it together. Change: a server at which an entry has its share of 0.9 of the bound gets nothing more.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,9 +27,12 @@
 	keepUnsaid = 400 * time.Millisecond
 	// keepShare of the time that a server names is used.
 	keepShare = 0.7
-	// defaultPriority of requests without a rank.
-	defaultPriority = 5
-	spreadSteps     = 1 << 20
+	// connShare of the connections that a server takes is used by all entries
+	// together, leastConns by each in any case.
+	connShare  = 0.9
+	leastConns = 4
+	// spreadSteps of the map from ids to shares.
+	spreadSteps = 1 << 20
 )
 
 // result is how one send ended.
@@ -158,7 +161,7 @@
 	if j.service.Engine != nil {
 		model = j.head.Model
 	}
-	request := routing.DirectRequest{ID: j.head.ID, Left: j.deadline.Sub(now), Target: j.route.Target}
+	request := routing.DirectRequest{ID: j.head.ID}
 	store := ""
 	if model != "" {
 		request.Tokens, request.OutputTokens = j.head.InputTokens, j.head.OutputTokens
@@ -173,9 +176,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	servers := s.candidatesLocked(now, j.service, model)
+	j.markFull(servers)
 	return s.router.Choose(now, &request, servers, store, j.tried)
 }
 
+// markFull marks the servers at which this entry has its share of connections.
+func (j *job) markFull(servers []routing.DirectServer) {
+	if j.service.MaxConns <= 0 {
+		return
+	}
+	share := max(leastConns, int(connShare*float64(j.service.MaxConns)/float64(j.gateway.state.entries)))
+	for i := range servers {
+		servers[i].Full = j.gateway.pool.Busy(servers[i].Address) >= share
+	}
+}
+
 // directions for the chosen server.
 func (j *job) directions(choice *routing.DirectChoice) call.Directions {
 	d := call.Directions{
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -97,8 +97,7 @@
 	// VersionBound: a request must not begin on weights replaced longer ago.
 	VersionBound time.Duration
 	// RetryRatio of the requests and RetrySlack more may be sent a second time
-	// in the time RetryWindow, over all entries.
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// in one window, over all entries.
+	RetryRatio float64
+	RetrySlack float64
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -91,7 +91,7 @@
 			first = false
 			j.firstToken()
 		}
-		if j.delivered(one) {
+		if j.hadAlready(one) {
 			continue
 		}
 		if err := j.forward(response, one); err != nil {
@@ -120,9 +120,9 @@
 	j.gateway.metrics.Time("first_token", j.class(), j.stream.firstAfter)
 }
 
-// delivered tells whether the caller has the event already: a run that goes on
+// hadAlready tells whether the caller has the event: a run that goes on
 // elsewhere may begin with one that it had.
-func (j *job) delivered(one event) bool {
+func (j *job) hadAlready(one event) bool {
 	if j.stream.lastID == "" || one.id == "" || j.sends == 1 {
 		return false
 	}
--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -27,6 +27,8 @@
 	VersionAge time.Duration
 	// Switching servers are about to take new weights, or do so now.
 	Switching bool
+	// Full servers take no more connections of this entry.
+	Full bool
 	// Usable and Weight are membership's word.
 	Usable bool
 	Weight float64
@@ -42,10 +44,6 @@
 	// Tokens of the whole prompt, and at most of the answer.
 	Tokens       int
 	OutputTokens int
-	// Left until the caller's deadline.
-	Left time.Duration
-	// Target latency to the first token or the answer.
-	Target time.Duration
 }
 
 // DirectChoice is where to send a request and what to tell the server.
@@ -256,7 +254,7 @@
 	for i := range servers {
 		s := &servers[i]
 		switch {
-		case contains(tried, s.ID):
+		case s.Full, contains(tried, s.ID):
 		case d.options.MaxVersionAge > 0 && s.VersionAge > d.options.MaxVersionAge:
 		case s.Switching || !s.Usable:
 			d.poor = append(d.poor, int32(i)) //nolint:gosec // an index of a short list
--- a/internal/routing/direct_test.go
+++ b/internal/routing/direct_test.go
@@ -26,7 +26,7 @@
 
 func prompt(id, document string) *routing.DirectRequest {
 	return &routing.DirectRequest{
-		ID: id, Tokens: 10000, OutputTokens: 50, Left: 10 * time.Second, Target: time.Second,
+		ID: id, Tokens: 10000, OutputTokens: 50,
 		Prefix: []call.Part{{ID: "common", Tokens: 500}, {ID: document, Tokens: 5000}},
 	}
 }
@@ -148,6 +148,19 @@
 	assert.Equal(t, "s0", choose(t, d, 0, prompt("r2", "contract"), servers[:1]).Server.ID)
 }
 
+// Streams end in resets. A server takes a bounded number of connections from
+// all entries, and resets those beyond, whatever runs on them.
+func TestAServerWithoutConnectionsLeftGetsNothing(t *testing.T) {
+	d, servers := newDirect(), directServers(2)
+	servers[0].Full = true
+	for i := range 10 {
+		assert.Equal(t, "s1", choose(t, d, 0, prompt(fmt.Sprint(i), "contract"), servers).Server.ID)
+	}
+	servers[1].Full = true
+	_, err := d.Choose(directStart, prompt("x", "contract"), servers, "", nil)
+	assert.ErrorIs(t, err, routing.ErrNoServer)
+}
+
 // The count of requests at a server drifts. One that was refused there and sent
 // elsewhere must leave nothing behind.
 func TestFinishedRequestsLeaveNoLoad(t *testing.T) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,6 +42,13 @@
 	return p.open[address]
 }
 
+// Busy counts the connections to an address that carry a request.
+func (p *Pool) Busy(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[address] - len(p.idle[address])
+}
+
 // Freshness says how idle a kept connection may have been.
 type Freshness struct {
 	// MaxIdle of a kept connection; 0: only a new one will do.
