--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -267,16 +267,3 @@
 
 // Held takes in that the server has the version already.
 func (p *Plan) Held(server string) { p.track(server).phase = idle }
-
-// Busy tells whether anything is under way.
-func (p *Plan) Busy() bool {
-	for _, t := range p.tracks {
-		if t.phase != idle {
-			return true
-		}
-	}
-	return false
-}
-
-// LoadTime is the mean time of a load.
-func (p *Plan) LoadTime() time.Duration { return p.loadTime }
--- a/internal/routing/direct_hints.go
+++ b/internal/routing/direct_hints.go
@@ -23,7 +23,7 @@
 	ReadMS float64
 }
 
-// maxNews bounds the hints that wait to be sent; the newest are dropped.
+// maxNewsHints bounds the hints that wait to be sent; the newest are dropped.
 const maxNewsHints = 256
 
 // loadHintLife is how long another entry's word on its unread prompts counts,
