--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -64,6 +64,12 @@
 		j.failed(choice.Server.ID)
 		return
 	}
+	if answer.Version > choice.Server.Version {
+		// Our belief was old, the server is fine: it may be asked again for what it
+		// has. Left out, it was missed when all others took new weights just then.
+		j.tried = j.tried[:len(j.tried)-1]
+		return
+	}
 	if choice.Server.Version != 0 {
 		// Most likely it is taking new weights: leave it alone until that shows.
 		j.gateway.state.announceSwitch(choice.Server.ID, choice.Server.Version+1, time.Now().Add(refusedRest))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,7 +92,7 @@
 // nowhere, so it takes nothing from the budget. Without that difference a few
 // dead servers used the budget up, and requests were refused beside idle ones.
 func (j *job) mayTryAnother(why string) bool {
-	if j.ctx.Err() == nil && len(j.tried) < maxSends {
+	if j.ctx.Err() == nil && j.sends < maxSends {
 		return true
 	}
 	j.giveUp(why + ", no further send")
@@ -103,7 +103,7 @@
 // budget as well.
 func (j *job) mayGoOn(why string) bool {
 	now := time.Now()
-	if j.ctx.Err() == nil && len(j.tried) < maxSends && j.gateway.state.mayResend(now, j.service.Name, j.deadline) {
+	if j.ctx.Err() == nil && j.sends < maxSends && j.gateway.state.mayResend(now, j.service.Name, j.deadline) {
 		return true
 	}
 	j.giveUp(why + ", no further send")
@@ -116,7 +116,7 @@
 // mayRepeat decides after a send that may have run.
 func (j *job) mayRepeat() bool {
 	may := j.route.Repeatable() && j.ranOn < j.route.MaxAttempts && j.ctx.Err() == nil
-	if may && len(j.tried) < maxSends && j.gateway.state.mayResend(time.Now(), j.service.Name, j.deadline) {
+	if may && j.sends < maxSends && j.gateway.state.mayResend(time.Now(), j.service.Name, j.deadline) {
 		return true
 	}
 	j.giveUp("outcome unknown, not repeated")
