Look at the lease only while nobody is heard to change old weights

Cause: every entry contends once replaced weights have served for 4 s, and in a fleet of 56 engines a rollout takes 5 s: all 31 entries read the lease every 0.9 s. Ruled out: the list's relays (182), feeds of changes (59), renewals (67). Now the news of a holder's work keeps the others away.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -314,6 +314,9 @@
 		if n.Ordered && ofOther {
 			g.state.heardOrder(now, n.Server)
 		}
+		if n.ForMS > 0 && ofOther {
+			g.state.heardHolder(now)
+		}
 		klog.V(1).InfoS("Switch told", "server", n.Server, "version", n.Version, "forMS", n.ForMS, "withdrawn", n.Withdrawn)
 		switch {
 		case n.Withdrawn:
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/jayproxy/jayproxy/internal/weights"
 )
 
 func entriesAt(node string, n int) *peers {
@@ -49,3 +51,19 @@
 		assert.Equal(t, relays, p.relays(now.Add(downTime)), "asked again later")
 	}
 }
+
+// Every entry of a large fleet looked at the lease while new weights went round
+// as they should, which takes longer there than the age at which others help.
+func TestOthersContendOnlyWhenNobodyChangesOldWeights(t *testing.T) {
+	settings := Settings{Node: "gw9", DataCentre: "a"}
+	g := &Gateway{settings: settings, state: newState(settings), peers: entriesAt("gw9", 20)}
+	now := time.Now()
+	g.state.nameVersion(now.Add(-time.Minute), weights.Named{Model: "m", Version: 1}, "test")
+	g.state.nameVersion(now.Add(-2*helpAfter), weights.Named{Model: "m", Version: 2}, "test")
+	g.state.versions[versionKey{"s1", "m"}] = 1
+	assert.True(t, g.contends(), "nobody was heard")
+	g.state.heardHolder(now)
+	assert.False(t, g.contends(), "another is at work")
+	g.state.heardHolder(now.Add(-2 * newsLife))
+	assert.True(t, g.contends(), "it has gone silent")
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -26,6 +26,9 @@
 	contenders = 2
 	// helpAfter is the age of replaced weights from which any entry contends.
 	helpAfter = 4 * time.Second
+	// newsLife is how long the last news of a holder shows that there is one. It
+	// announces and orders servers several times a second while there is work.
+	newsLife = 2 * time.Second
 	// engineCallTime bounds a report or an order.
 	engineCallTime = 800 * time.Millisecond
 	// leaseMarginShare of the lease's time the holder stops to act before its end.
@@ -56,13 +59,15 @@
 
 // contends tells whether this entry tries for the lease. The first few of the
 // fleet do; the others only when weights that were replaced some time ago still
-// serve, which shows that none of those is there.
+// serve and nobody was heard to change that. With the age alone every entry of
+// a large fleet looked at the lease while new weights went round as they should:
+// 732 of 1,090 calls to the store on a quiet day.
 func (g *Gateway) contends() bool {
 	rank, _ := g.peers.rank(func(entryRow) bool { return true })
 	if rank >= 0 && rank < contenders {
 		return true
 	}
-	return g.state.oldestAge(time.Now()) > helpAfter
+	return g.state.needsHolder(time.Now())
 }
 
 func (r *rollouts) tick(ctx context.Context, now time.Time) {
@@ -209,6 +214,14 @@
 	return s.versions[versionKey{server, model}]
 }
 
+// needsHolder tells whether old weights serve and nobody changes that.
+func (s *state) needsHolder(now time.Time) bool {
+	s.mu.Lock()
+	quiet := now.Sub(s.holderHeard) > newsLife
+	s.mu.Unlock()
+	return quiet && s.oldestAge(now) > helpAfter
+}
+
 // oldestAge is how long ago the oldest weights that still serve were replaced.
 func (s *state) oldestAge(now time.Time) time.Duration {
 	s.mu.Lock()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -46,6 +46,8 @@
 	switches map[string]switching
 	// orderedAt is when another entry last ordered a server.
 	orderedAt map[string]time.Time
+	// holderHeard is when another entry last announced or ordered a server.
+	holderHeard time.Time
 	budgets   map[string]*retry.Budget
 	entries   int
 	// room holds the requests that wait for memory, waiters who asked.
@@ -207,6 +209,13 @@
 	s.orderedAt[server] = now
 }
 
+// heardHolder takes in that another entry changes weights.
+func (s *state) heardHolder(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holderHeard = now
+}
+
 // withdrawSwitch takes in that nothing came of it.
 func (s *state) withdrawSwitch(server string) {
 	s.mu.Lock()
