No close from outside ends a request that has begun

The request came 20 ms after the SIGTERM, reached its server at 13.040 s, and the connection was closed at 13.043. Ruled out: the end of the grace time, an answer that the server broke off. A connection now ends only by the goroutine that serves it, which says so by the state that follows. That also mends the guard before, which kept the socket of a malformed head open (tests of both).

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -6,14 +6,16 @@
 	"sync"
 )
 
-// The library closes idle connections of callers when a process stops, and
-// takes a connection for idle until it has read the head of a request. A
-// request whose bytes were taken from the socket just before was then run with
-// nobody left to hear its answer: its caller saw the connection end, and could
-// not know that it had run. A callerConn knows that bytes were read; it lets
-// the first close in that moment pass by, the request is answered, and the
-// connection ends after it. Bytes that nobody has read yet are lost with the
-// close, and with them a request that nobody ran.
+// The library closes idle connections of callers when a process stops. It takes
+// a connection for idle until it has read the head of a request, and looks at
+// that some time before it closes: where the process does not get its processor
+// in between, the request has been sent on by then. It ran with nobody left to
+// hear its answer; its caller saw the connection end and could not know. So a
+// callerConn ignores a close from outside from the moment at which bytes of a
+// request were read. The goroutine that serves the connection closes it as well
+// when it ends, and says so by the state that follows: that one counts. Bytes
+// that nobody has read yet are lost with the close, and with them a request that
+// nobody ran.
 
 // callerListener accepts callers' connections.
 type callerListener struct{ net.Listener }
@@ -33,8 +35,8 @@
 
 	mu sync.Mutex
 	// begun: bytes were read that no request was made of yet. busy: a request is
-	// being answered. spared: one close has passed by.
-	begun, busy, spared bool
+	// being answered.
+	begun, busy bool
 }
 
 // Read implements net.Conn.
@@ -48,19 +50,26 @@
 	return n, err
 }
 
-// Close implements net.Conn. The second one closes in any case: a caller that
-// does not finish its head is ended by a time-out.
+// Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
-	spare := c.begun && !c.busy && !c.spared
-	c.spared = c.spared || spare
-	c.mu.Unlock()
-	if spare {
+	defer c.mu.Unlock()
+	if c.begun || c.busy {
 		return nil
 	}
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the answers only, so that a caller can read the last one
+// while it still sends. The library asks for it by this name.
+func (c *callerConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 // noteCallerState is the server's hook on the states of its connections.
 func noteCallerState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
@@ -72,8 +81,11 @@
 	switch state {
 	case http.StateActive:
 		c.begun, c.busy = false, true
-	case http.StateIdle, http.StateClosed, http.StateHijacked:
+	case http.StateIdle, http.StateHijacked:
 		c.busy = false
+	case http.StateClosed:
+		// Served to its end: an error would say that it is closed already.
+		_ = c.Conn.Close()
 	case http.StateNew:
 	}
 }
--- a/internal/gateway/callerconn_test.go
+++ b/internal/gateway/callerconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -101,18 +102,62 @@
 	assert.ErrorIs(t, err, io.EOF, "and the connection ends after it")
 }
 
-// An idle connection is closed as before, and a head that never ends holds none open.
-func TestOnlyOneCloseIsSpared(t *testing.T) {
-	here, there := net.Pipe()
-	c := &callerConn{Conn: here}
-	go func() { _, _ = there.Write([]byte("GET")) }()
-	_, err := c.Read(make([]byte, 8))
+// The same with the process stopped a moment later: the library had found the
+// connection idle, and closed it when the booking was under way.
+func TestACloseFromOutsideWaitsForTheAnswer(t *testing.T) {
+	caller, _ := serveOne(t, func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(net.Conn)
+		require.True(t, ok)
+		require.NoError(t, conn.Close())
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "ran")
+	})
+	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	require.NoError(t, err)
-	require.NoError(t, c.Close())
-	go func() { _, _ = there.Write([]byte(" /")) }()
-	_, err = c.Read(make([]byte, 8))
-	require.NoError(t, err, "the first close passes by")
-	require.NoError(t, c.Close())
-	_, err = c.Read(make([]byte, 8))
-	assert.Error(t, err)
+	answer, err := io.ReadAll(caller)
+	require.NoError(t, err, "and the connection ends")
+	assert.Contains(t, string(answer), "ran")
+}
+
+// A head that can't be read, or never ends, holds no connection open.
+func TestABrokenHeadEndsItsConnection(t *testing.T) {
+	for name, head := range map[string]string{"malformed": "GET\r\n\r\n", "unfinished": "GET / HTTP/1.1\r\nHo"} {
+		t.Run(name, func(t *testing.T) {
+			caller, closed := serveOne(t, func(http.ResponseWriter, *http.Request) {})
+			_, err := io.WriteString(caller, head)
+			require.NoError(t, err)
+			_, err = io.ReadAll(caller)
+			require.NoError(t, err)
+			assert.ErrorIs(t, <-closed, net.ErrClosed, "the socket is closed on this side")
+		})
+	}
+}
+
+type connKey struct{}
+
+// serveOne serves one caller; closed tells what a write to its connection gives
+// after it was served.
+func serveOne(t *testing.T, handle http.HandlerFunc) (caller net.Conn, closed chan error) {
+	t.Helper()
+	base, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed = make(chan error, 1)
+	server := &http.Server{
+		ReadHeaderTimeout: 200 * time.Millisecond, Handler: handle,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnState: func(c net.Conn, state http.ConnState) {
+			noteCallerState(c, state)
+			if state == http.StateClosed {
+				_, err := c.Write([]byte("x"))
+				closed <- err
+			}
+		},
+	}
+	go func() { _ = server.Serve(callerListener{base}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	caller, err = net.Dial("tcp", base.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	require.NoError(t, caller.SetDeadline(time.Now().Add(3*time.Second)))
+	return caller, closed
 }
