--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -157,6 +157,7 @@
 		j.giveUp(err.Error())
 		return
 	}
+	j.gateway.metrics.Count("turned_away", j.class(), 1)
 	// Callers come back spread over as long again, not all at one moment.
 	j.refuse(err.Error(), j.after+time.Duration(spread(j.head.ID)*float64(j.after)))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -197,6 +197,7 @@
 		g.metrics.Gauge("weights_named", model, int64(s.book.Newest(model))) //nolint:gosec // a count
 	}
 	g.metrics.Gauge("requests_active", "all", g.active.Load())
+	g.metrics.Gauge("requests_waiting", "memory", int64(s.room.Len()))
 	g.metrics.Gauge("connections_opened", "all", g.pool.Opened())
 }
 
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -62,6 +62,7 @@
 		j.after = after
 		return routing.DirectChoice{}, errTurnedAway
 	}
+	j.gateway.metrics.Count("waited_for_memory", j.class(), 1)
 	klog.InfoS("Waits for memory", "request", j.head.ID, "urgency", request.Urgency, "waiting", waiting, "sendAt", request.Until())
 	return j.awaitGrant(w)
 }
