A store that is back is known for every table at once

Cause: a failed call was followed by one that waits 20 s for a change, and the entry counts as failing until it returns; and the interrupt of waiting calls counted as a failure of its own. Ruled out: the connection (the same client served the other table). Now a feed asks without waiting after a failure, and an interrupted call is no failure.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -47,8 +47,28 @@
 	// lastGood is when the store last answered, in Unix nanoseconds.
 	lastGood atomic.Int64
 	failing  atomic.Bool
-	// interrupt ends a call that waits.
-	interrupt atomic.Pointer[context.CancelFunc]
+	// interrupt ends a call that waits; interrupted: it did, and the next call
+	// does not wait.
+	interrupt   atomic.Pointer[context.CancelFunc]
+	interrupted atomic.Bool
+}
+
+// patience is how long the next call may wait for a change. After a failure it
+// asks without waiting: with an answer only at the next change, or at the end
+// of the wait, the store counted as lost for 20 s after it was back.
+func (f *feed) patience() time.Duration {
+	if f.interrupted.Swap(false) || f.failing.Load() {
+		return 0
+	}
+	return f.wait
+}
+
+// stopWaiting ends a call that waits.
+func (f *feed) stopWaiting() {
+	if interrupt := f.interrupt.Load(); f.wait > 0 && interrupt != nil {
+		f.interrupted.Store(true)
+		(*interrupt)()
+	}
 }
 
 func (f *feed) version() uint64 {
@@ -122,6 +142,9 @@
 			continue
 		}
 		err := g.readOnce(ctx, f)
+		if f.interrupted.Load() {
+			continue
+		}
 		if err != nil && ctx.Err() == nil {
 			g.feedFailed(f, err)
 			sleep(ctx, failedPause)
@@ -166,14 +189,15 @@
 // readOnce asks the store for changes, or for the whole table where its
 // history does not reach back.
 func (g *Gateway) readOnce(ctx context.Context, f *feed) error {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+callTime)
+	wait := f.patience()
+	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
 	defer cancel()
 	f.interrupt.Store(&cancel)
 	after := f.version()
 	var batch mirror.Batch
 	err := g.ports.HistoryGone
 	if after > 0 {
-		batch, err = g.ports.Tables.Changes(ctx, f.table, after, f.wait)
+		batch, err = g.ports.Tables.Changes(ctx, f.table, after, wait)
 	}
 	if errors.Is(err, g.ports.HistoryGone) {
 		batch, err = g.ports.Tables.Whole(ctx, f.table)
@@ -213,8 +237,8 @@
 		g.state.mu.Unlock()
 	}
 	for _, other := range g.feeds {
-		if interrupt := other.interrupt.Load(); other != f && interrupt != nil {
-			(*interrupt)()
+		if other != f {
+			other.stopWaiting()
 		}
 	}
 }
