--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -136,7 +136,7 @@
 	LoadKeeps
 )
 
-// ErrOtherInstance: another lifetime has the address of the one that was asked.
+// ErrOtherInstance tells that another lifetime has the address of the one that was asked.
 var ErrOtherInstance = errors.New("another instance has the address")
 
 // OrderOutcome is what became of an order.
