A connection is kept though the answer overtakes the word that the request was sent

Cause: Close asked, without waiting, whether the goroutine that writes the request had said that it was done; on a busy machine the whole answer was read before that goroutine ran again, and the connection counted as one with a body under way. Ruled out: the idle time (10 s), the server of the test (it keeps the connection). Close now waits up to 10 ms for that word; the new test fails without the wait. In the field it costs a connection now and then, no answer.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,9 @@
 	readBufferBytes = 4 << 10
 	// maxStrays of answers to earlier requests that are skipped on one connection.
 	maxStrays = 2
+	// writtenWait is how long after the whole answer the writer may take to say
+	// that it is done. It only has to run once more.
+	writtenWait = 10 * time.Millisecond
 	// maxStrayBytes of one stray body.
 	maxStrayBytes = 1 << 20
 )
@@ -225,11 +228,17 @@
 	r.pool.put(r.conn, r.keep)
 }
 
+// sent tells whether the request left whole. The whole answer may be here before
+// the goroutine that wrote the request has said that it is done: a busy process
+// then gave up a sound connection and opened another. A server that answered
+// before it had read the request is the only other reason, and shows by the wait.
 func (r *Response) sent() bool {
+	timer := time.NewTimer(writtenWait)
+	defer timer.Stop()
 	select {
 	case err := <-r.written:
 		return err == nil
-	default:
+	case <-timer.C:
 		return false
 	}
 }
