A stream that has begun does not wait for memory

Read in the last look over the change: the rest of a stream that broke off waited in the room like a new request, up to nine tenths of the time that its caller stays, though its caller counts the pause. The log line of a placement now tells the expected wait for memory too.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -168,9 +168,10 @@
 	return base + time.Duration(spread(j.head.ID)*float64(base))
 }
 
-// choose asks the router for the next server, and waits where none has room.
+// choose asks the router for the next server, and waits where none has room. A
+// stream that has begun does not wait: its caller counts the pause.
 func (j *job) choose() (routing.DirectChoice, error) {
-	choice, err := j.place(true)
+	choice, err := j.place(j.stream.delivered == 0)
 	if errors.Is(err, routing.ErrNoRoom) {
 		return j.await(routing.ReadingTime(j.head.InputTokens))
 	}
@@ -242,7 +243,7 @@
 	j.message.Header = g.ports.Dialect.Forward(j.caller.Header, directions)
 	sentAt := time.Now()
 	klog.InfoS("Placed", "request", j.head.ID, "server", server.ID, "send", j.sends, "expectedMS", int(choice.ExpectedMS),
-		"queueMS", int(choice.Terms.QueueMS), "readMS", int(choice.Terms.ReadMS), "rereadMS", int(choice.Terms.RereadMS),
+		"queueMS", int(choice.Terms.QueueMS), "readMS", int(choice.Terms.ReadMS), "rereadMS", int(choice.Terms.RereadMS), "memoryMS", int(choice.Terms.MemoryMS),
 		"version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "prefix", strconv.FormatUint(uint64(choice.Prefix), 36), "source", choice.Source.String(), "fetch", choice.FetchFrom, "priority", directions.Priority, "tokens", j.head.InputTokens, "output", j.head.OutputTokens, "candidates", choice.Candidates)
 	response, err := g.pool.Send(j.ctx, server.Address, &j.message, j.freshness(), j.belongs)
 	if err != nil {
