Leave a server time for its last word

Cause, from its log: the server was given all the time that was left, so that its word that it did not run the request came at the moment at which the entry gave up by itself; under load the entry was first, the request ended as unknown and the server as one that failed. That is no fault of the test: it happens in the field too. Ruled out: the rest after a refusal (no refusal was seen).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,6 +30,9 @@
 	// together, leastConns by each in any case.
 	connShare  = 0.9
 	leastConns = 4
+	// serverMargin of a request's time is kept for the server's last word to
+	// arrive: a few round trips, and a process that waits for its processor.
+	serverMargin = 30 * time.Millisecond
 	// spreadSteps of the map from ids to shares.
 	spreadSteps = 1 << 20
 )
@@ -215,10 +218,16 @@
 	}
 }
 
+// leftFor is the time that a server is given of what is left. With all of it
+// the server's word that it did not run a request, which waited there until its
+// time was over, came at the moment at which the entry gave up by itself: what
+// was proven not to have run ended as unknown, and the server as one that failed.
+func leftFor(left time.Duration) time.Duration { return max(left-serverMargin, left/2) }
+
 // directions for the chosen server.
 func (j *job) directions(choice *routing.DirectChoice) call.Directions {
 	d := call.Directions{
-		Instance: choice.Server.ID, Left: time.Until(j.deadline), Priority: -1,
+		Instance: choice.Server.ID, Left: leftFor(time.Until(j.deadline)), Priority: -1,
 		LastEventID: j.stream.lastID,
 	}
 	if j.workspace != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// minUsefulTime left, below which no further send is made.
-	minUsefulTime = 20 * time.Millisecond
+	// minUsefulTime left, below which no further send is made: a server would be
+	// given half of it.
+	minUsefulTime = 2 * serverMargin
 	// answerMargin is kept of a caller's time for the way of the final answer.
 	answerMargin = 15 * time.Millisecond
 	// defaultPatience of a caller that names no deadline, on a route without one.
