Say what the waiting room does with those it lets in

Found in the last read: the package comment still said that it never ends a request that it let in, which stopped being so when late requests without hope came to be turned away; and a comment in the stop spoke of the first form of the guard of callers' connections. Comments only; lint, build and the tests of both packages pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -237,7 +237,7 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	err := g.callers.Shutdown(ctx)
-	// Shutdown does not know of a connection whose close was spared.
+	// Shutdown no longer counts a connection whose close a callerConn ignored.
 	for g.active.Load() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainStep)
 	}
--- a/internal/waitroom/waitroom.go
+++ b/internal/waitroom/waitroom.go
@@ -1,8 +1,8 @@
 // Package waitroom orders the requests that wait in an entry until a backend
 // server has memory for them, and turns away those that would wait for nothing.
-// It never ends a request that it let in: one that waited long enough is sent
-// in any case, as an offer late is worth more than none. It has no I/O, goroutine or clock; callers
-// lock.
+// Whom it lets in it places, turns away at the moment at which they become late
+// without hope, or has sent in any case when they waited long enough; it forgets
+// nobody. It has no I/O, goroutine or clock; callers lock.
 package waitroom
 
 import (
