Divide the servers of a service among owners that choose for all entries

Cause: every entry decided by what it saw itself and what the others told it. Telling all costs the square of the fleet, so it is capped, and at 103 entries each told the others nearly nothing: the busiest engine had twice the mean, the median of long prompts was 988 ms where the small twin had 276. Ruled out: a larger cap (trial: helps, 112 MB an entry, and grows with the square); news of loads summed up by owners and sent to all (5 KB/s an entry at 103, grows with engines); the whole request through another entry (a stream would die with either). Change: internal/shard (pure) gives each server an owner by rendezvous among the strong entries; the first two owners in a prefix's order are asked in turn. An owner's router is the sole one of its servers (DirectOptions.Sole), hears the end of each request (Expire for words that are lost), and who holds a prefix at another owner's server (HearHolder, WentElsewhere). Also: a server on older weights is not chosen where the request may begin only after the bound (versionMS).

--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -53,6 +53,11 @@
 	// MayWait: Choose returns ErrNoRoom rather than a server at which the request
 	// would wait for memory.
 	MayWait bool
+	// DataCentre that the request is sent from; empty: the router's own.
+	DataCentre string
+	// Until is when the request counts no more, should its end never be told;
+	// zero: it is always told.
+	Until time.Time
 }
 
 // DirectChoice is where to send a request and what to tell the server.
@@ -86,7 +91,8 @@
 	MemoryMS   float64
 }
 
-func (t DirectTerms) total() float64 {
+// Total is the score: the server with the least is chosen.
+func (t DirectTerms) Total() float64 {
 	return t.QueueMS + t.ReadMS + t.RereadMS + t.VersionMS + t.DistanceMS + t.PenaltyMS + t.MemoryMS
 }
 
@@ -95,6 +101,9 @@
 	DataCentre string
 	// MaxVersionAge beyond which a server with older weights gets nothing.
 	MaxVersionAge time.Duration
+	// Sole: no other router sends requests to the servers that this one chooses
+	// from, so that nothing is guessed of others and each server is looked at.
+	Sole bool
 }
 
 const (
@@ -156,6 +165,8 @@
 	kept     *kept
 	// entries that send to the same servers, this one included.
 	entries int
+	// savers that share the links of the stores of kept cache.
+	savers int
 	// inflow of prompt tokens a second that we send, over all engines.
 	inflow   float64
 	inflowAt time.Time
@@ -186,8 +197,13 @@
 	}
 }
 
-// SetEntries tells how many entries send to the same servers.
-func (d *Direct) SetEntries(n int) { d.entries = n }
+// SetEntries tells how many entries send to the same servers, and save to the
+// same stores.
+func (d *Direct) SetEntries(n int) { d.entries, d.savers = n, n }
+
+// SetSavers tells how many routers save to the same stores, of one that is the
+// sole router of its servers.
+func (d *Direct) SetSavers(n int) { d.savers = n }
 
 // Choose decides where to send a request, and counts it there until Finished.
 // tried servers are left out. ErrNoServer when none may take it, ErrNoRoom when
@@ -203,13 +219,16 @@
 	var bestTerms DirectTerms
 	for _, index := range d.narrow(req, servers, usable, p) {
 		terms := d.score(now, req, &servers[index], p)
-		if total := terms.total(); total < bestTotal {
+		if total := terms.Total(); total < bestTotal {
 			best, bestTotal, bestTerms = index, total, terms
 		}
 	}
 	if req.MayWait && bestTerms.MemoryMS > waitMS {
 		return DirectChoice{}, ErrNoRoom
 	}
+	if math.IsInf(bestTotal, 1) {
+		return DirectChoice{}, ErrNoServer
+	}
 	choice := d.conclude(now, req, &servers[best], p, bestTerms)
 	choice.Candidates = len(usable)
 	d.commit(now, req, &choice, p)
@@ -267,7 +286,7 @@
 
 // narrow bounds the servers that are scored in a large pool.
 func (d *Direct) narrow(req *DirectRequest, servers []DirectServer, usable []int32, p *prefixPlan) []int32 {
-	if p == nil || len(usable) <= scoredAtMost {
+	if p == nil || d.options.Sole || len(usable) <= scoredAtMost {
 		return usable
 	}
 	d.few = d.few[:0]
@@ -296,7 +315,7 @@
 func (d *Direct) commit(now time.Time, req *DirectRequest, choice *DirectChoice, p *prefixPlan) {
 	l := d.load(choice.Server.ID)
 	l.running++
-	run := &pendingRun{server: choice.Server.ID, readMS: choice.Terms.ReadMS, at: now}
+	run := &pendingRun{server: choice.Server.ID, readMS: choice.Terms.ReadMS, at: now, until: req.Until}
 	l.readMS += run.readMS
 	if p != nil {
 		run.tokens = memoryOf(req)
@@ -324,10 +343,10 @@
 		d.scorePrefix(now, req, s, p, &t)
 		t.MemoryMS = d.memoryMS(now, s, req)
 	}
-	if s.DataCentre != d.options.DataCentre {
+	if s.DataCentre != d.dataCentreOf(req) {
 		t.DistanceMS = otherDataCentreMS
 	}
-	t.VersionMS = versionMS(s.VersionAge)
+	t.VersionMS = d.versionMS(s.VersionAge, t.QueueMS+t.ReadMS+t.MemoryMS)
 	if weight := max(s.Weight, leastWeight); weight < 1 {
 		t.PenaltyMS = (t.QueueMS + t.ReadMS + slownessFloor) * (1/weight - 1)
 	}
@@ -348,12 +367,28 @@
 	return choice
 }
 
+func (d *Direct) dataCentreOf(req *DirectRequest) string {
+	if req.DataCentre != "" {
+		return req.DataCentre
+	}
+	return d.options.DataCentre
+}
+
+// lateFactor of the expected time to the first token after which a request may
+// begin: behind a queue that is longer than believed it began on weights that
+// had to be gone by then.
+const lateFactor = 2
+
 // versionMS rises from nothing to its weight around the moment from which a
-// run on older weights is worth less.
-func versionMS(age time.Duration) float64 {
+// run on older weights is worth less. It is infinite where the request may begin
+// only when older weights must not be used any more.
+func (d *Direct) versionMS(age time.Duration, expectedMS float64) float64 {
 	if age <= versionFree {
 		return 0
 	}
+	if d.options.MaxVersionAge > 0 && age+durationOf(lateFactor*expectedMS) > d.options.MaxVersionAge {
+		return math.Inf(1)
+	}
 	return oldVersionMS * min(1, float64(age-versionFree)/float64(versionStep))
 }
 
--- a/internal/routing/direct_load.go
+++ b/internal/routing/direct_load.go
@@ -32,6 +32,8 @@
 	keys  []uint32
 	at    time.Time
 	first bool
+	// until is when it counts no more though its end was not told; zero: never.
+	until time.Time
 	// saves names the part that is sent to a store when it was read; 0: none.
 	saves uint32
 }
@@ -81,6 +83,16 @@
 	}
 }
 
+// Expire takes out requests whose end was not told in time: the word of it was
+// lost, or the entry that sent it is gone.
+func (d *Direct) Expire(now time.Time) {
+	for request, run := range d.pending {
+		if !run.until.IsZero() && now.After(run.until) {
+			d.Finished(now, request, false)
+		}
+	}
+}
+
 // Finished tells that a request came to its end. ran is false when the server
 // proved that it did not run there, or it was never sent.
 func (d *Direct) Finished(now time.Time, request string, ran bool) {
@@ -138,5 +150,14 @@
 // its lifetime is over.
 func (d *Direct) Emptied(server string) { d.prefixes.forget(server) }
 
+// ServerOf returns the server that a request under way was counted at; empty
+// when it is not known.
+func (d *Direct) ServerOf(request string) string {
+	if run := d.pending[request]; run != nil {
+		return run.server
+	}
+	return ""
+}
+
 // Running counts our own requests at a server.
 func (d *Direct) Running(server string) int { return d.load(server).running }
--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -166,7 +166,7 @@
 
 // rank places a candidate in the rendezvous order.
 func (v *versionPlan) rank(s *DirectServer) {
-	w := mix(uint64(v.deepest()), s.Hash)
+	w := Rendezvous(uint64(v.deepest()), s.Hash)
 	switch {
 	case v.home == nil || w > v.homeWeight:
 		v.second, v.secondWeight = v.home, v.homeWeight
@@ -183,7 +183,7 @@
 	for _, part := range req.Prefix {
 		tokens += part.Tokens
 		hash := hashOf(part.ID)
-		chain = mix(chain, hash)
+		chain = Rendezvous(chain, hash)
 		key := uint32(chain) | 1 //nolint:gosec // the low half of a hash; 0 is kept for none
 		live, last := d.prefixes.live(now, key)
 		v.levels = append(v.levels, levelPlan{key: key, part: hash, tokens: tokens, holders: live})
--- a/internal/routing/fleetmodel_test.go
+++ b/internal/routing/fleetmodel_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jayproxy/jayproxy/internal/call"
 	"github.com/jayproxy/jayproxy/internal/routing"
+	"github.com/jayproxy/jayproxy/internal/shard"
 	"github.com/jayproxy/jayproxy/internal/waitroom"
 )
 
@@ -46,6 +47,8 @@
 	// returnsAt is when its caller came back after it was turned away; 0: never.
 	returnsAt float64
 	finished  bool
+	// owner that chose the server; nil: the entry itself.
+	owner *routing.Direct
 }
 
 func (r *modelRequest) chain() []call.Part {
@@ -85,6 +88,10 @@
 	requests map[string]*modelRequest
 	// mayWait: requests wait in the entries rather than at full engines.
 	mayWait bool
+	// owners of shards that choose for all entries, by name; nil: none, and the
+	// entries tell each other what they do.
+	owners   map[string]*routing.Direct
+	division *shard.Division
 	// mute entries, the first ones, neither tell the others anything nor hear.
 	mute int
 	// returns are callers that will come back, by time.
@@ -150,9 +157,11 @@
 
 func (f *modelFleet) first(run *modelRun, now float64, load call.Load) {
 	run.request.firstMS = now - run.request.at
-	d := f.entries[run.request.entry]
+	d := f.routerOf(run.request)
 	d.FirstToken(modelTime(now), run.request.id)
-	d.Told(modelTime(now), run.request.server, load)
+	if f.owners == nil {
+		d.Told(modelTime(now), run.request.server, load)
+	}
 	if store := f.stores[run.save]; store != nil {
 		store.take(run, now)
 	}
@@ -160,7 +169,7 @@
 
 func (f *modelFleet) ended(run *modelRun, now float64, whole bool) {
 	run.request.finished = whole
-	f.entries[run.request.entry].Finished(modelTime(now), run.request.id, whole)
+	f.routerOf(run.request).Finished(modelTime(now), run.request.id, whole)
 }
 
 // arrive makes a request of a class.
@@ -212,7 +221,7 @@
 		ID: r.id, Tokens: r.tokens(), OutputTokens: 3 * r.class.output, Prefix: r.shared,
 		MemoryShare: routing.MemoryShare(r.class.urgency, len(f.classes)), MayWait: f.mayWait && !anyway, Stores: f.keptStores,
 	}
-	choice, err := f.entries[r.entry].Choose(modelTime(now), request, f.servers, nil)
+	choice, err := f.choose(r, request, now)
 	if errors.Is(err, routing.ErrNoRoom) {
 		return false
 	}
@@ -221,6 +230,84 @@
 	return true
 }
 
+// choose lets the request's entry choose, or the owners that it asks.
+func (f *modelFleet) choose(r *modelRequest, request *routing.DirectRequest, now float64) (routing.DirectChoice, error) {
+	if f.owners == nil {
+		return f.entries[r.entry].Choose(modelTime(now), request, f.servers, nil)
+	}
+	var best routing.DirectChoice
+	r.owner = nil
+	err := routing.ErrNoRoom
+	for _, entry := range f.division.Asked(request.SharedHash()) {
+		owner := f.owners[entry.Name]
+		if r.owner != nil && best.Source == routing.SourceHeld {
+			owner.HearHolder(modelTime(now), request, routing.Holding{Server: best.Server.ID, Address: best.Server.Address, Version: best.Server.Version})
+		}
+		choice, refused := owner.Choose(modelTime(now), request, f.shardOf(entry.Name), nil)
+		switch {
+		case refused != nil:
+			continue
+		case r.owner == nil:
+			best, r.owner, err = choice, owner, nil
+		case choice.Terms.Total() < best.Terms.Total():
+			r.owner.WentElsewhere(modelTime(now), r.id, holdingOf(&choice))
+			best, r.owner = choice, owner
+		default:
+			owner.WentElsewhere(modelTime(now), r.id, holdingOf(&best))
+		}
+		if routing.GoodOffer(best.Terms.QueueMS, best.Terms.MemoryMS) {
+			break
+		}
+	}
+	return best, err
+}
+
+func holdingOf(choice *routing.DirectChoice) routing.Holding {
+	return routing.Holding{
+		Server: choice.Server.ID, Address: choice.Server.Address, Version: choice.Server.Version,
+		ReadyIn: time.Duration(choice.ExpectedMS * float64(time.Millisecond)),
+	}
+}
+
+// shardOf are the servers that an entry owns.
+func (f *modelFleet) shardOf(name string) []routing.DirectServer {
+	var servers []routing.DirectServer
+	for i := range f.servers {
+		if f.division.Owns(name, i) {
+			servers = append(servers, f.servers[i])
+		}
+	}
+	return servers
+}
+
+// divideAmong lets so many of the entries own shards.
+func (f *modelFleet) divideAmong(entries int) {
+	m := shard.NewMap()
+	var all []shard.Entry
+	f.owners = map[string]*routing.Direct{}
+	for i := range entries {
+		name := fmt.Sprint("entry", i)
+		all = append(all, shard.Entry{Name: name, Cores: 1})
+		f.owners[name] = routing.NewDirect(routing.DirectOptions{DataCentre: "a", Sole: true})
+	}
+	m.SetEntries(all)
+	f.division = m.Division(directStart, "models", 1, func() []uint64 {
+		var hashes []uint64
+		for i := range f.servers {
+			hashes = append(hashes, f.servers[i].Hash)
+		}
+		return hashes
+	})
+}
+
+// routerOf is what hears how a request goes on.
+func (f *modelFleet) routerOf(r *modelRequest) *routing.Direct {
+	if r.owner != nil {
+		return r.owner
+	}
+	return f.entries[r.entry]
+}
+
 // serveRooms places what waits in the entries.
 func (f *modelFleet) serveRooms(now float64) {
 	for len(f.returns) > 0 && f.returns[0].returnsAt <= now {
--- a/internal/routing/kept.go
+++ b/internal/routing/kept.go
@@ -58,7 +58,7 @@
 	// saveShare of a prompt that others may share, below which it is not saved:
 	// what belongs to one request alone pushes others out of the store.
 	saveShare = 0.5
-	// saveLinkShare of a store's link that all entries' saves may take; the rest
+	// saveLinkShare of a store's link that all savers together may take; the rest
 	// is for fetches, and transfers between data centres take twice as long.
 	saveLinkShare = 0.8
 	// farTransfer is how much longer a transfer takes between data centres.
@@ -107,7 +107,7 @@
 	var best *KeptStore
 	var most uint64
 	for i := range stores {
-		if w := mix(uint64(prefix), stores[i].Hash); best == nil || w > most {
+		if w := Rendezvous(uint64(prefix), stores[i].Hash); best == nil || w > most {
 			best, most = &stores[i], w
 		}
 	}
@@ -117,7 +117,7 @@
 // keptKey names a part under its salt at a store. Two parts may share a key:
 // that costs a prompt read again, as the salt keeps them apart.
 func keptKey(store *KeptStore, salt, part uint64) uint32 {
-	return uint32(mix(mix(salt, part), store.Hash)) //nolint:gosec // the low half of a hash
+	return uint32(Rendezvous(Rendezvous(salt, part), store.Hash)) //nolint:gosec // the low half of a hash
 }
 
 // holds tells whether the store should have the part by now.
@@ -138,8 +138,8 @@
 }
 
 // allow takes the tokens of one save from our share of a store's link.
-func (k *kept) allow(now time.Time, store *KeptStore, tokens, entries int) bool {
-	rate := store.TokensPerSecond * saveLinkShare / float64(max(entries, 1))
+func (k *kept) allow(now time.Time, store *KeptStore, tokens, savers int) bool {
+	rate := store.TokensPerSecond * saveLinkShare / float64(max(savers, 1))
 	most := rate * saveBurst.Seconds()
 	b := k.budgets[store.Address]
 	if b == nil {
@@ -173,7 +173,7 @@
 	if float64(deepest.tokens) < saveShare*float64(req.Tokens) || d.kept.known(now, deepest.kept) {
 		return
 	}
-	if d.kept.allow(now, v.store, req.Tokens, d.entries) {
+	if d.kept.allow(now, v.store, req.Tokens, d.savers) {
 		choice.SaveTo = v.store.Address
 		d.kept.begin(now, deepest.kept)
 	}
--- a/internal/routing/set.go
+++ b/internal/routing/set.go
@@ -32,8 +32,8 @@
 // Len is the number of servers.
 func (s *Set) Len() int { return len(s.servers) }
 
-// mix is the rendezvous weight of a server for a key.
-func mix(key, server uint64) uint64 {
+// Rendezvous is the rendezvous weight of a server for a key.
+func Rendezvous(key, server uint64) uint64 {
 	const first, second = 0x9e3779b97f4a7c15, 0xd1b54a32d192ed03
 	hi, lo := bits.Mul64(key^first, server^second)
 	return hi ^ lo
@@ -55,7 +55,7 @@
 	var weights [orderLength]uint64
 	n := 0
 	for i, hash := range s.hashes {
-		weight := mix(key, hash)
+		weight := Rendezvous(key, hash)
 		if n == orderLength && weight <= weights[n-1] {
 			continue
 		}
--- a/internal/routing/sources.go
+++ b/internal/routing/sources.go
@@ -47,7 +47,7 @@
 			if taken[i] || f.reason(c, index) != "" {
 				continue
 			}
-			if best < 0 || mix(key, c.view.set.hashes[index]) > mix(key, c.view.set.hashes[l.order.servers[best]]) {
+			if best < 0 || Rendezvous(key, c.view.set.hashes[index]) > Rendezvous(key, c.view.set.hashes[l.order.servers[best]]) {
 				best = i
 			}
 		}
