Three entries read the store; starts and outages cost calls of those before us only

Cause: each call has a price. 103 entries that start wrote 103 rows, and each row ended every waiting call: over a thousand calls in a second. Ten relays read the list. Change: the first three entries of the fleet read the store, two a data centre read from those; an age adds up on the way; rows of entries are read each 0.5 s at most; an entry waits for its own row before it asks for changes; where relays answer that have heard nothing it asks by itself each 0.1 s x entries, 3 s at most. The test that counted two readers a data centre is replaced by one that counts three over all.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -21,12 +21,27 @@
 	backendPauseShare = 0.35
 	// callTime bounds a call beyond what it waits on purpose.
 	callTime = 1200 * time.Millisecond
-	// relayPause between two reads from another entry of the data centre, and
-	// relayFresh how long ago that one may have heard from the store itself.
+	// relayPause between two reads from another entry, and relayFresh how long ago
+	// the store itself may have been heard from, over all entries between.
 	relayPause = 350 * time.Millisecond
-	relayFresh = 1300 * time.Millisecond
-	// failedPause after a failed call.
-	failedPause = 250 * time.Millisecond
+	relayFresh = 1800 * time.Millisecond
+	// entriesPause between two reads of the entries' rows. When all entries start,
+	// each row that is written ends every call that waits for changes: 103 entries
+	// made more than a thousand calls in their first second.
+	entriesPause = 500 * time.Millisecond
+	// placeWait is how long after its start an entry waits to see its own row, and
+	// so whom to read from, before it asks the store for changes by itself.
+	placeWait = 2 * time.Second
+	// failedPause after a failed call. Only the list of servers is asked for that
+	// often, the other tables each sideFailedPause: they come with it.
+	failedPause     = 250 * time.Millisecond
+	sideFailedPause = time.Second
+	// agedPausePerPeer and agedPauseAtMost bound how often an entry asks the store
+	// itself whose relays are there but have not heard from the store: an outage
+	// shows to them first. With each of 103 entries asking by itself all the while,
+	// eight seconds without the store took 7,000 calls.
+	agedPausePerPeer = 100 * time.Millisecond
+	agedPauseAtMost  = 3 * time.Second
 	// outageTime without a good read of the list that counts as an outage.
 	outageTime = 1500 * time.Millisecond
 	// sourceStore names the store in logs.
@@ -104,11 +119,12 @@
 func (g *Gateway) follow(ctx context.Context) {
 	operators := &feed{table: g.ports.Decoder.OperatorTable, wait: operatorWait, apply: g.applyOperator}
 	backends := &feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: time.Duration(float64(g.settings.DrainBound) * backendPauseShare), apply: g.applyBackends}
-	entries := &feed{table: g.ports.Decoder.EntryTable, wait: operatorWait, apply: g.applyEntries}
+	entries := &feed{table: g.ports.Decoder.EntryTable, wait: operatorWait, pause: entriesPause, apply: g.applyEntries}
 	g.feeds = []*feed{operators, backends, entries}
-	g.spawn(func() { g.run(ctx, operators) })
-	g.spawn(func() { g.run(ctx, backends) })
-	g.spawn(func() { g.run(ctx, entries) })
+	placed := time.Now().Add(placeWait)
+	g.spawn(func() { g.run(ctx, operators, placed) })
+	g.spawn(func() { g.run(ctx, backends, placed) })
+	g.spawn(func() { g.run(ctx, entries, time.Time{}) })
 	g.spawn(func() { g.fallBack(ctx, backends) })
 	g.spawn(func() { g.register(ctx) })
 	g.spawn(func() { g.learnWeights(ctx) })
@@ -136,29 +152,69 @@
 	g.pool.Sweep(now)
 }
 
-func (g *Gateway) run(ctx context.Context, f *feed) {
+// run keeps a feed's copy. Between its first read and placed it waits until the
+// entry knows its place among the others.
+func (g *Gateway) run(ctx context.Context, f *feed, placed time.Time) {
+	var askedAt time.Time
 	for ctx.Err() == nil {
-		if g.throughRelay(ctx, f) {
+		for f.version() > 0 && !g.peers.placed() && time.Now().Before(placed) && ctx.Err() == nil {
+			sleep(ctx, drainStep)
+		}
+		from := g.throughRelay(ctx, f)
+		if from == relayGave {
 			sleep(ctx, relayPause)
 			continue
 		}
+		if from == relayAged && time.Since(askedAt) < g.agedPause() {
+			g.feedFailed(f, errAged)
+			sleep(ctx, failedPause)
+			continue
+		}
+		askedAt = time.Now()
 		err := g.readOnce(ctx, f)
 		if f.interrupted.Load() {
 			continue
 		}
 		if err != nil && ctx.Err() == nil {
 			g.feedFailed(f, err)
-			sleep(ctx, failedPause)
+			sleep(ctx, g.pauseAfterFailure(f))
 			continue
 		}
 		sleep(ctx, f.pause)
 	}
 }
 
-// throughRelay reads a table from one of the entries of this data centre that
-// ask the store. False: this entry is one of them, or none has a fresh copy.
-// With every entry asking by itself the store's calls grow with the fleet.
-func (g *Gateway) throughRelay(ctx context.Context, f *feed) bool {
+// agedPause is how long this entry leaves the store alone whose relays are there.
+func (g *Gateway) agedPause() time.Duration {
+	return min(time.Duration(g.peers.count())*agedPausePerPeer, agedPauseAtMost)
+}
+
+func (g *Gateway) pauseAfterFailure(f *feed) time.Duration {
+	if f.table == g.ports.Decoder.BackendTable {
+		return failedPause
+	}
+	return sideFailedPause
+}
+
+// relayed is what came of reading through relays.
+type relayed int
+
+const (
+	// relayNone: this entry asks the store itself, or no relay answers.
+	relayNone relayed = iota
+	// relayGave: a relay gave what it has, and that is fresh.
+	relayGave
+	// relayAged: a relay answered that has not heard from the store of late.
+	relayAged
+)
+
+// errAged tells that the relays have not heard from the store.
+var errAged = errors.New("the relays have not heard from the store")
+
+// throughRelay reads a table from an entry that is nearer to the store. With
+// every entry asking by itself the store's calls grow with the fleet.
+func (g *Gateway) throughRelay(ctx context.Context, f *feed) relayed {
+	outcome := relayNone
 	for _, relay := range g.peers.relays(time.Now()) {
 		batch, err := g.peers.table(ctx, relay, f.table, f.version())
 		if err != nil && ctx.Err() == nil {
@@ -166,13 +222,16 @@
 		}
 		if err != nil || batch.AgeMS > relayFresh.Milliseconds() || batch.Version == 0 {
 			g.metrics.Count("relay_failed", f.table, 1)
+			if err == nil && batch.Version > 0 {
+				outcome = relayAged
+			}
 			continue
 		}
-		g.feedWorks(f)
+		g.feedWorks(f, time.Duration(batch.AgeMS)*time.Millisecond)
 		f.take(batch.Batch, relay)
-		return true
+		return relayGave
 	}
-	return false
+	return outcome
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -206,7 +265,7 @@
 	if err != nil {
 		return err
 	}
-	g.feedWorks(f)
+	g.feedWorks(f, 0)
 	f.take(batch, sourceStore)
 	return nil
 }
@@ -218,11 +277,11 @@
 	}
 }
 
-// feedWorks notes that the store answered. After an outage entries of the list
+// feedWorks notes that the store answered, so long ago. After an outage entries of the list
 // may have expired though their servers are alive, and a call that waits on
 // another connection may wait for an answer that was lost.
-func (g *Gateway) feedWorks(f *feed) {
-	now := time.Now()
+func (g *Gateway) feedWorks(f *feed, age time.Duration) {
+	now := time.Now().Add(-age)
 	last := f.lastGood.Swap(now.UnixNano())
 	if !f.failing.Swap(false) {
 		return
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -167,8 +167,14 @@
 	return max(1, len(p.named))
 }
 
-// relaysPerDataCentre entries ask the store, the others ask them.
-const relaysPerDataCentre = 2
+const (
+	// storeReaders of all entries ask the store itself: each of its calls has a
+	// price. One of them may be cut off and another stop at the same time.
+	storeReaders = 3
+	// relaysPerDataCentre entries read from those for the others there: a word to a
+	// data centre crosses to it that often.
+	relaysPerDataCentre = 2
+)
 
 // rank of this entry among those that keep says, the strongest VMs first: what
 // the first of them do for all others takes a weak one from its callers. -1 when
@@ -222,14 +228,28 @@
 	p.downUntil[address] = now.Add(downTime)
 }
 
-// relays are the entries that this one reads the store's tables from; none
-// when it asks the store itself.
+// relays are the entries that this one reads the store's tables from; none when
+// it asks the store itself. The first few of the fleet ask the store, the first of
+// each data centre ask those, and the others ask the first of theirs.
 func (p *peers) relays(now time.Time) []string {
-	rank, before := p.rank(func(e entryRow) bool { return e.DataCentre == p.dataCentre && !now.Before(p.downUntil[e.Address]) })
-	if rank < relaysPerDataCentre {
-		return nil
+	answers := func(e entryRow) bool { return !now.Before(p.downUntil[e.Address]) }
+	rank, before := p.rank(func(e entryRow) bool { return e.DataCentre == p.dataCentre && answers(e) })
+	if rank >= relaysPerDataCentre {
+		return before[:relaysPerDataCentre]
+	}
+	rank, before = p.rank(answers)
+	if rank >= storeReaders {
+		return before[:storeReaders]
 	}
-	return before[:relaysPerDataCentre]
+	return nil
+}
+
+// placed tells whether this entry's own row was seen.
+func (p *peers) placed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.named[p.node]
+	return ok
 }
 
 // agedBatch is a batch with how long ago the store itself told it.
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -18,18 +18,40 @@
 	return p
 }
 
-func TestTwoEntriesOfADataCentreAskTheStore(t *testing.T) {
+// Each data centre's first entries asked the store, which has a price for each
+// call: with five data centres ten did, and all of them while they started.
+func TestAFewEntriesAskTheStore(t *testing.T) {
 	now := time.Unix(1000, 0)
-	asking := 0
-	for i := 0; i < 20; i += 2 {
-		relays := entriesAt(fmt.Sprint("gw", i), 20).relays(now)
-		if relays == nil {
+	asking, ofReaders, ofRelays := 0, 0, 0
+	for i := range 20 {
+		switch relays := entriesAt(fmt.Sprint("gw", i), 20).relays(now); len(relays) {
+		case 0:
 			asking++
-			continue
+		case storeReaders:
+			ofReaders++
+		case relaysPerDataCentre:
+			ofRelays++
 		}
-		assert.Len(t, relays, relaysPerDataCentre)
 	}
-	assert.Equal(t, relaysPerDataCentre, asking)
+	assert.Equal(t, storeReaders, asking)
+	assert.LessOrEqual(t, asking+ofReaders, 2*relaysPerDataCentre+storeReaders)
+	assert.Equal(t, 20, asking+ofReaders+ofRelays, "everybody reads from somebody")
+}
+
+// What the others read from the strongest entries takes a weak one from its
+// callers: one of 0.144 cores served the list to twenty others.
+func TestStrongEntriesReadForTheOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := entriesAt("gw9", 20)
+	p.dataCentre = "b"
+	for _, strong := range []string{"gw3", "gw5", "gw6"} {
+		row := p.named[strong]
+		row.Cores = 0.8
+		p.named[strong] = row
+	}
+	assert.ElementsMatch(t, []string{p.named["gw3"].Address, p.named["gw5"].Address}, p.relays(now), "those of its data centre")
+	p.node = "gw6"
+	assert.Nil(t, p.relays(now))
 }
 
 func TestAnEntryThatIsNotInTheTableYetAsksTheStore(t *testing.T) {
