What is saved to the stores follows from what they drop, not from a share of 0.5

Cause: a prompt was saved only when half of it was shared, a share found on one deployment: on one with 45% nothing ever was. Ruled out: a share that falls with the unused link (model, one store: 489 k tokens read again against 298 k), a bound by the store's room over the time that a part is looked for (465 k), both together. Change: each part that a store drops within 8 s raises the needed share, which falls again by itself. Model, tokens read again with one and two stores: share 0.5 269 k and 140 k, none 489 k and 54 k, now 298 k and 48 k; half or twice of each constant changes that by less than a quarter.

--- a/internal/gateway/stores.go
+++ b/internal/gateway/stores.go
@@ -103,12 +103,13 @@
 	if len(parts) == 0 {
 		return
 	}
+	now := time.Now()
 	store := routing.NewKeptStore(address, "", 0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, part := range parts {
 		for _, router := range s.routers() {
-			router.StoreChanged(&store, part.Salt, part.Part, !part.Dropped)
+			router.StoreChanged(now, &store, part.Salt, part.Part, !part.Dropped)
 		}
 	}
 }
--- a/internal/routing/kept.go
+++ b/internal/routing/kept.go
@@ -11,13 +11,13 @@
 // weights is gone at once. What was read once is therefore sent to a store of
 // kept cache as well, and fetched from there.
 //
-// The store's link is the narrow part: a prompt of 9,000 tokens of 164 KB takes
-// 32 ms of it, so that a few dozen saves a second fill it, and a transfer that
-// would wait long is not started. A prefix is saved once, with a prompt that is
-// mostly shared, and all saves keep to a share of the link. Worth over fifteen
-// days of load (docs/WORTH.md): no saves 0.719; each first read saved 0.750;
-// only prompts that are half shared or more 0.760; with the stores' own words
-// 0.776; saved again whenever a store may have dropped it 0.723.
+// Where a token is large the store's link and room are narrow: a prompt of 9,000
+// tokens of 164 KB takes 32 ms of the link, and a transfer that would wait long is
+// not started. A prefix is saved once, all saves keep to a share of the link, and
+// where the store drops parts early only prompts that are mostly shared are sent.
+// Worth over fifteen days of load (docs/WORTH.md): no saves 0.719; each first read
+// saved 0.750; only prompts that are half shared or more 0.760; with the stores'
+// own words 0.776; saved again whenever a store may have dropped it 0.723.
 
 // KeptStore is a store that engines send parts to and fetch them from. It holds
 // a part as it was first made, under the salt that the request bore.
@@ -55,9 +55,18 @@
 	// and then; a miss costs a millisecond. Saved again after 3 s instead, the
 	// store turned over before anything was fetched.
 	savedFor = 15 * time.Second
-	// saveShare of a prompt that others may share, below which it is not saved:
-	// what belongs to one request alone pushes others out of the store.
-	saveShare = 0.5
+	// keptLong is how long a store should keep a part: a prefix that is in use comes
+	// back within some seconds. Each part that it drops sooner raises the share of a
+	// prompt that must be shared by shareStep, up to shareMost; that falls again by
+	// shareRelief a second. What belongs to one request alone takes the room of
+	// prefixes. In the model of TestWhatEnginesLoseComesFromTheStore tokens were read
+	// again, with one store and with two: 269 k and 140 k with a share of 0.5 for
+	// good, 489 k and 54 k with none, 298 k and 48 k so; twice or half of each figure
+	// changes that by less than a quarter.
+	keptLong    = 8 * time.Second
+	shareStep   = 0.02
+	shareRelief = 0.02
+	shareMost   = 0.6
 	// saveLinkShare of a store's link that all savers together may take; the rest
 	// is for fetches, and transfers between data centres take twice as long.
 	saveLinkShare = 0.8
@@ -79,6 +88,9 @@
 	parts *simplelru.LRU[uint32, keptPart]
 	// budgets in tokens, by the stores' addresses.
 	budgets map[string]*saveBudget
+	// needed share of a prompt that must be shared, as of neededAt.
+	needed   float64
+	neededAt time.Time
 	// news are the parts that we save, for the other entries.
 	news []uint32
 }
@@ -137,8 +149,23 @@
 	return ok && (part.listed || age < savedAfter || !part.dropped && age < savedFor)
 }
 
-// allow takes the tokens of one save from our share of a store's link.
-func (k *kept) allow(now time.Time, store *KeptStore, tokens, savers int) bool {
+// neededShare of a prompt that must be shared for it to be saved now.
+func (k *kept) neededShare(now time.Time) float64 {
+	return max(0, k.needed-shareRelief*now.Sub(k.neededAt).Seconds())
+}
+
+// noteDrop takes in that a store dropped a part. One that was not kept for long
+// shows that more is sent there than it has room for.
+func (k *kept) noteDrop(now time.Time, part keptPart) {
+	if part.savedAt.IsZero() || part.dropped || now.Sub(part.savedAt) >= keptLong {
+		return
+	}
+	k.needed, k.neededAt = min(k.neededShare(now)+shareStep, shareMost), now
+}
+
+// allow takes the tokens of one save from our share of a store's link. shared is
+// the share of the prompt that other requests may use.
+func (k *kept) allow(now time.Time, store *KeptStore, tokens int, shared float64, savers int) bool {
 	rate := store.TokensPerSecond * saveLinkShare / float64(max(savers, 1))
 	most := rate * saveBurst.Seconds()
 	b := k.budgets[store.Address]
@@ -149,7 +176,7 @@
 	b.tokens = min(most, b.tokens+rate*max(0, now.Sub(b.filledAt).Seconds()))
 	b.filledAt = now
 	// The last save may overdraw: one prompt can be larger than a small share.
-	if b.tokens <= 0 {
+	if b.tokens <= 0 || shared < k.neededShare(now) {
 		return false
 	}
 	b.tokens -= float64(tokens)
@@ -170,10 +197,11 @@
 		return
 	}
 	deepest := &v.levels[len(v.levels)-1]
-	if float64(deepest.tokens) < saveShare*float64(req.Tokens) || d.kept.known(now, deepest.kept) {
+	if d.kept.known(now, deepest.kept) {
 		return
 	}
-	if d.kept.allow(now, v.store, req.Tokens, d.savers) {
+	shared := float64(deepest.tokens) / float64(max(req.Tokens, 1))
+	if d.kept.allow(now, v.store, req.Tokens, shared, d.savers) {
 		choice.SaveTo = v.store.Address
 		d.kept.begin(now, deepest.kept)
 	}
@@ -199,9 +227,12 @@
 
 // StoreChanged takes in a store's word on a part. held is false for a part that
 // it dropped, if only in part.
-func (d *Direct) StoreChanged(store *KeptStore, salt, part string, held bool) {
+func (d *Direct) StoreChanged(now time.Time, store *KeptStore, salt, part string, held bool) {
 	key := keptKey(store, hashOf(salt), hashOf(part))
-	one, _ := d.kept.parts.Peek(key)
+	one, known := d.kept.parts.Peek(key)
+	if known && !held {
+		d.kept.noteDrop(now, one)
+	}
 	one.listed, one.dropped = held, !held
 	d.kept.parts.Add(key, one)
 }
