Entries that are cut off decide alone, at the server that owners would choose

Cause: an entry that is cut off from all others asked one owner after the other, 40 ms each. The owner was found by a key without the version of the weights, the server within its shard by one with it: entries that decided alone sent a prefix elsewhere. Change: after six misses in a row an entry asks each 0.2 s only (shard.Map.MayAsk); one key ranks servers and owners (HomeKey); owners hear a server's own load, which shows what others sent there. Longest pause of a stream in its last line.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -31,7 +31,7 @@
 // take decides what becomes of an answer.
 func (j *job) take(choice *routing.DirectChoice, response *upstream.Response, answer *call.Answer) result {
 	server := choice.Server.ID
-	j.load = answer.Load
+	j.load, j.hasLoad = answer.Load, answer.HasLoad
 	switch {
 	case answer.Refused():
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, heldBytes))
--- a/internal/gateway/owning.go
+++ b/internal/gateway/owning.go
@@ -181,6 +181,11 @@
 	if p.GetFirst() {
 		s.own.FirstToken(now, request)
 	}
+	if p.GetHasLoad() {
+		// What is in it beyond the requests that we placed came from entries that
+		// could not ask us.
+		s.own.Told(now, server, call.Load{Running: int(p.GetRunning()), Waiting: int(p.GetWaiting())})
+	}
 	if held := p.GetElsewhere(); held != nil {
 		s.own.WentElsewhere(now, request, s.holdingLocked(s.serviceOf(server), held))
 		return
--- a/internal/gateway/owning_test.go
+++ b/internal/gateway/owning_test.go
@@ -15,6 +15,7 @@
 	"github.com/jayproxy/jayproxy/internal/metrics"
 	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/shard"
+	"github.com/jayproxy/jayproxy/internal/weights"
 )
 
 var ownStart = time.Unix(1000, 0)
@@ -35,6 +36,7 @@
 		entries = append(entries, shard.Entry{Name: fmt.Sprint("gw", i), Address: fmt.Sprintf("10.1.0.%d:1", i), Cores: 1})
 	}
 	s.setOwners(entries)
+	s.nameVersion(ownStart, weights.Named{Model: "m", Version: 1}, "test")
 	return s
 }
 
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -163,14 +163,19 @@
 	}
 	progress := &jayv1.PlacementProgress{Key: one.GetKey(), Ended: true}
 	if instead != nil && instead.GetVersion() == one.GetVersion() {
-		progress.Elsewhere = &jayv1.Held{
-			Address: p.gateway.state.addressOf(instead.GetServer()), Version: instead.GetVersion(),
-			ReadyMs: instead.GetQueueMs() + instead.GetMemoryMs() + instead.GetReadMs(),
-		}
+		progress.Elsewhere = p.heldBy(instead)
 	}
 	p.report(one.owner, progress)
 }
 
+// heldBy an offered server from when it has read the prefix.
+func (p *placing) heldBy(one *offered) *jayv1.Held {
+	return &jayv1.Held{
+		Address: p.gateway.state.addressOf(one.GetServer()), Version: one.GetVersion(),
+		ReadyMs: one.GetQueueMs() + one.GetMemoryMs() + one.GetReadMs(),
+	}
+}
+
 // holderOf the prefix by an offer, for the next owner that is asked.
 func (p *placing) holderOf(one *offered) *jayv1.Held {
 	offer := routing.Offer{
@@ -242,7 +247,10 @@
 			ask.PartTokens = append(ask.PartTokens, uint32(part.Tokens)) //nolint:gosec // sizes
 		}
 	}
-	return ask, s.divisionLocked(now, j.service.Name).Asked(request.SharedHash())
+	if !s.shards.MayAsk(now) {
+		return ask, nil
+	}
+	return ask, s.divisionLocked(now, j.service.Name).Asked(request.HomeKey(s.book.Newest(ask.Model)))
 }
 
 // accept sends the request where it was offered, and counts it there. False: by
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,7 +59,8 @@
 	offer    *offered
 	evidence evidence
 	// load that the last server told with its answer.
-	load call.Load
+	load    call.Load
+	hasLoad bool
 	// failure is the server's own failure that is passed on when nothing better comes.
 	failure *finishedAnswer
 	outcome string
@@ -251,7 +252,7 @@
 	took := time.Since(j.arrived)
 	j.gateway.metrics.Time("request", j.class(), took)
 	klog.InfoS("Request ended", "request", j.head.ID, "route", j.class(), "outcome", j.outcome, "sends", j.sends, "tried", j.tried,
-		"events", j.stream.delivered, "firstMS", j.stream.firstAfter.Milliseconds(), "ms", took.Milliseconds(),
+		"events", j.stream.delivered, "firstMS", j.stream.firstAfter.Milliseconds(), "longestGapMS", j.stream.longestGap.Milliseconds(), "ms", took.Milliseconds(),
 		"serverRunning", j.load.Running, "serverWaiting", j.load.Waiting, "config", versionOf(j.table))
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,6 +33,18 @@
 	firstAfter time.Duration
 	// lastID of them, as the server wrote it.
 	lastID string
+	// lastAt is when the last of them came, longestGap the longest pause between
+	// two: a caller waits for the next event as for the first.
+	lastAt     time.Time
+	longestGap time.Duration
+}
+
+// noteGap takes in that an event came.
+func (s *streamState) noteGap(now time.Time) {
+	if !s.lastAt.IsZero() {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
 }
 
 // event is one whole event, with the blank line that ends it.
@@ -117,7 +129,9 @@
 	s.mu.Lock()
 	s.router.FirstToken(now, j.head.ID)
 	s.mu.Unlock()
-	j.tellOwner(&jayv1.PlacementProgress{First: true})
+	j.tellOwner(&jayv1.PlacementProgress{
+		First: true, HasLoad: j.hasLoad, Running: uint32(max(0, j.load.Running)), Waiting: uint32(max(0, j.load.Waiting)), //nolint:gosec // positive
+	})
 	j.stream.firstAfter = now.Sub(j.arrived)
 	j.gateway.metrics.Time("first_token", j.class(), j.stream.firstAfter)
 }
@@ -142,6 +156,7 @@
 		return err
 	}
 	j.stream.delivered++
+	j.stream.noteGap(time.Now())
 	if one.id != "" {
 		j.stream.lastID = one.id
 	}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -38,6 +38,8 @@
 	asking  bool
 	askedAt time.Time
 	offer   *offered
+	// alone: no owner answered, so that this entry looks for room by itself.
+	alone bool
 }
 
 // ask asks the owners for a server with room, for a request that waits.
@@ -46,7 +48,7 @@
 	s := w.job.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w.asking = false
+	w.asking, w.alone = false, errors.Is(err, errNoOffer)
 	switch {
 	case err != nil:
 		klog.V(1).InfoS("No room yet", "request", w.job.head.ID, "err", err)
@@ -60,7 +62,8 @@
 
 // placeLocked places a request that waits, if there is room for it.
 func (w *waiter) placeLocked(now time.Time, anyway bool) (routing.DirectChoice, error) {
-	if !w.job.gateway.sharded() || anyway && w.offer == nil {
+	if !w.job.gateway.sharded() || w.offer == nil && (anyway || w.alone) {
+		w.alone = false
 		return w.job.placeLocked(now, !anyway)
 	}
 	if offer := w.offer; offer != nil {
--- a/internal/routing/direct_offer.go
+++ b/internal/routing/direct_offer.go
@@ -83,18 +83,19 @@
 // for memory need not ask another owner.
 func GoodOffer(queueMS, memoryMS float64) bool { return queueMS+memoryMS <= goodWaitMS }
 
-// SharedHash names the shared prefix of a request under its wall, alike at every
-// entry and for every version of the weights. Requests without one are told
-// apart by their ids.
-func (r *DirectRequest) SharedHash() uint64 {
+// HomeKey is the key by which servers are ranked for a request's prefix under a
+// version of the weights: the owner of the first of them is asked, and an entry
+// that can't ask any sends the request to the same server. Requests without a
+// prefix are told apart by their ids.
+func (r *DirectRequest) HomeKey(version uint64) uint64 {
 	if len(r.Prefix) == 0 {
 		return hashOf(r.ID)
 	}
-	chain := hashOf(r.Wall)
+	chain := hashOf(Salt(version, r.Wall))
 	for _, part := range r.Prefix {
 		chain = Rendezvous(chain, hashOf(part.ID))
 	}
-	return chain
+	return uint64(levelKey(chain))
 }
 
 // SourceOfCode returns the source of a number that another entry told; those
--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -184,7 +184,7 @@
 		tokens += part.Tokens
 		hash := hashOf(part.ID)
 		chain = Rendezvous(chain, hash)
-		key := uint32(chain) | 1 //nolint:gosec // the low half of a hash; 0 is kept for none
+		key := levelKey(chain)
 		live, last := d.prefixes.live(now, key)
 		v.levels = append(v.levels, levelPlan{key: key, part: hash, tokens: tokens, holders: live})
 		v.last = last
@@ -193,6 +193,9 @@
 	return v
 }
 
+// levelKey of a chain of parts under their salt; 0 is kept for none.
+func levelKey(chain uint64) uint32 { return uint32(chain) | 1 } //nolint:gosec // the low half of a hash
+
 // planStore finds out what the prefix's store should have of it.
 func (d *Direct) planStore(now time.Time, stores []KeptStore, salt uint64, v *versionPlan) {
 	if v.store = storeOf(stores, v.deepest()); v.store == nil {
--- a/internal/routing/fleetmodel_test.go
+++ b/internal/routing/fleetmodel_test.go
@@ -238,7 +238,7 @@
 	var best routing.DirectChoice
 	r.owner = nil
 	err := routing.ErrNoRoom
-	for _, entry := range f.division.Asked(request.SharedHash()) {
+	for _, entry := range f.division.Asked(request.HomeKey(1)) {
 		owner := f.owners[entry.Name]
 		if r.owner != nil && best.Source == routing.SourceHeld {
 			owner.HearHolder(modelTime(now), request, routing.Holding{Server: best.Server.ID, Address: best.Server.Address, Version: best.Server.Version})
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -73,8 +73,20 @@
 	pause time.Duration
 }
 
+const (
+	// cutOffAfter misses in a row of whatever owners an entry takes itself to be cut
+	// off from all: each question would cost its request the time of an answer.
+	cutOffAfter = 6
+	// probePause between two questions meanwhile.
+	probePause = 200 * time.Millisecond
+)
+
 // Map tells who owns what.
 type Map struct {
+	// misses in a row of all owners; probeAt is when the next question may go out
+	// in spite of them.
+	misses    int
+	probeAt   time.Time
 	entries   []Entry
 	silent    map[string]*silence
 	divisions map[string]*Division
@@ -101,6 +113,7 @@
 // Missed takes in that an owner did not answer in time. True: it is passed over
 // from now on.
 func (m *Map) Missed(now time.Time, name string) bool {
+	m.misses++
 	s := m.silent[name]
 	if s == nil {
 		s = &silence{since: now}
@@ -118,6 +131,7 @@
 
 // Answered takes in that an owner answered.
 func (m *Map) Answered(name string) {
+	m.misses = 0
 	s := m.silent[name]
 	if s == nil {
 		return
@@ -128,6 +142,19 @@
 	}
 }
 
+// MayAsk tells whether owners may be asked now; an entry that is cut off from all
+// of them tries only now and then.
+func (m *Map) MayAsk(now time.Time) bool {
+	if m.misses < cutOffAfter {
+		return true
+	}
+	if now.Before(m.probeAt) {
+		return false
+	}
+	m.probeAt = now.Add(probePause)
+	return true
+}
+
 // Division returns who owns which of a service's servers. generation names the
 // list that hashes returns: the rendezvous hashes of the servers, in its order.
 func (m *Map) Division(now time.Time, service string, generation uint64, hashes func() []uint64) *Division {
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -114,6 +114,27 @@
 	assert.Equal(t, name, division(again.Add(1600 * time.Millisecond)).Asked(7)[0].Name, "a late answer shows that it is there")
 }
 
+// An entry was cut off from all others. Each of its requests waited for one owner
+// after the other.
+func TestAnEntryThatIsCutOffDecidesAlone(t *testing.T) {
+	m := mapOf(entriesOf("e", 30, 1))
+	now := start
+	for i := range cutOff {
+		assert.True(t, m.MayAsk(now), i)
+		m.Missed(now, fmt.Sprint("e", i))
+		now = now.Add(time.Millisecond)
+	}
+	assert.True(t, m.MayAsk(now), "it tries now and then")
+	assert.False(t, m.MayAsk(now))
+	assert.True(t, m.MayAsk(now.Add(time.Second)))
+	m.Answered("e20")
+	assert.True(t, m.MayAsk(now.Add(time.Second)))
+	assert.True(t, m.MayAsk(now.Add(time.Second)), "somebody answers")
+}
+
+// cutOff is how many misses in a row show it.
+const cutOff = 6
+
 // All entries ask the same two owners for a prefix, whatever order they heard of
 // each other in.
 func TestAllEntriesAskAlike(t *testing.T) {
