--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,19 +8,16 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
-	"sort"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rotisserie/eris"
-	"github.com/zeebo/xxh3"
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
-	"github.com/jayproxy/jayproxy/internal/shard"
 	"github.com/jayproxy/jayproxy/internal/upstream"
 	"github.com/jayproxy/jayproxy/internal/weights"
 )
@@ -102,64 +99,6 @@
 	p.seeds = seeds
 }
 
-// contenders are the entries that try for the lease first, this one left out.
-func (p *peers) contenders() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	keys := make([]rankKey, 0, len(p.named))
-	for node, entry := range p.named {
-		keys = append(keys, rankKey{cores: entry.Cores, hash: xxh3.HashString(node), address: entry.Address})
-	}
-	sort.Slice(keys, func(i, j int) bool { return keys[i].before(keys[j]) })
-	var addresses []string
-	for _, key := range keys[:min(len(keys), contenders+1)] {
-		if key.address != p.self {
-			addresses = append(addresses, key.address)
-		}
-	}
-	return addresses
-}
-
-// owners are all entries, as those that may own shards.
-func (p *peers) owners() []shard.Entry {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	entries := make([]shard.Entry, 0, len(p.named))
-	for node, entry := range p.named {
-		entries = append(entries, shard.Entry{Name: node, Address: entry.Address, Cores: entry.Cores})
-	}
-	return entries
-}
-
-// strongCores is the least that an entry has which does work for others.
-func (p *peers) strongCores() float64 {
-	most := 0.0
-	for _, entry := range p.named {
-		most = max(most, entry.Cores)
-	}
-	return shard.StrongShare * most
-}
-
-// strong counts the entries that do work for others.
-func (p *peers) strong() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	least, n := p.strongCores(), 0
-	for _, entry := range p.named {
-		if entry.Cores >= least {
-			n++
-		}
-	}
-	return max(1, n)
-}
-
-// isStrong tells whether this entry is one of them.
-func (p *peers) isStrong() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.named[p.node].Cores >= p.strongCores()
-}
-
 // count of entries by their rows, this one included.
 func (p *peers) count() int {
 	p.mu.Lock()
@@ -167,55 +106,6 @@
 	return max(1, len(p.named))
 }
 
-const (
-	// storeReaders of all entries ask the store itself: each of its calls has a
-	// price. One of them may be cut off and another stop at the same time.
-	storeReaders = 3
-	// relaysPerDataCentre entries read from those for the others there: a word to a
-	// data centre crosses to it that often.
-	relaysPerDataCentre = 2
-)
-
-// rank of this entry among those that keep says, the strongest VMs first: what
-// the first of them do for all others takes a weak one from its callers. -1 when
-// it is not one of them. All entries with the same rows rank alike.
-func (p *peers) rank(keep func(entryRow) bool) (rank int, before []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	own := xxh3.HashString(p.node)
-	self, known := p.named[p.node]
-	if !known {
-		return -1, nil
-	}
-	mine := rankKey{cores: self.Cores, hash: own}
-	var ahead []rankKey
-	for node, entry := range p.named {
-		key := rankKey{cores: entry.Cores, hash: xxh3.HashString(node), address: entry.Address}
-		if node != p.node && keep(entry) && key.before(mine) {
-			ahead = append(ahead, key)
-		}
-	}
-	sort.Slice(ahead, func(i, j int) bool { return ahead[i].before(ahead[j]) })
-	for _, o := range ahead {
-		before = append(before, o.address)
-	}
-	return len(ahead), before
-}
-
-// rankKey places an entry among the others.
-type rankKey struct {
-	cores   float64
-	hash    uint64
-	address string
-}
-
-func (k rankKey) before(other rankKey) bool {
-	if k.cores != other.cores {
-		return k.cores > other.cores
-	}
-	return k.hash < other.hash
-}
-
 // downTime is how long an entry that did not answer as a relay is passed over.
 // The row of an entry that is lost for good stays; asked first each time, it
 // would hold up every read of the list by a time-out.
@@ -228,30 +118,6 @@
 	p.downUntil[address] = now.Add(downTime)
 }
 
-// relays are the entries that this one reads the store's tables from; none when
-// it asks the store itself. The first few of the fleet ask the store, the first of
-// each data centre ask those, and the others ask the first of theirs.
-func (p *peers) relays(now time.Time) []string {
-	answers := func(e entryRow) bool { return !now.Before(p.downUntil[e.Address]) }
-	rank, before := p.rank(func(e entryRow) bool { return e.DataCentre == p.dataCentre && answers(e) })
-	if rank >= relaysPerDataCentre {
-		return before[:relaysPerDataCentre]
-	}
-	rank, before = p.rank(answers)
-	if rank >= storeReaders {
-		return before[:storeReaders]
-	}
-	return nil
-}
-
-// placed tells whether this entry's own row was seen.
-func (p *peers) placed() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, ok := p.named[p.node]
-	return ok
-}
-
 // agedBatch is a batch with how long ago the store itself told it.
 type agedBatch struct {
 	mirror.Batch
--- /dev/null
+++ b/internal/gateway/ranks.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/jayproxy/jayproxy/internal/shard"
+)
+
+// Who does what for others, by the rows of all entries: entries with the same rows
+// find the same ones, so that nothing is agreed on or kept.
+
+const (
+	// storeReaders of all entries ask the store itself: each of its calls has a
+	// price. One of them may be cut off and another stop at the same time.
+	storeReaders = 3
+	// relaysPerDataCentre entries read from those for the others there: a word to a
+	// data centre crosses to it that often.
+	relaysPerDataCentre = 2
+)
+
+// ranked is a place among the entries.
+type ranked struct {
+	node, address string
+	cores         float64
+	hash          uint64
+}
+
+// compare puts the strongest VMs first: what the first of them do for all others
+// takes a weak one from its callers.
+func (r ranked) compare(other ranked) int {
+	if order := cmp.Compare(other.cores, r.cores); order != 0 {
+		return order
+	}
+	return cmp.Compare(r.hash, other.hash)
+}
+
+// inOrder are this entry, where its row was seen, and those others that keep says.
+func (p *peers) inOrder(keep func(entryRow) bool) []ranked {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []ranked
+	for node, entry := range p.named {
+		if node == p.node || keep(entry) {
+			all = append(all, ranked{node: node, address: entry.Address, cores: entry.Cores, hash: xxh3.HashString(node)})
+		}
+	}
+	slices.SortFunc(all, ranked.compare)
+	return all
+}
+
+// rank of this entry among those that keep says, and the addresses of those before
+// it; -1 when its own row was not seen.
+func (p *peers) rank(keep func(entryRow) bool) (rank int, before []string) {
+	for i, entry := range p.inOrder(keep) {
+		if entry.node == p.node {
+			return i, before
+		}
+		before = append(before, entry.address)
+	}
+	return -1, nil
+}
+
+// everyEntry keeps all of them.
+func everyEntry(entryRow) bool { return true }
+
+// relays are the entries that this one reads the store's tables from; none when
+// it asks the store itself. The first few of the fleet ask the store, the first of
+// each data centre ask those, and the others ask the first of theirs.
+func (p *peers) relays(now time.Time) []string {
+	answers := func(e entryRow) bool { return !now.Before(p.downUntil[e.Address]) }
+	rank, before := p.rank(func(e entryRow) bool { return e.DataCentre == p.dataCentre && answers(e) })
+	if rank >= relaysPerDataCentre {
+		return before[:relaysPerDataCentre]
+	}
+	rank, before = p.rank(answers)
+	if rank >= storeReaders {
+		return before[:storeReaders]
+	}
+	return nil
+}
+
+// placed tells whether this entry's own row was seen.
+func (p *peers) placed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.named[p.node]
+	return ok
+}
+
+// nextHolders are the addresses of the entries that try for the lease of orders
+// first, this one left out.
+func (p *peers) nextHolders() []string {
+	first := p.inOrder(everyEntry)
+	var addresses []string
+	for _, entry := range first[:min(len(first), contenders+1)] {
+		if entry.node != p.node {
+			addresses = append(addresses, entry.address)
+		}
+	}
+	return addresses
+}
+
+// owners are all entries, as those that may own shards.
+func (p *peers) owners() []shard.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entries := make([]shard.Entry, 0, len(p.named))
+	for node, entry := range p.named {
+		entries = append(entries, shard.Entry{Name: node, Address: entry.Address, Cores: entry.Cores})
+	}
+	return entries
+}
+
+// strongCores is the least that an entry has which does work for others.
+func (p *peers) strongCores() float64 {
+	most := 0.0
+	for _, entry := range p.named {
+		most = max(most, entry.Cores)
+	}
+	return shard.StrongShare * most
+}
+
+// strong counts the entries that do work for others.
+func (p *peers) strong() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	least, n := p.strongCores(), 0
+	for _, entry := range p.named {
+		if entry.Cores >= least {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+// isStrong tells whether this entry is one of them.
+func (p *peers) isStrong() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.named[p.node].Cores >= p.strongCores()
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -67,7 +67,7 @@
 // a large fleet looked at the lease while new weights went round as they should:
 // 732 of 1,090 calls to the store on a quiet day.
 func (g *Gateway) contends() bool {
-	rank, _ := g.peers.rank(func(entryRow) bool { return true })
+	rank, _ := g.peers.rank(everyEntry)
 	if rank >= 0 && rank < contenders {
 		return true
 	}
--- a/internal/gateway/switches.go
+++ b/internal/gateway/switches.go
@@ -52,7 +52,7 @@
 		g.peers.tell(ctx, g.peers.all(), news)
 		return
 	}
-	g.peers.tell(ctx, g.peers.contenders(), news)
+	g.peers.tell(ctx, g.peers.nextHolders(), news)
 	words := switchWords(news)
 	owners := g.ownerAddresses()
 	g.tellTwice(ctx, owners, words)
