--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -101,6 +101,7 @@
 	return ""
 }
 
+// await waits for an owner's answer; nil: there is none in time.
 func (p *placing) await(ctx context.Context, key uint64, answer chan *jayv1.PlacementOffer) *jayv1.PlacementOffer {
 	timer := time.NewTimer(askTime)
 	defer timer.Stop()
@@ -152,6 +153,7 @@
 	// Evidence on the server is known here already.
 	g.state.progress(time.Now(), &jayv1.PlacementProgress{
 		Key: progress.GetKey(), First: progress.GetFirst(), Ended: progress.GetEnded(), Elsewhere: progress.GetElsewhere(),
+		HasLoad: progress.GetHasLoad(), Running: progress.GetRunning(), Waiting: progress.GetWaiting(),
 	})
 }
 
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -12,6 +12,7 @@
 	"github.com/jayproxy/jayproxy/internal/fleet"
 	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/rollout"
+	"github.com/jayproxy/jayproxy/internal/shard"
 )
 
 const (
@@ -46,8 +47,9 @@
 	fence   uint64
 	// beatAt is when the others were last shown that the holder works.
 	beatAt time.Time
-	// started is when this process began to hear what other holders order.
-	started time.Time
+	// started is when this process began to hear what other holders order, heldAt
+	// when it took the lease.
+	started, heldAt time.Time
 }
 
 func (g *Gateway) startRollouts(ctx context.Context) {
@@ -86,7 +88,7 @@
 // mayAct tells whether this entry gives orders now. One that started less than
 // a lease ago may not have heard what an earlier holder ordered, and a server
 // must not see two holders by turns: it waits, unless it is the first holder
-// of all. One that heard leaves just those servers alone (state.orderedAt).
+// of all. One that is told of no orders waits from when it took the lease. One that heard leaves just those servers alone (state.orderedAt).
 func (r *rollouts) mayAct(now time.Time) bool {
 	fence, held := r.gateway.keeper.Held()
 	r.mu.Lock()
@@ -97,9 +99,25 @@
 	}
 	if fence != r.fence {
 		klog.InfoS("Lease held", "lease", rolloutLease, "fence", fence, "inherited", r.gateway.keeper.Inherited())
-		r.fence, r.plans = fence, map[string]*rollout.Plan{}
+		r.fence, r.plans, r.heldAt = fence, map[string]*rollout.Plan{}, now
 	}
-	return !r.gateway.keeper.Inherited() || now.Sub(r.started) >= r.gateway.settings.LeaseTime
+	since := r.started
+	if !r.gateway.hearsOrders(now) {
+		since = r.heldAt
+	}
+	return !r.gateway.keeper.Inherited() || now.Sub(since) >= r.gateway.settings.LeaseTime
+}
+
+// hearsOrders tells whether this entry is told of the orders of other holders: in
+// large fleets the owners of shards are, and those that contend first.
+func (g *Gateway) hearsOrders(now time.Time) bool {
+	if !g.sharded() {
+		return true
+	}
+	if rank, _ := g.peers.rank(everyEntry); rank >= 0 && rank <= contenders {
+		return true
+	}
+	return slices.ContainsFunc(g.state.owners(now), func(o shard.Entry) bool { return o.Name == g.settings.Node })
 }
 
 func (r *rollouts) step(ctx context.Context, now time.Time, model rollingModel) {
