A prompt whose shared parts have no tokens no longer ends the process

Cause: with nothing to hold every server holds all of the prefix, and the look at its store met none where the deployment has none.

--- /dev/null
+++ b/internal/gateway/datagrams_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/metrics"
+)
+
+// Whatever comes to the port, the process goes on: a word may be of another
+// version of the program, or of nobody that it knows.
+func FuzzDatagram(f *testing.F) {
+	for _, word := range []*jayv1.Datagram{
+		{Body: &jayv1.Datagram_Ask{Ask: askFor(1, "aa")}},
+		{Body: &jayv1.Datagram_Progress{Progress: &jayv1.PlacementProgress{Key: 1, First: true, Elsewhere: &jayv1.Held{Address: "10.0.0.1:1"}}}},
+		{Body: &jayv1.Datagram_Offer{Offer: &jayv1.PlacementOffer{Key: 1, Outcome: jayv1.PlacementOffer_OUTCOME_SERVER}}},
+		{Body: &jayv1.Datagram_Hints{Hints: &jayv1.Hints{Prefix: []uint32{1}, PrefixServer: []uint32{2}, PrefixReadyMs: []uint32{3}}}},
+		{Body: &jayv1.Datagram_Switches{Switches: &jayv1.SwitchNews{Switches: []*jayv1.Switch{{Server: 1, Version: 2}}}}},
+		{},
+	} {
+		text, err := proto.Marshal(word)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		word := &jayv1.Datagram{}
+		if proto.Unmarshal(text, word) != nil {
+			return
+		}
+		g := &Gateway{settings: Settings{Node: "gw1"}, state: newOwner("gw1"), metrics: metrics.New(8), peers: newPeers(Settings{Node: "gw1"})}
+		g.placing, g.hints, g.datagrams = newPlacing(g), &hints{gateway: g}, &datagrams{gateway: g}
+		g.datagrams.take(word, nil)
+		g.datagrams.take(word, nil)
+	})
+}
--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -295,7 +295,7 @@
 
 // storeAddress of the prefix's store if it should have so many tokens of it.
 func (v *versionPlan) storeAddress(tokens int) string {
-	if v.stored < tokens {
+	if v.store == nil || v.stored < tokens {
 		return ""
 	}
 	return v.store.Address
--- a/internal/routing/direct_test.go
+++ b/internal/routing/direct_test.go
@@ -196,3 +196,14 @@
 		})
 	}
 }
+
+// A caller named shared parts of no token at all, on a deployment without a store
+// of kept cache: the process ended at the look at a store that is not there.
+func TestPartsWithoutTokensAreServed(t *testing.T) {
+	d, servers := newDirect(), directServers(2)
+	req := prompt("r1", "contract")
+	for i := range req.Prefix {
+		req.Prefix[i].Tokens = 0
+	}
+	assert.NotEmpty(t, choose(t, d, 0, req, servers).Server.ID)
+}
