--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -49,20 +49,23 @@
 
 ## The gateway on the users' platform
 
-Worked out by hand from runs of 4, 5 and 31 entries (12, 9 and 56 engines); not run at the size of two years.
+Worked out by hand from runs of 4, 5, 31 and 103 entries (12, 9, 56 and 180 engines) and from benchmarks; not run at the size of two years.
 
 | what | measured | at 810 entries, 7,000 backend servers | bound | verdict | mechanism |
 |---|---|---|---|---|---|
-| one decision | 13, 14, 16 microseconds at 12, 56, 318 servers (` + "`go test -run xxx -bench DirectChoice ./internal/routing`" + `) | 318 servers a data centre: 16 | 10 | **short** | few servers scored; the filter still looks at all |
-| processor, requests and control | 0.011, 0.015, 0.024 cores at 5, 4, 31 entries with about 25, 36 and 13 requests/s an entry; 0.030 at 31 entries with 18 | not separated | 1.4% for control | not measured | |
-| memory of a process | 10.4, 11.6, 23.5 MB peak | list and routes: under 64 MB by the entries' slope above | 64 MB | not measured | one immutable table, bounded beliefs |
-| calls to the store, all entries | 9 to 11/s at 4 and 5 entries, 15/s at 31 (27/s before others looked at the lease only while nobody is heard) | 44 relays: about 60/s | 2,000/s | holds | two relays a data centre, waiting feeds, two contenders |
-| list of backend servers, a relay | a row of about 300 bytes a heartbeat: 3 KB/s at 15 servers | 7,000 heartbeats in 1.2 s: 1.7 MB/s | 2 KB/s | **does not hold** | needs a list by data centre, or changes without heartbeats |
+| one decision, up to 26 entries | 13, 14, 16 microseconds at 12, 56, 318 servers (` + "`go test -run xxx -bench DirectChoice ./internal/routing`" + `) | not used there | 10 | | few servers scored; the filter looks at all |
+| one decision, an owner's | 10.5 microseconds at the 12 servers of a shard (` + "`-bench DirectChoice`" + `) | 9 servers a shard: 10.5 at most | 10 | **short** | shards of eight servers or more |
+| who is asked, each request | 0.5, 2.3, 16.6 microseconds at 180, 1,000, 7,000 servers (` + "`go test -run xxx -bench Asked ./internal/shard`" + `) | 160 requests/s: 0.27% of a core | | | looks at all servers |
+| who owns what, each change of the list | 0.009, 0.23, 8.7 ms at 180, 1,000, 7,000 servers and 15, 100, 810 owners (` + "`-bench Division`" + `) | three batches of changes a second while weights go round: 2.6% of a core | 1.4% | **does not hold** | owners by server could be kept while the owners stay; a list by data centre |
+| questions, offers and progress | four datagrams a request of 43 to 118 bytes with headers, 300 bytes together, some 250 more where a second owner is asked (` + "`go test -v -run WordsOnARequest ./internal/gateway`" + `): 3 to 6 KB/s at 10 requests/s, at any number of entries | 160 requests/s: 48 to 88 KB/s, part of the requests (0.3 KB beside a body of 12 KB) | | | a request asks one owner, at times two |
+| processor, requests and control | 0.011, 0.015, 0.024, 0.0185 cores at 5, 4, 31, 103 entries with about 25, 36, 13 and 15 requests/s an entry | not separated | 1.4% for control | not measured | |
+| memory of a process | 10.4, 11.6, 23.5, 24.3 MB peak at 5, 4, 31, 103 entries (69 MB at 103 when all was told to all) | list and routes: under 64 MB by the entries' slope above | 64 MB | not measured | one immutable table, bounded beliefs |
+| calls to the store, all entries | 9 to 11/s at 4 and 5 entries, 15/s at 31, 19/s at 103 (57/s before), starts included | three readers: about 20/s besides the entries' own rows | 2,000/s | holds | three readers, two relays a data centre, waiting feeds, two contenders |
+| list of backend servers, a reader | a row of about 300 bytes a heartbeat: 3 KB/s at 15 servers | 7,000 heartbeats in 1.2 s: 1.7 MB/s | 2 KB/s | **does not hold** | needs a list by data centre, or changes without heartbeats; three entries bear it |
 | list, the other entries | changes without heartbeats only | some changes a minute | 2 KB/s | holds | relays hand on what matters |
-| memory of engines, told | 6 bytes a server in use each 0.5 s, 12 a larger request; within the budget of hints | within it: fewer are told when it is short, and entries that tell nothing are guessed | 2 KB/s | **does not hold** | as hints |
-| hints of an entry | at most 1.3 KB/s for each other entry, 32 KB/s in all | 36 others of its data centre: 32 KB/s | 2 KB/s | **does not hold** | 2 KB/s in all earned 0.776 where 4 KB/s earned 0.796 (4 entries); needs recipients by prefix |
-| stores of kept cache, asked by an entry | each 0.5 s, and 0.05 s more for each entry: 1 to 2 KB/s at 5 entries and one store | each 40 s: 0.1 KB/s, and 20 questions a second at a store | 2 KB/s | holds, but what a store dropped is known late | pause that grows with the entries; relays could tell the others |
-| prefixes sent to stores, told | 4 bytes a save, within the budget of hints | within it | 2 KB/s | **does not hold** | as hints |
+| news of rollouts, an owner | about 90 bytes a server and version, twice | 7,000 servers: 0.6 MB for each version | 2 KB/s | holds up to one version in five minutes | to owners only; could go to the owner of the server only |
+| hints of an entry, up to 26 entries | at most 1.3 KB/s for each other entry, 32 KB/s in all | none are sent | 2 KB/s | holds there | owners of shards instead |
+| stores of kept cache, asked by an owner | each 0.5 s, or 0.05 s for each strong entry where that is longer | each 40 s: 0.1 KB/s, and 20 questions a second at a store | 2 KB/s | holds, but what a store dropped is known late | pause that grows with those that ask |
 | a configuration in force | one feed, 0.35 s more through a relay | the same | 5 s | holds while the store is up | |
 `
 
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -160,9 +160,29 @@
 	assert.NotSame(t, first, m.Division(start, "models", 2, serverHashes(50)))
 }
 
+// sizes of fleets: servers and owners.
+var sizes = []struct{ servers, owners int }{{180, 15}, {1000, 100}, {7000, 810}}
+
+// BenchmarkAsked is what a request costs the entry that asks.
 func BenchmarkAsked(b *testing.B) {
-	d := mapOf(entriesOf("e", 15, 1)).Division(start, "models", 1, serverHashes(180))
-	for i := range b.N {
-		d.Asked(uint64(i)) //nolint:gosec // a count
+	for _, size := range sizes {
+		d := mapOf(entriesOf("e", size.owners, 1)).Division(start, "models", 1, serverHashes(size.servers))
+		b.Run(fmt.Sprint(size.servers), func(b *testing.B) {
+			for i := range b.N {
+				d.Asked(uint64(i)) //nolint:gosec // a count
+			}
+		})
+	}
+}
+
+// BenchmarkDivision is what a change of the list costs each entry.
+func BenchmarkDivision(b *testing.B) {
+	for _, size := range sizes {
+		m, hashes := mapOf(entriesOf("e", size.owners, 1)), serverHashes(size.servers)()
+		b.Run(fmt.Sprint(size.servers), func(b *testing.B) {
+			for i := range b.N {
+				m.Division(start, "models", uint64(i)+2, func() []uint64 { return hashes }) //nolint:gosec // a count
+			}
+		})
 	}
 }
