A waiting call shows nothing of its table's age; small fleets read the store as before

Cause: a reader of the store was cut off (node_cut, 1 to 13 s) while its call waited for changes. Until that call ended, 20 s at most, it gave its table as fresh, to the relay of the data centre and all behind it. With ten readers the same gap stood; with three more depend on each. Change: the age of a table that a call waits for is that of the list, which is read all the while; how old is too old follows from the pause of that reading and the steps between (1.35 s and 1.7 s there); below 27 entries the first of each data centre read the store as before.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -21,10 +21,11 @@
 	backendPauseShare = 0.35
 	// callTime bounds a call beyond what it waits on purpose.
 	callTime = 1200 * time.Millisecond
-	// relayPause between two reads from another entry, and relayFresh how long ago
-	// the store itself may have been heard from, over all entries between.
-	relayPause = 350 * time.Millisecond
-	relayFresh = 1800 * time.Millisecond
+	// relayPause between two reads from another entry, and relayMargin for processes
+	// that wait for their processor: with the pause between two reads of the list
+	// they bound how long ago the store may have been heard from.
+	relayPause  = 350 * time.Millisecond
+	relayMargin = 300 * time.Millisecond
 	// entriesPause between two reads of the entries' rows. When all entries start,
 	// each row that is written ends every call that waits for changes: 103 entries
 	// made more than a thousand calls in their first second.
@@ -98,15 +99,38 @@
 	return f.copy.Since(after)
 }
 
-// age is how long ago the store was last heard from. A call that waits for
-// changes hears from it with every change only, but ends when the store is lost.
+// age is how long ago the store was last heard from.
 func (f *feed) age(now time.Time) time.Duration {
-	if f.wait > 0 && !f.failing.Load() {
-		return 0
-	}
 	return now.Sub(time.Unix(0, f.lastGood.Load()))
 }
 
+// tableAge is how old a table may be. A call that waits for changes hears from the
+// store with every change only, and hangs for as long when this entry is cut off:
+// what shows that is the list of servers, which is read all the while. Without it
+// an entry that was cut off gave an old configuration as fresh, to all that read
+// from it.
+func (g *Gateway) tableAge(now time.Time, f *feed) time.Duration {
+	age := f.age(now)
+	for _, gauge := range g.feeds {
+		if gauge.table == g.ports.Decoder.BackendTable && f.wait > 0 {
+			age = min(age, gauge.age(now))
+		}
+	}
+	return age
+}
+
+// relayFresh is how long ago the store may have been heard from by what a relay
+// gives that has so many entries between itself and the store. The less, the sooner
+// another one is asked: a configuration must be in force within its bound.
+func (g *Gateway) relayFresh(between int) time.Duration {
+	return g.backendPause() + time.Duration(between)*relayPause + relayMargin
+}
+
+// backendPause is between two reads of the list by one that asks the store.
+func (g *Gateway) backendPause() time.Duration {
+	return time.Duration(float64(g.settings.DrainBound) * backendPauseShare)
+}
+
 // take applies a batch, in order with any other.
 func (f *feed) take(batch mirror.Batch, source string) {
 	f.mu.Lock()
@@ -118,7 +142,7 @@
 // follow starts all that runs beside the requests.
 func (g *Gateway) follow(ctx context.Context) {
 	operators := &feed{table: g.ports.Decoder.OperatorTable, wait: operatorWait, apply: g.applyOperator}
-	backends := &feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: time.Duration(float64(g.settings.DrainBound) * backendPauseShare), apply: g.applyBackends}
+	backends := &feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: g.backendPause(), apply: g.applyBackends}
 	entries := &feed{table: g.ports.Decoder.EntryTable, wait: operatorWait, pause: entriesPause, apply: g.applyEntries}
 	g.feeds = []*feed{operators, backends, entries}
 	placed := time.Now().Add(placeWait)
@@ -215,12 +239,13 @@
 // every entry asking by itself the store's calls grow with the fleet.
 func (g *Gateway) throughRelay(ctx context.Context, f *feed) relayed {
 	outcome := relayNone
-	for _, relay := range g.peers.relays(time.Now()) {
+	relays, between := g.peers.relays(time.Now())
+	for _, relay := range relays {
 		batch, err := g.peers.table(ctx, relay, f.table, f.version())
 		if err != nil && ctx.Err() == nil {
 			g.peers.didNotAnswer(time.Now(), relay)
 		}
-		if err != nil || batch.AgeMS > relayFresh.Milliseconds() || batch.Version == 0 {
+		if err != nil || batch.AgeMS > g.relayFresh(between).Milliseconds() || batch.Version == 0 {
 			g.metrics.Count("relay_failed", f.table, 1)
 			if err == nil && batch.Version > 0 {
 				outcome = relayAged
--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -78,3 +78,19 @@
 	assert.False(t, g.feeds[0].failing.Load())
 	assert.Greater(t, g.feeds[0].age(time.Now()), 90*time.Millisecond, "as old as the relay's")
 }
+
+// An entry that reads for the others was cut off from the store while it waited for
+// changes. It gave its old configuration as fresh for as long as that call hung, and
+// a key that had been taken away went on to work at all that read from it.
+func TestAWaitingCallShowsNothingOfItsTablesAge(t *testing.T) {
+	g, _ := behindRelays(t, 100, 0)
+	now := time.Now()
+	list := &feed{table: "servers"}
+	list.lastGood.Store(now.Add(-3 * time.Second).UnixNano())
+	waiting := &feed{table: "op", wait: operatorWait}
+	waiting.lastGood.Store(now.Add(-10 * time.Second).UnixNano())
+	g.feeds = []*feed{waiting, list}
+	assert.InDelta(t, 3000, g.tableAge(now, waiting).Milliseconds(), 1, "the list shows that the store is away")
+	list.lastGood.Store(now.Add(-100 * time.Millisecond).UnixNano())
+	assert.Less(t, g.tableAge(now, waiting), time.Second, "it waits, and the store is there")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,7 +188,7 @@
 func (g *Gateway) gauges(now time.Time) {
 	for _, f := range g.feeds {
 		g.metrics.Gauge("belief_version", f.table, int64(f.version())) //nolint:gosec // a count
-		g.metrics.Gauge("belief_age_ms", f.table, f.age(now).Milliseconds())
+		g.metrics.Gauge("belief_age_ms", f.table, g.tableAge(now, f).Milliseconds())
 	}
 	s := g.state
 	s.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -196,7 +196,7 @@
 	}
 	for _, f := range g.feeds {
 		if f.table == c.Param("table") {
-			return c.JSON(http.StatusOK, agedBatch{Batch: f.since(after), AgeMS: f.age(time.Now()).Milliseconds()})
+			return c.JSON(http.StatusOK, agedBatch{Batch: f.since(after), AgeMS: g.tableAge(time.Now(), f).Milliseconds()})
 		}
 	}
 	return c.NoContent(http.StatusNotFound)
--- a/internal/gateway/ranks.go
+++ b/internal/gateway/ranks.go
@@ -67,20 +67,27 @@
 // everyEntry keeps all of them.
 func everyEntry(entryRow) bool { return true }
 
-// relays are the entries that this one reads the store's tables from; none when
-// it asks the store itself. The first few of the fleet ask the store, the first of
-// each data centre ask those, and the others ask the first of theirs.
-func (p *peers) relays(now time.Time) []string {
+// relays are the entries that this one reads the store's tables from, and how many
+// there are between those and the store; none when it asks the store itself. In
+// large fleets the first few ask the store, the first of each data centre ask those,
+// and the others ask the first of theirs. In small ones the first of each data
+// centre ask the store: that is few calls, and a bound of two seconds is kept with
+// no second step between.
+func (p *peers) relays(now time.Time) (relays []string, between int) {
 	answers := func(e entryRow) bool { return !now.Before(p.downUntil[e.Address]) }
 	rank, before := p.rank(func(e entryRow) bool { return e.DataCentre == p.dataCentre && answers(e) })
+	large := p.count() > tellAllAtMost
 	if rank >= relaysPerDataCentre {
-		return before[:relaysPerDataCentre]
+		if large {
+			between = 1
+		}
+		return before[:relaysPerDataCentre], between
 	}
 	rank, before = p.rank(answers)
-	if rank >= storeReaders {
-		return before[:storeReaders]
+	if large && rank >= storeReaders {
+		return before[:storeReaders], 0
 	}
-	return nil
+	return nil, 0
 }
 
 // placed tells whether this entry's own row was seen.
