One rule for strong entries, one way to encode a datagram, one way into the list

Found by reading the whole change once more: which entries are strong was worked out in internal/shard and again in gateway/ranks.go; datagrams were encoded and bounded in send and again in tellAll; addresses of entries became targets in three loops; one entry of the list went another way than many. Change: shard.Strong, datagrams.encode and addressesOf, putBackend as a batch of one. Behaviour as before; an entry whose own row was not seen, in a fleet where none tells its cores, no longer takes itself for a strong one (it owns nothing there).

--- a/internal/gateway/datagrams.go
+++ b/internal/gateway/datagrams.go
@@ -67,17 +67,40 @@
 	return &net.UDPAddr{IP: ip, Port: d.conn.LocalAddr().(*net.UDPAddr).Port}
 }
 
-// send tells one entry.
-func (d *datagrams) send(to *net.UDPAddr, word *jayv1.Datagram) error {
-	if d.conn == nil || to == nil {
-		return errNoDatagrams
+// addressesOf entries that are called at control addresses; others are left out.
+func (d *datagrams) addressesOf(controls []string) []*net.UDPAddr {
+	var addresses []*net.UDPAddr
+	for _, control := range controls {
+		if address := d.addressOf(control); address != nil {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// encode makes the bytes of a word.
+func (d *datagrams) encode(word *jayv1.Datagram) ([]byte, error) {
+	if d.conn == nil {
+		return nil, errNoDatagrams
 	}
 	text, err := proto.Marshal(word)
 	if err != nil {
-		return eris.Wrap(err, "encode datagram")
+		return nil, eris.Wrap(err, "encode datagram")
 	}
 	if len(text) > maxDatagram {
-		return eris.Errorf("datagram of %d bytes is too long", len(text))
+		return nil, eris.Errorf("datagram of %d bytes is too long", len(text))
+	}
+	return text, nil
+}
+
+// send tells one entry.
+func (d *datagrams) send(to *net.UDPAddr, word *jayv1.Datagram) error {
+	text, err := d.encode(word)
+	if err != nil {
+		return err
+	}
+	if to == nil {
+		return errNoDatagrams
 	}
 	_, err = d.conn.WriteToUDP(text, to)
 	return err
@@ -92,15 +115,12 @@
 
 // tellAll is tell for several entries.
 func (d *datagrams) tellAll(targets []*net.UDPAddr, word *jayv1.Datagram) {
-	text, err := proto.Marshal(word)
-	if err != nil || len(text) > maxDatagram || d.conn == nil {
+	text, err := d.encode(word)
+	if err != nil {
 		d.gateway.metrics.Count("datagrams", "not_sent", int64(len(targets)))
 		return
 	}
 	for _, target := range targets {
-		if target == nil {
-			continue
-		}
 		if _, err := d.conn.WriteToUDP(text, target); err != nil {
 			d.gateway.metrics.Count("datagrams", "not_sent", 1)
 		}
--- a/internal/gateway/hints.go
+++ b/internal/gateway/hints.go
@@ -66,12 +66,7 @@
 
 // setEntries tells where the other entries are.
 func (h *hints) setEntries(addresses []string) {
-	var targets []*net.UDPAddr
-	for _, address := range addresses {
-		if target := h.gateway.datagrams.addressOf(address); target != nil {
-			targets = append(targets, target)
-		}
-	}
+	targets := h.gateway.datagrams.addressesOf(addresses)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.targets = targets
--- a/internal/gateway/lifetimes.go
+++ b/internal/gateway/lifetimes.go
@@ -18,10 +18,7 @@
 
 // putBackend takes in an entry of the list of backend servers.
 func (s *state) putBackend(now time.Time, b *fleet.Backend) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.putLocked(now, b)
-	s.refreshMembersLocked(now)
+	s.changeBackends(now, []backendChange{{entry: b}})
 }
 
 // backendChange is one entry of the list that changed, or the name of a server
--- a/internal/gateway/ranks.go
+++ b/internal/gateway/ranks.go
@@ -122,31 +122,10 @@
 	return entries
 }
 
-// strongCores is the least that an entry has which does work for others.
-func (p *peers) strongCores() float64 {
-	most := 0.0
-	for _, entry := range p.named {
-		most = max(most, entry.Cores)
-	}
-	return shard.StrongShare * most
-}
-
 // strong counts the entries that do work for others.
-func (p *peers) strong() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	least, n := p.strongCores(), 0
-	for _, entry := range p.named {
-		if entry.Cores >= least {
-			n++
-		}
-	}
-	return max(1, n)
-}
+func (p *peers) strong() int { return max(1, len(shard.Strong(p.owners()))) }
 
 // isStrong tells whether this entry is one of them.
 func (p *peers) isStrong() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.named[p.node].Cores >= p.strongCores()
+	return slices.ContainsFunc(shard.Strong(p.owners()), func(e shard.Entry) bool { return e.Name == p.node })
 }
--- a/internal/gateway/switches.go
+++ b/internal/gateway/switches.go
@@ -74,22 +74,18 @@
 
 // ownerAddresses are where the owners of all shards are told, this one left out.
 func (g *Gateway) ownerAddresses() []*net.UDPAddr {
-	var targets []*net.UDPAddr
+	var addresses []string
 	for _, owner := range g.state.owners(time.Now()) {
 		if owner.Name != g.settings.Node {
-			targets = append(targets, g.datagrams.addressOf(owner.Address))
+			addresses = append(addresses, owner.Address)
 		}
 	}
-	return targets
+	return g.datagrams.addressesOf(addresses)
 }
 
 // beat shows all others that the holder is at work.
 func (g *Gateway) beat() {
-	var targets []*net.UDPAddr
-	for _, address := range g.peers.all() {
-		targets = append(targets, g.datagrams.addressOf(address))
-	}
-	g.datagrams.tellAll(targets, &jayv1.Datagram{Body: &jayv1.Datagram_Switches{Switches: &jayv1.SwitchNews{}}})
+	g.datagrams.tellAll(g.datagrams.addressesOf(g.peers.all()), &jayv1.Datagram{Body: &jayv1.Datagram_Switches{Switches: &jayv1.SwitchNews{}}})
 }
 
 // switchWords packs news into datagrams.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -25,10 +25,10 @@
 	// leastServers of a shard on average: with fewer the choice within it is poor,
 	// as a prefix whose server is busy should find an idle one in the same shard.
 	leastServers = 8
-	// StrongShare of the cores of the strongest entry that an owner has at least.
+	// strongShare of the cores of the strongest entry that an owner has at least.
 	// Every request to a shard waits for its owner, and a weak VM answers late
 	// while it serves callers.
-	StrongShare = 0.5
+	strongShare = 0.5
 	// missesAtLeast in a row, over silentAtLeast, after which an owner is passed
 	// over: datagrams are lost now and then, and a VM that has used up its
 	// processor time goes on within a tenth of a second.
@@ -190,20 +190,27 @@
 	return alive, until
 }
 
-// owners picks the entries that own a shard of a service: strong ones, no more
-// than there are shards of a useful size, by their rendezvous order, so that one
-// that is lost changes nothing for the others.
-func owners(service string, servers int, entries []Entry) []Entry {
+// Strong are the entries that do work for others: those with a good part of the
+// cores of the strongest.
+func Strong(entries []Entry) []Entry {
 	most := 0.0
 	for _, e := range entries {
 		most = max(most, e.Cores)
 	}
 	var strong []Entry
 	for _, e := range entries {
-		if e.Cores >= StrongShare*most {
+		if e.Cores >= strongShare*most {
 			strong = append(strong, e)
 		}
 	}
+	return strong
+}
+
+// owners picks the entries that own a shard of a service: strong ones, no more
+// than there are shards of a useful size, by their rendezvous order, so that one
+// that is lost changes nothing for the others.
+func owners(service string, servers int, entries []Entry) []Entry {
+	strong := Strong(entries)
 	key := xxh3.HashString(service)
 	slices.SortFunc(strong, func(a, b Entry) int {
 		return cmp.Compare(routing.Rendezvous(key, xxh3.HashString(b.Name)), routing.Rendezvous(key, xxh3.HashString(a.Name)))
