Callers of an entry that starts wait for its configuration

What callers saw: 503 no_configuration from an entry that had just been replaced. A caller who comes back at once spends its tries on it: one of the two ways in which TestStreamsComeWholeThroughDyingEntries loses its callers.

The callers' port opens when control has started, the catalog comes 10 to 100 ms later, and until then each request was refused at once.

Ruled out: stopping entries, no backend server, limits (no such answer seen).

Change: such a request waits until the configuration is in force, the search has ended with nothing or its patience is over (2 s, the search's own bound); 1,000 at once (160 requests/s an entry at two years' size for a few seconds). The decision is internal/warmup, pure. What shows no key is refused at once as before. New log lines and histograms say how long a start takes.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -24,11 +24,22 @@
 	workspace, key := lookUpKey(table, id)
 	same := catalog.SecretMatches(key, secret)
 	if !ok || workspace == nil || !same {
-		return nil, refuse(http.StatusUnauthorized, CodeInvalidKey, "the API key is missing or not valid")
+		return nil, unauthorized()
 	}
 	return workspace, nil
 }
 
+// showsKey tells whether the request shows anything that may be a key. What
+// does not is refused whatever the configuration will say.
+func showsKey(header http.Header) bool {
+	_, _, ok := parseKey(header.Get("Authorization"))
+	return ok
+}
+
+func unauthorized() *Error {
+	return refuse(http.StatusUnauthorized, CodeInvalidKey, "the API key is missing or not valid")
+}
+
 func lookUpKey(table *catalog.Table, id string) (*jayv1.Workspace, *jayv1.ApiKey) {
 	workspace, ok := table.WorkspaceOfKey(id)
 	if !ok {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -60,15 +60,19 @@
 		if headerBytes(c.Request().Header) > e.settings.Limits.HeaderBytes {
 			return refuse(statusHeadersTooLarge, CodeHeadersTooLarge, "the headers are longer than the limit")
 		}
-		table := e.holder.Current()
-		if table.Generation() == 0 {
-			return refuseForNow(http.StatusServiceUnavailable, CodeNoConfiguration, "no configuration is known here yet", 0)
+		if !showsKey(c.Request().Header) {
+			return unauthorized()
+		}
+		started := time.Now()
+		table, refusal := e.configured(c.Request().Context(), id)
+		if refusal != nil {
+			return refusal
 		}
 		workspace, refusal := authenticate(table, c.Request().Header)
 		if refusal != nil {
 			return refusal
 		}
-		c.Set(callKey, &call{id: id, started: time.Now(), workspace: workspace, table: table})
+		c.Set(callKey, &call{id: id, started: started, workspace: workspace, table: table})
 		return next(c)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 	// ready is closed when spread is set; peers that come earlier wait.
 	ready   chan struct{}
 	streams *streamCount
+	startup *startup
 	explain *explanations
 
 	quotaMu  sync.Mutex
@@ -77,7 +78,8 @@
 		return nil, err
 	}
 	e.background()
-	klog.InfoS("entry serves", "name", settings.Name, "callers", e.CallersURL(), "admin", e.AdminURL(), "quic", e.Address())
+	klog.InfoS("entry serves", "name", settings.Name, "callers", e.CallersURL(), "admin", e.AdminURL(), "quic", e.Address(),
+		"afterStart", time.Since(e.started))
 	return e, nil
 }
 
@@ -88,6 +90,7 @@
 		picker:  newPicker(settings),
 		ready:   make(chan struct{}),
 		streams: newStreamCount(settings.Limits),
+		startup: newStartup(settings),
 		explain: newExplanations(),
 		quota:   quota.NewLimiter(),
 		budget:  retry.NewBudget(settings.Attempts.RetryShare, settings.Attempts.RetryBurst),
@@ -123,6 +126,7 @@
 }
 
 func (e *Entry) background() {
+	e.goWith(e.watchStart)
 	e.goWith(e.watchMembers)
 	e.goWith(e.trimClaims)
 	e.goWith(func(ctx context.Context) { e.creds.Watch(ctx, ms(e.settings.Timeouts.KeysReloadMS)) })
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -97,3 +97,56 @@
 	_, err := operators.Explain(t.Context(), connect.NewRequest(&jayv1.ExplainRequest{RequestId: "req-e1-00"}))
 	assert.Equal(t, connect.CodeNotFound, connect.CodeOf(err))
 }
+
+// Story: every entry is replaced, and callers reach a new one while it still
+// asks its peers for the configuration. Turned away each time, a caller who
+// comes again at once has spent its tries before the entry knows a workspace.
+func TestCallersOfAnEntryThatStartsWaitForItsConfiguration(t *testing.T) {
+	s := newSite(t, "b1")
+	table := platformtest.New()
+	table.SetDown(true)
+	peer := s.entry("e1", with(table))
+	for try := range 5 {
+		started := s.entry(fmt.Sprintf("e%d", 2+try), with(table), func(settings *entry.Settings) {
+			settings.Holder = catalog.NewHolder()
+			settings.Seeds = []string{peer.Address()}
+		})
+		began := time.Now()
+		r := call(t, "POST", started.CallersURL()+chatPath, keyQuarry, chatPlain)
+		assert.Equal(t, http.StatusOK, r.status, "try %d: %s", try, r.body)
+		t.Logf("the first request was answered after %v", time.Since(began).Round(time.Millisecond))
+	}
+}
+
+// Story: an entry starts while nothing that knows a configuration is reachable,
+// and more callers come than it may keep. Those beyond the bound hear at once
+// that nothing ran, the others when the search has ended; none is kept longer.
+func TestWaitsForAConfigurationAreBounded(t *testing.T) {
+	const kept, callers = 3, 12
+	s := newSite(t)
+	table := platformtest.New()
+	table.SetDown(true)
+	e := s.entry("e1", with(table), func(settings *entry.Settings) {
+		settings.Holder = catalog.NewHolder()
+		settings.Limits.WarmupRequests, settings.Timeouts.WarmupMS = kept, 500
+	})
+	began := time.Now()
+	waits := make(chan time.Duration, callers)
+	for range callers {
+		go func() {
+			r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatPlain)
+			assert.Equal(t, http.StatusServiceUnavailable, r.status)
+			assert.Equal(t, "1", r.header.Get("Retry-After"))
+			assert.Equal(t, "not_run", errorOf(t, r).Outcome)
+			waits <- time.Since(began)
+		}()
+	}
+	waited := 0
+	for range callers {
+		if took := <-waits; took >= 500*time.Millisecond {
+			waited++
+		}
+	}
+	assert.LessOrEqual(t, waited, kept)
+	assert.Positive(t, waited)
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -51,6 +51,7 @@
 	KeptBodyBytes       int   `toml:"kept_body_bytes" validate:"gt=0" unit:"bytes" doc:"Part of a service call's body that is kept for a further attempt."`
 	Streams             int   `toml:"streams" validate:"gt=0" unit:"requests" doc:"Requests under way at once."`
 	StreamsPerWorkspace int   `toml:"streams_per_workspace" validate:"gt=0" unit:"requests" doc:"Requests of one workspace under way at once."`
+	WarmupRequests      int   `toml:"warmup_requests" validate:"gt=0" unit:"requests" doc:"Requests that wait at once for the first configuration of an entry that just started; others are refused."`
 	KeyBytes            int   `toml:"key_bytes" validate:"gt=0,lte=512" unit:"bytes" doc:"Longest idempotency key."`
 }
 
@@ -62,6 +63,7 @@
 	CallerWriteMS int `toml:"caller_write_ms" validate:"gt=0" unit:"ms" doc:"A caller that takes no byte for this long is cut off."`
 	CallerReadMS  int `toml:"caller_read_ms" validate:"gt=0" unit:"ms" doc:"A caller that sends no byte of its body for this long is cut off."`
 	GraceMS       int `toml:"grace_ms" validate:"gte=0" unit:"ms" doc:"Time between not ready and closed listener at a stop, for the balancer."`
+	WarmupMS      int `toml:"warmup_ms" validate:"gt=0" unit:"ms" doc:"How long a request waits for the first configuration of an entry that just started; then it is refused as not run."`
 	KeysReloadMS  int `toml:"keys_reload_ms" validate:"gt=0" unit:"ms" doc:"Interval of reading the keys folder again."`
 }
 
@@ -95,11 +97,11 @@
 		MaxLabels: 512,
 		Limits: LimitSettings{
 			BodyBytes: 8 << 20, AnswerBytes: 8 << 20, HeaderBytes: 32 << 10, PromptBytes: 4 << 20,
-			KeptBodyBytes: 1 << 20, Streams: 20000, StreamsPerWorkspace: 5000, KeyBytes: 200,
+			KeptBodyBytes: 1 << 20, Streams: 20000, StreamsPerWorkspace: 5000, WarmupRequests: 1000, KeyBytes: 200,
 		},
 		Timeouts: TimeoutSettings{
 			DeadlineMS: 60000, OfferMS: 3000, StreamIdleMS: 60000, CallerWriteMS: 20000, CallerReadMS: 20000,
-			GraceMS: 3000, KeysReloadMS: 10000,
+			GraceMS: 3000, WarmupMS: 2000, KeysReloadMS: 10000,
 		},
 		Attempts: AttemptSettings{
 			Max: 8, MaxDeclines: 3, RetryShare: 0.1, RetryBurst: 20,
--- /dev/null
+++ b/internal/entry/startup.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/warmup"
+)
+
+// Names of the metrics of a start, under the label of the entry's name.
+const (
+	metricStartServing    = "start_serving"
+	metricStartConfigured = "start_configured"
+	metricWarmupWait      = "warmup_wait"
+	metricWarmupRefused   = "warmup_refused"
+)
+
+// startup holds the requests that come before the first configuration.
+type startup struct {
+	mu   sync.Mutex
+	gate *warmup.Gate
+}
+
+func newStartup(settings Settings) *startup {
+	return &startup{gate: warmup.NewGate(warmup.Limits{
+		Waiting:  settings.Limits.WarmupRequests,
+		Patience: ms(settings.Timeouts.WarmupMS),
+	})}
+}
+
+func (s *startup) arrive(search warmup.Search) warmup.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Arrive(search)
+}
+
+func (s *startup) again(search warmup.Search, waited time.Duration) warmup.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Again(search, waited)
+}
+
+func (s *startup) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Leave()
+}
+
+func (s *startup) waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Waiting()
+}
+
+// configured returns the table in force. A request that came before the first
+// one waits for it: callers of an entry that was just replaced would otherwise
+// be turned away for as long as it reads its configuration, each time they come.
+func (e *Entry) configured(ctx context.Context, id string) (*catalog.Table, *Error) {
+	table := e.holder.Current()
+	if table.Generation() > 0 {
+		return table, nil
+	}
+	arrived := time.Now()
+	verdict := e.startup.arrive(e.search())
+	if verdict == warmup.Wait {
+		verdict = e.waitConfigured(ctx, arrived)
+		e.startup.leave()
+	}
+	waited := time.Since(arrived)
+	e.metrics.Time(metricWarmupWait, e.settings.Name, waited)
+	klog.V(1).InfoS("request before the first configuration", "request", id, "waited", waited,
+		"served", verdict == warmup.Serve, "full", verdict == warmup.TurnAwayFull)
+	if verdict == warmup.Serve {
+		return e.holder.Current(), nil
+	}
+	e.metrics.Count(metricWarmupRefused, e.settings.Name, 1)
+	return nil, refuseForNow(http.StatusServiceUnavailable, CodeNoConfiguration, "no configuration is known here yet", 0)
+}
+
+// waitConfigured waits until the gate has a verdict, the caller leaves or the
+// entry stops.
+func (e *Entry) waitConfigured(ctx context.Context, arrived time.Time) warmup.Verdict {
+	patience := time.NewTimer(ms(e.settings.Timeouts.WarmupMS))
+	defer patience.Stop()
+	for {
+		// Before the look at the search: what is adopted after the look is not missed.
+		next := e.holder.Next()
+		if verdict := e.startup.again(e.search(), time.Since(arrived)); verdict != warmup.Wait {
+			return verdict
+		}
+		select {
+		case <-next:
+		case <-e.spread.Loaded():
+		case <-patience.C:
+		case <-ctx.Done():
+			return warmup.TurnAwayUnknown
+		case <-e.ctx.Done():
+			return warmup.TurnAwayUnknown
+		}
+	}
+}
+
+// search tells how far the entry has come in finding its first configuration.
+func (e *Entry) search() warmup.Search {
+	loaded := false
+	select {
+	case <-e.spread.Loaded():
+		loaded = true
+	default:
+	}
+	switch {
+	case e.holder.Current().Generation() > 0:
+		return warmup.Found
+	case loaded:
+		return warmup.Fruitless
+	}
+	return warmup.Running
+}
+
+// watchStart logs and measures when the entry knows its first configuration:
+// from then on, and no sooner, its callers are served.
+func (e *Entry) watchStart(ctx context.Context) {
+	e.metrics.Time(metricStartServing, e.settings.Name, time.Since(e.started))
+	loaded := e.spread.Loaded()
+	for {
+		next := e.holder.Next()
+		if table := e.holder.Current(); table.Generation() > 0 {
+			after := time.Since(e.started)
+			e.metrics.Time(metricStartConfigured, e.settings.Name, after)
+			klog.InfoS("entry is configured", "name", e.settings.Name, "generation", table.Generation(),
+				"afterStart", after, "waiting", e.startup.waiting())
+			return
+		}
+		select {
+		case <-next:
+		case <-loaded:
+			klog.InfoS("entry has found no configuration; callers are turned away until one comes",
+				"name", e.settings.Name, "afterStart", time.Since(e.started), "waiting", e.startup.waiting())
+			loaded = nil
+		case <-ctx.Done():
+			return
+		}
+	}
+}
