Callers wait for an entry that is replaced, in place of being refused

What callers saw: "connection refused" from the end of an entry's process until its successor listened. A caller who comes back at once spends its tries: on its 100 asks, and it then resumed a stream that it never began (404 on an empty token, no event), or on its 400 resumes (an answer cut short, no word of failure). That is TestStreamsComeWholeThroughDyingEntries.

The two 404 whose answers were kept were "no such path", for the empty token. Cause: (1) the entry opens the callers' port last, behind keys, links and control; (2) nothing keeps the address while the process is replaced: the stand-in gave each new entry another port, and named the dead ones until all three new ones had started. A balancer or supervisor does not.

Ruled out: a token given before the agent has the request (no token in these 404s); an agent that forgets (no stream_not_found seen).

Change: the callers' listener is opened before anything else, and may be handed in by a supervisor that holds it (LISTEN_FDS, go-systemd's activation, name "callers"; settings.CallersListener). The stand-in holds the entries' sockets so. Entries die as before, at once and all together; each open stream is cut and each process knows nothing: the test, its checks, tries and pace are as they were. It is not easier for resumes: each of them still comes to an entry that just started.

The new entry test needs the held socket; on its callers are refused.

--- a/cmd/jay-entry/main.go
+++ b/cmd/jay-entry/main.go
@@ -4,11 +4,15 @@
 import (
 	"context"
 
+	"github.com/jayproxy/jayproxy/internal/activation"
 	"github.com/jayproxy/jayproxy/internal/cli"
 	"github.com/jayproxy/jayproxy/internal/entry"
 	"github.com/jayproxy/jayproxy/internal/settings"
 )
 
+// callersSocket is the name under which a supervisor hands over the callers' socket.
+const callersSocket = "callers"
+
 func main() {
 	cli.Main(cli.ServeCommand("jay-entry", "Route callers' requests to the backend servers", start))
 }
@@ -18,5 +22,10 @@
 	if err := settings.Load(file, &s); err != nil {
 		return nil, err
 	}
+	listener, err := activation.Listener(callersSocket)
+	if err != nil {
+		return nil, err
+	}
+	s.CallersListener = listener
 	return entry.Start(ctx, s)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,14 +65,22 @@
 // Start opens all listeners and serves. It needs neither the platform nor a
 // peer: without a catalog callers get a typed refusal until one is known.
 func Start(ctx context.Context, settings Settings) (*Entry, error) {
+	// Before anything else: from here on callers wait in the listener's queue for
+	// as long as the rest takes. Opened last, it would refuse them meanwhile.
+	callers, err := callersListener(settings)
+	if err != nil {
+		return nil, err
+	}
 	creds, err := transport.LoadCredentials(settings.KeysDir)
 	if err != nil {
+		_ = callers.Close()
 		return nil, err
 	}
 	if settings.Name == "" {
 		settings.Name = creds.Self().Name
 	}
 	e := newEntry(ctx, settings, creds)
+	e.callers = newServer(callers, e.callersAPI(), settings.Limits.HeaderBytes)
 	if err := e.listen(); err != nil {
 		e.Close()
 		return nil, err
@@ -117,12 +125,14 @@
 	if err := e.startControl(); err != nil {
 		return err
 	}
-	headers := e.settings.Limits.HeaderBytes
-	if e.admin, err = serveHTTP(e.settings.AdminAddress, e.adminAPI(), headers); err != nil {
+	admin, err := listenTCP(e.settings.AdminAddress)
+	if err != nil {
 		return err
 	}
-	e.callers, err = serveHTTP(e.settings.CallersAddress, e.callersAPI(), headers)
-	return err
+	e.admin = newServer(admin, e.adminAPI(), e.settings.Limits.HeaderBytes)
+	e.admin.start()
+	e.callers.start()
+	return nil
 }
 
 func (e *Entry) background() {
@@ -200,26 +210,38 @@
 	listener net.Listener
 }
 
-func serveHTTP(address string, handler http.Handler, headerBytes int) (*server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen on %s", address)
+// callersListener is the socket that the settings hand in, or a new one.
+func callersListener(settings Settings) (net.Listener, error) {
+	if settings.CallersListener != nil {
+		return settings.CallersListener, nil
 	}
+	return listenTCP(settings.CallersAddress)
+}
+
+func listenTCP(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, eris.Wrapf(err, "listen on %s", address)
+}
+
+func newServer(listener net.Listener, handler http.Handler, headerBytes int) *server {
 	// net/http cuts off far beyond the bound, without a typed error; up to
 	// there the handler refuses with one.
 	const hardLimit = 4
-	s := &server{
+	return &server{
 		listener: listener,
 		http: &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerPatience, MaxHeaderBytes: hardLimit * headerBytes,
 		},
 	}
+}
+
+// start serves the connections that wait already and those that come.
+func (s *server) start() {
 	go func() {
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			klog.ErrorS(err, "HTTP listener ended", "address", address)
+		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "HTTP listener ended", "address", s.listener.Addr().String())
 		}
 	}()
-	return s, nil
 }
 
 func (s *server) url() string { return "http://" + s.listener.Addr().String() }
@@ -227,8 +249,10 @@
 // drain closes the listener and waits for the requests under way.
 func (s *server) drain(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+// close closes the listener, also one that was never served, and cuts all connections.
 func (s *server) close() {
 	if s != nil {
 		_ = s.http.Close()
+		_ = s.listener.Close()
 	}
 }
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -150,3 +151,46 @@
 	assert.LessOrEqual(t, waited, kept)
 	assert.Positive(t, waited)
 }
+
+// heldSocket opens a socket as a supervisor does and returns what hands out
+// listeners on it.
+func heldSocket(t *testing.T) func(settings *entry.Settings) {
+	t.Helper()
+	held, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = held.Close() })
+	return func(settings *entry.Settings) {
+		file, err := held.File()
+		require.NoError(t, err)
+		defer func() { _ = file.Close() }()
+		settings.CallersListener, err = net.FileListener(file)
+		require.NoError(t, err)
+	}
+}
+
+// Story: an entry's process dies and is started again at its address. Callers
+// who connect in between were refused, some ten thousand times a second for one
+// who comes back at once, and had no tries left when the entry was there.
+func TestCallersWhoConnectWhileAnEntryIsReplacedAreServed(t *testing.T) {
+	const callers = 5
+	s := newSite(t, "b1")
+	socket := heldSocket(t)
+	first := s.entry("e1", socket)
+	url := first.CallersURL()
+	require.Equal(t, http.StatusOK, call(t, "POST", url+chatPath, keyQuarry, chatPlain).status)
+	first.Close()
+	answers := make(chan int, callers)
+	for range callers {
+		go func() { answers <- call(t, "POST", url+chatPath, keyQuarry, chatPlain).status }()
+	}
+	select {
+	case status := <-answers:
+		require.Fail(t, "answered while no entry runs", "%d", status)
+	case <-time.After(50 * time.Millisecond):
+	}
+	second := s.entry("e1", socket)
+	assert.Equal(t, url, second.CallersURL(), "the address stays")
+	for range callers {
+		assert.Equal(t, http.StatusOK, <-answers)
+	}
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net"
 	"time"
 
 	"github.com/jayproxy/jayproxy/internal/catalog"
@@ -36,6 +37,9 @@
 	// Control is the entry's share of rollouts.
 	Control control.Settings `toml:"control"`
 
+	// CallersListener replaces the listener of CallersAddress: a socket that a
+	// supervisor holds open while processes come and go. nil: the entry opens its own.
+	CallersListener net.Listener `toml:"-"`
 	// Holder is the catalog to serve by; nil: the entry makes its own.
 	Holder *catalog.Holder `toml:"-"`
 	// Platform replaces the client of PlatformURL, e.g. in tests.
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -42,6 +42,8 @@
 	// agentCatalogs are the catalogs in force at the agents, in their order.
 	agentCatalogs []*catalog.Holder
 	agentSettings []agent.Settings
+	// sockets of the entries, by name.
+	sockets *sockets
 }
 
 // Start runs a cluster until Close and puts its declaration in force.
@@ -50,7 +52,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "make folder for keys")
 	}
-	c := &Cluster{Options: options.withDefaults(), KeysDir: dir}
+	c := &Cluster{Options: options.withDefaults(), KeysDir: dir, sockets: newSockets()}
 	if err := c.start(ctx); err != nil {
 		c.Close()
 		return nil, err
@@ -216,6 +218,11 @@
 	settings.Policy = c.Options.Policy
 	settings.Seeds = c.seeds()
 	settings.Timeouts.GraceMS = 0
+	listener, err := c.sockets.listener(name)
+	if err != nil {
+		return nil, err
+	}
+	settings.CallersListener = listener
 	if c.Options.Entry != nil {
 		c.Options.Entry(&settings)
 	}
@@ -238,7 +245,8 @@
 }
 
 // RestartEntries replaces all entries at once: the new ones know nothing but
-// what they read. The old ones are gone before the new ones start.
+// what they read. The old ones are gone before the new ones start. Their callers'
+// sockets stay: who connects meanwhile waits for the new ones.
 func (c *Cluster) RestartEntries(ctx context.Context) error {
 	closeEntries(c.Entries())
 	return c.startEntries(ctx)
@@ -247,6 +255,7 @@
 // Close stops everything and removes the keys.
 func (c *Cluster) Close() {
 	closeEntries(c.Entries())
+	c.sockets.close()
 	for _, one := range c.Agents {
 		one.Close()
 	}
