An entry that ends closes the callers' port first

What callers saw: they connected to an entry that was ending, were taken in, and were turned away (503 no_configuration) or cut off (EOF) with it.

Change: the callers' port is closed before the context ends. Shutdown drains it first, as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -187,6 +187,10 @@
 // Close stops at once and cuts what is under way.
 func (e *Entry) Close() {
 	e.stopping.Store(true)
+	// First of all: whoever came while the rest ends, which may take long on a
+	// busy machine, would be taken in by an entry that only cuts them off. With
+	// the port closed they go to another entry, or wait for this one's successor.
+	e.callers.close()
 	e.cancel()
 	e.stopRollouts()
 	if e.spread != nil {
@@ -195,7 +199,6 @@
 	if e.operators != nil {
 		e.operators.Close()
 	}
-	e.callers.close()
 	e.admin.close()
 	if e.node != nil {
 		_ = e.node.Close()
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -194,3 +195,57 @@
 		assert.Equal(t, http.StatusOK, <-answers)
 	}
 }
+
+// stuckStore is a platform whose list of VMs answers only when it is let go,
+// even after its reader has given up.
+type stuckStore struct {
+	platform.Platform
+	asked    chan struct{}
+	givenUp  chan struct{}
+	released chan struct{}
+}
+
+func newStuckStore() *stuckStore {
+	const reads = 100 // more than a test makes
+	return &stuckStore{
+		Platform: platformtest.New(), released: make(chan struct{}),
+		asked: make(chan struct{}, reads), givenUp: make(chan struct{}, reads),
+	}
+}
+
+func (s *stuckStore) List(ctx context.Context, _ uint64) (platform.VMList, error) {
+	s.asked <- struct{}{}
+	<-ctx.Done()
+	s.givenUp <- struct{}{}
+	<-s.released
+	return platform.VMList{}, ctx.Err()
+}
+
+// Story: an entry is ending, and something that it waits for takes its time.
+// Its port was closed last: callers who came meanwhile were taken in by a
+// process that had ended its work, and were turned away or cut off with it.
+// They belong to its successor.
+func TestAnEntryThatEndsTakesNoFurtherCaller(t *testing.T) {
+	const callers = 5
+	s := newSite(t, "b1")
+	socket := heldSocket(t)
+	store := newStuckStore()
+	ending := s.entry("e1", socket, with(store), func(settings *entry.Settings) {
+		settings.Spread.PullTimeout = time.Hour
+	})
+	<-store.asked
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		ending.Close()
+	}()
+	<-store.givenUp
+	s.entry("e2", socket)
+	for n := range callers {
+		r := call(t, "POST", ending.CallersURL()+chatPath, keyQuarry, chatPlain)
+		assert.Equal(t, http.StatusOK, r.status, r.body)
+		assert.True(t, strings.HasPrefix(r.header.Get(entry.HeaderRequestID), "req-e2-"), "caller %d came to the entry that ends", n)
+	}
+	close(store.released)
+	<-closed
+}
