A closed node takes in no connection whose handshake ends late

What callers saw: nothing yet; a stopped entry or agent may go on to serve a stream that nobody waits for, on a connection that nobody closes.

Cause: Node.Close closed the connections that it found and waited for its group, while a handshake that dial shares among callers still came to adopt, which registered the connection and added to the group. A group may not be added to beside a wait that may have reached zero.

Change: adopt registers and counts under the lock under which Close shuts the node, or closes the connection and gives ErrClosed. Close takes all open links, not only the latest of each address and peer.

Ruled out elsewhere: spread (enter), agent (goRun) shut under a lock already; entry, ledger, control add only before anything may wait; a node's streams are added while their link is counted; the gateway's group is never waited for.

--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -20,6 +20,9 @@
 // ErrNoConnection means that no connection to the named peer is open.
 var ErrNoConnection = errors.New("no connection to the peer")
 
+// ErrClosed means that the node was closed.
+var ErrClosed = errors.New("node is closed")
+
 // Options of a node. Zero values take the defaults.
 type Options struct {
 	// Address to listen on, IP:port; one UDP socket serves both directions.
@@ -90,7 +93,9 @@
 	dialed map[string]*link        // by address
 	peers  map[keys.Identity]*link // latest connection of each peer
 	links  map[*link]struct{}      // every open connection
-	closed Traffic                 // of connections that are over
+	past   Traffic                 // of connections that are over
+	// closed: no connection is taken in any more.
+	closed bool
 	wg     sync.WaitGroup
 }
 
@@ -202,7 +207,7 @@
 func (n *Node) Traffic() Traffic {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	total := n.closed
+	total := n.past
 	for l := range n.links {
 		total.add(l.conn.ConnectionStats())
 	}
@@ -212,14 +217,9 @@
 // Close cuts all connections and waits for the handlers.
 func (n *Node) Close() error {
 	n.cancel()
-	n.mu.Lock()
-	for _, l := range n.dialed {
-		_ = l.conn.CloseWithError(0, "closing")
-	}
-	for _, l := range n.peers {
+	for _, l := range n.shut() {
 		_ = l.conn.CloseWithError(0, "closing")
 	}
-	n.mu.Unlock()
 	_ = n.listen.Close()
 	err := n.quic.Close()
 	_ = n.socket.Close()
@@ -227,6 +227,18 @@
 	return err
 }
 
+// shut takes no connection in from now on and returns those that are open.
+func (n *Node) shut() []*link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	open := make([]*link, 0, len(n.links))
+	for l := range n.links {
+		open = append(open, l)
+	}
+	return open
+}
+
 func (n *Node) openOn(ctx context.Context, l *link) (*Stream, error) {
 	s, err := l.conn.OpenStreamSync(ctx)
 	if err != nil {
@@ -328,24 +340,42 @@
 		return nil, err
 	}
 	l := &link{conn: conn, peer: peer}
-	n.mu.Lock()
-	n.peers[peer] = l
-	n.links[l] = struct{}{}
-	n.mu.Unlock()
+	if !n.enter(l) {
+		_ = conn.CloseWithError(0, "closing")
+		return nil, ErrClosed
+	}
 	context.AfterFunc(conn.Context(), func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		delete(n.links, l)
-		n.closed.add(conn.ConnectionStats())
+		n.past.add(conn.ConnectionStats())
 		if n.peers[peer] == l {
 			delete(n.peers, peer)
 		}
 	})
-	n.wg.Add(1)
 	go n.serveLink(l)
 	return l, nil
 }
 
+// enter registers a connection and counts its server in, unless the node is
+// closed.
+//
+// A handshake that callers share goes on after they have gone, and may end
+// just as the node is closed. Counted in after Close had begun to wait, its
+// streams' handlers would outlive the process's end, and nobody would close the
+// connection. Close shuts the node under the same lock before it waits.
+func (n *Node) enter(l *link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.peers[l.peer] = l
+	n.links[l] = struct{}{}
+	n.wg.Add(1)
+	return true
+}
+
 func (n *Node) serveLink(l *link) {
 	defer n.wg.Done()
 	for {
