A caller who leaves during an acknowledgement may come back

What callers saw: a stream that they may resume (X-Jay-Resume: keep) was not known any more when they came back, at times.

Cause, read in the code and shown by the test: the entry's guard fails pending calls when the caller's context ends. A send of an acknowledgement that fails so gives an error of the link, and attempt.broken told a caller who is gone only by the error of a write to the caller. The context had ended, so it sent the agent a Cancel; the run ended, and its answer was let go of. The same error blamed the backend server, and let a repeatable request begin again for nobody.

Ruled out: receive (looks at the context first), reconnect (never cancels).

Change: an ended context means that the caller is gone, whatever failed.

The case "comes back, seen while an acknowledgement was sent" fails before (cancelled at the agent) and passes here, three times with the race detector.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -154,13 +154,20 @@
 
 // broken deals with a relay that ended without an End frame.
 func (a *attempt) broken(ctx context.Context, err error) {
+	// A caller that leaves while an acknowledgement is on its way to the agent
+	// shows as an error of the link; the ended context tells it apart. Neither
+	// may the run be cancelled for it, nor the server be blamed.
+	if ctx.Err() != nil && !errors.Is(err, errCallerGone) {
+		err = gone(err)
+	}
 	a.cause = err
+	callerGone := errors.Is(err, errCallerGone)
 	switch {
-	case a.detach && errors.Is(err, errCallerGone):
+	case callerGone && a.detach:
 		// Without a Cancel the agent goes on and keeps the stream for a resume.
 		a.stream.Abort()
 		a.fire(eventGiveUp)
-	case errors.Is(err, errCallerGone), errors.Is(err, errGivenUp), ctx.Err() != nil:
+	case callerGone, errors.Is(err, errGivenUp):
 		a.cancel(err)
 	default:
 		klog.V(1).InfoS("link lost", "request", a.id, "attempt", a.number, "server", a.server, "next", a.chunks.Next(), "cause", err)
