Only a stream that is not known is called not known

What callers saw: 404 "no such stream" when they came back for a stream whose engine had broken, and 502, final, while the agent that keeps it was not reached for a moment. A caller takes both for the end and never hears that its work may have run.

Cause, read in the code and shown by the test: resumed made any end in front of the first event a 404, also one of unknown outcome; a link that was not there made a final error without a word of coming back.

Change: 404 only for the agent's refusal "not found". An end of the run is told as it is: 502 stream_broken, unknown; 503 with Retry-After when nothing ran. An agent that is not reached: 503 stream_not_reached with Retry-After, and no word to clients against asking again, for a resume runs nothing.

Ruled out as the cause of the 404s of the stream test: those were for an empty token ("no such path").

TestOnlyAStreamThatIsNotKnownIsCalledSo fails before in two of three cases (404 for a broken engine, 502 without Retry-After) and passes here.

--- a/internal/entry/attempt_test.go
+++ b/internal/entry/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -95,3 +96,18 @@
 		})
 	}
 }
+
+// A stream whose request never began is not lost: its caller may ask anew.
+func TestAResumedStreamThatWasNotRunSaysWhenToComeBack(t *testing.T) {
+	a := newAttempt("req-e1-00", 1)
+	for _, event := range []string{eventAccept, eventBodySent, eventLinkLost, eventResume} {
+		a.fire(event)
+	}
+	require.NoError(t, a.takeEnd(&jayv1.End{
+		Outcome: jayv1.Outcome_OUTCOME_NOT_RUN, Refusal: jayv1.Refusal_REFUSAL_ENGINE_DOWN, RetryAfterMs: 2500,
+	}))
+	r := resumed(a, false, refuse(http.StatusNotFound, CodeStreamNotFound, "no such stream"))
+	assert.Equal(t, CodeStreamBroken, r.err.Code)
+	assert.Equal(t, jayv1.Outcome_OUTCOME_NOT_RUN, r.err.Outcome)
+	assert.Equal(t, 2500*time.Millisecond, r.err.RetryAfter)
+}
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -53,6 +53,7 @@
 	CodeAnswerTooLarge    Code = "answer_too_large"
 	CodeStreamNotFound    Code = "stream_not_found"
 	CodeStreamBroken      Code = "stream_broken"
+	CodeStreamNotReached  Code = "stream_not_reached"
 	CodeInternal          Code = "internal_error"
 	typeInvalidRequest         = "invalid_request_error"
 	typeAuthentication         = "authentication_error"
@@ -142,8 +143,10 @@
 	if e.RetryAfter > 0 {
 		h.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
-	// A client that repeats by itself what may have run would run it twice.
-	if e.Outcome != jayv1.Outcome_OUTCOME_NOT_RUN || e.Code == CodeDuplicate {
+	// A client that repeats by itself what may have run would run it twice. To
+	// ask for a stream again runs nothing.
+	mayRunTwice := e.Outcome != jayv1.Outcome_OUTCOME_NOT_RUN && e.Code != CodeStreamNotReached
+	if mayRunTwice || e.Code == CodeDuplicate {
 		h.Set(headerShouldRetry, "false")
 	}
 	w.WriteHeader(e.Status)
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -100,12 +100,20 @@
 }
 
 // resumed is the result of a stream that was continued.
+//
+// "No such stream" is final: the caller gives up what it began. Only the agent
+// knows that, and says so in a refusal; an end of the run says that the stream
+// was known, and silence says nothing at all.
 func resumed(a *attempt, started bool, notFound *Error) result {
 	r := result{outcome: a.outcome(), attempts: a.number, end: a.end, server: a.server}
 	switch {
 	case r.outcome == jayv1.Outcome_OUTCOME_DONE:
-	case !started && a.end != nil:
+	case !started && a.end.GetRefusal() == jayv1.Refusal_REFUSAL_NOT_FOUND:
 		r.err = notFound
+	case !started && a.end == nil:
+		r.err = notReached("the backend server that keeps the stream can't be reached now")
+	case r.outcome == jayv1.Outcome_OUTCOME_NOT_RUN:
+		r.err = refuseForNow(http.StatusServiceUnavailable, CodeStreamBroken, "the request was not run", ms(int(a.end.GetRetryAfterMs())))
 	default:
 		r.err = &Error{
 			Status: http.StatusBadGateway, Code: CodeStreamBroken, Outcome: r.outcome,
@@ -114,3 +122,10 @@
 	}
 	return r
 }
+
+// notReached says that the stream may be kept, but not reached from here now.
+func notReached(message string) *Error {
+	e := refuseForNow(http.StatusServiceUnavailable, CodeStreamNotReached, message, 0)
+	e.Outcome = jayv1.Outcome_OUTCOME_UNKNOWN
+	return e
+}
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -171,3 +171,54 @@
 		return s.agents[0].seen(func(f *fakeAgent) int { return f.cancels }) == slow
 	}, 10*time.Second, 10*time.Millisecond)
 }
+
+// begun is a stream that its caller may resume, five words read.
+func begun(t *testing.T, e *entry.Entry) (token string) {
+	t.Helper()
+	response := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream, entry.HeaderResume, "keep")
+	token = response.Header.Get(entry.HeaderResumeToken)
+	require.NotEmpty(t, token)
+	readEvents(t, response, 5)
+	require.NoError(t, response.Body.Close())
+	return token
+}
+
+// Story: an engine breaks in mid-answer, or the agent beside it is not reached
+// for a while, and a caller comes back for its stream. It was told that no such
+// stream exists, gave up, and never heard that its work may have run.
+func TestOnlyAStreamThatIsNotKnownIsCalledSo(t *testing.T) {
+	broken := func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+		for i := range 5 {
+			emit(fmt.Sprintf(`{"choices":[{"delta":{"content":"t%d "}}]}`, i))
+		}
+		time.Sleep(50 * time.Millisecond) // Until the caller has left.
+		return &jayv1.End{Outcome: jayv1.Outcome_OUTCOME_UNKNOWN, Error: "engine broke"}
+	}
+	for _, tt := range []struct {
+		name       string
+		change     func(agent *fakeAgent)
+		status     int
+		code       entry.Code
+		retryAfter string
+	}{
+		{"the agent has forgotten it", func(f *fakeAgent) { f.set(func(f *fakeAgent) { f.forget = true }) },
+			http.StatusNotFound, entry.CodeStreamNotFound, ""},
+		{"the engine broke", func(*fakeAgent) {}, http.StatusBadGateway, entry.CodeStreamBroken, ""},
+		{"the agent is not reached", func(f *fakeAgent) { _ = f.node.Close() },
+			http.StatusServiceUnavailable, entry.CodeStreamNotReached, "1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(t, "b1")
+			s.agents[0].set(func(f *fakeAgent) { f.answer = broken })
+			e := s.entry("e1", func(settings *entry.Settings) { settings.Attempts.ResumeTries = 2 })
+			token := begun(t, e)
+			tt.change(s.agents[0])
+			r := call(t, "GET", e.CallersURL()+"/v1/streams/"+token, keyQuarry, "", "Last-Event-ID", "4")
+			assert.Equal(t, tt.status, r.status, r.body)
+			got := errorOf(t, r)
+			assert.Equal(t, string(tt.code), got.Code)
+			assert.Equal(t, "unknown", got.Outcome)
+			assert.Equal(t, tt.retryAfter, r.header.Get("Retry-After"))
+		})
+	}
+}
