A server that is not known yet is no lost stream

What callers saw: 404 "no such stream" at an entry whose catalog was older than the one in which the stream's backend server was declared.

Cause, read in the code and shown by the test: a token names the server, and an entry that does not list it took that for the end of the stream. During the seconds in which a change spreads, or while an entry is cut off, it is not.

Change: the token carries the generation that named the server. An entry with an older one answers 503 stream_not_reached with Retry-After; one that knows the generation, and so the removal, answers 404 at once. A token of before carries no generation and is treated as known, as it was.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -57,9 +57,11 @@
 	// workspace and nonce prove on resume that the stream is the caller's.
 	workspace string
 	nonce     []byte
-	dial      dialer
-	limits    AttemptSettings
-	timeouts  TimeoutSettings
+	// generation of the catalog that names the server.
+	generation uint64
+	dial       dialer
+	limits     AttemptSettings
+	timeouts   TimeoutSettings
 
 	chart  *statechart.Chart
 	state  string
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -113,6 +113,7 @@
 	}
 	a := newAttempt(h.work.id, number)
 	a.server, a.address = server.GetName(), server.GetAgentAddress()
+	a.generation = h.table.Generation()
 	a.workspace, a.dial = h.work.workspace.GetName(), h.entry.node
 	a.limits, a.timeouts = h.entry.settings.Attempts, h.entry.settings.Timeouts
 	a.deadline, a.detach = h.work.deadline, h.work.keepOpen
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -23,7 +23,9 @@
 // the nonce that only its caller has. The workspace is not part of it: it is
 // taken from the key of whoever resumes.
 func (e *Entry) resumeToken(a *attempt) string {
-	return encodeToken(&jayv1.ResumeToken{BackendServer: a.server, RequestId: a.id, Attempt: a.number, Nonce: a.nonce})
+	return encodeToken(&jayv1.ResumeToken{
+		BackendServer: a.server, RequestId: a.id, Attempt: a.number, Nonce: a.nonce, Generation: a.generation,
+	})
 }
 
 func encodeToken(token *jayv1.ResumeToken) string {
@@ -63,6 +65,11 @@
 		return notFound
 	}
 	server, ok := call.table.BackendServer(token.GetBackendServer())
+	if !ok && token.GetGeneration() > call.table.Generation() {
+		// The catalog here is older than the stream: the server is not known yet,
+		// which is no proof that the stream is gone.
+		return notReached("the backend server that keeps the stream is not known here yet")
+	}
 	if !ok {
 		return notFound
 	}
@@ -78,6 +85,7 @@
 	a := newAttempt(token.GetRequestId(), token.GetAttempt())
 	a.server, a.address = server.GetName(), server.GetAgentAddress()
 	a.workspace, a.nonce = call.workspace.GetName(), token.GetNonce()
+	a.generation = max(token.GetGeneration(), call.table.Generation())
 	a.chunks = relay.ReceiverAt(next)
 	a.dial, a.limits, a.timeouts = e.node, e.settings.Attempts, e.settings.Timeouts
 	a.unacked = uint64(a.limits.ResumeChunks) //nolint:gosec // not negative by the setting's rule
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/entry"
 )
 
@@ -222,3 +224,39 @@
 		})
 	}
 }
+
+// Story: a backend server is added, an entry that knows it begins a stream
+// there, and the caller comes back at an entry whose catalog is older by a
+// moment. It was told that no such stream exists. Only an entry that knows the
+// removal of the server may say so.
+func TestAServerThatIsNotKnownYetIsNoLostStream(t *testing.T) {
+	s := newSite(t, "b1")
+	others := slices.DeleteFunc(slices.Clone(s.resources), func(r *jayv1.Resource) bool { return r.GetBackendServer() != nil })
+	at := func(generation uint64, resources []*jayv1.Resource) func(*entry.Settings) {
+		return func(settings *entry.Settings) {
+			settings.Holder = catalog.NewHolder()
+			settings.Holder.Adopt(catalog.Build(&jayv1.Snapshot{Generation: generation, Resources: resources}))
+		}
+	}
+	s.agents[0].set(func(f *fakeAgent) { f.answer = paced(40, 2*time.Millisecond) })
+	newer, older := s.entry("e1", at(2, s.resources)), s.entry("e2", at(1, others))
+	token := begun(t, newer)
+	resume := func(e *entry.Entry) reply {
+		return call(t, "GET", e.CallersURL()+"/v1/streams/"+token, keyQuarry, "", "Last-Event-ID", "4", entry.HeaderResume, "keep")
+	}
+
+	r := resume(older)
+	assert.Equal(t, http.StatusServiceUnavailable, r.status, r.body)
+	assert.Equal(t, string(entry.CodeStreamNotReached), errorOf(t, r).Code)
+	assert.Equal(t, "1", r.header.Get("Retry-After"))
+	assert.Empty(t, r.header.Get("X-Should-Retry"), "to ask again runs nothing")
+
+	older.Catalog().Adopt(catalog.Build(&jayv1.Snapshot{Generation: 2, Resources: s.resources}))
+	r = resume(older)
+	require.Equal(t, http.StatusOK, r.status, r.body)
+	assert.Len(t, texts(r.body), 35)
+
+	older.Catalog().Adopt(catalog.Build(&jayv1.Snapshot{Generation: 3, Resources: others}))
+	r = resume(older)
+	assert.Equal(t, http.StatusNotFound, r.status, r.body)
+}
