--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os/exec"
 	"path"
@@ -24,6 +25,7 @@
 //
 //	site entries=N engines=N portals=N vendor=V [engine:--flag=v] [portal:--flag=v]
 //	start NAME [BINARY ARGS...]     starts a process, again as it was without a binary
+//	hold ENTRY                      holds the callers' socket of an entry that does not run, from its next start on
 //	sigkill|freeze|thaw|term NAME   SIGKILL, SIGSTOP, SIGCONT, SIGTERM
 //	exited NAME                     waits for a clean end
 //	fault NAME PATH?QUERY           switches a fault of a stand-in
@@ -52,6 +54,7 @@
 	all := map[string]command{
 		"site":     (*world).cmdSite,
 		"start":    (*world).cmdStart,
+		"hold":     (*world).cmdHold,
 		"sigkill":  withProcess((*process).kill),
 		"freeze":   withProcess(func(p *process) error { return p.signal(syscall.SIGSTOP) }),
 		"thaw":     withProcess(func(p *process) error { return p.signal(syscall.SIGCONT) }),
@@ -292,6 +295,24 @@
 }
 
 // ctl runs jayctl as operator against all entries.
+// cmdHold opens the callers' socket of an entry and keeps it open to the end.
+func (w *world) cmdHold(args []string) error {
+	if err := need(args, 1); err != nil {
+		return err
+	}
+	p, ok := w.processes[args[0]]
+	if !ok || p.alive() {
+		return final{fmt.Errorf("%s is not a stopped process", args[0])}
+	}
+	listener, err := net.Listen("tcp", w.addresses[args[0]].callers)
+	if err != nil {
+		return err
+	}
+	w.env.Defer(func() { _ = listener.Close() })
+	p.socket, err = listener.(*net.TCPListener).File()
+	return err
+}
+
 func (w *world) ctl(args ...string) ([]byte, error) {
 	for _, name := range w.entryNames() {
 		args = append(args, "--entry", w.addresses[name].operators)
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -22,6 +22,8 @@
 	args   []string
 	log    string
 	cmd    *exec.Cmd
+	// socket that the script holds for the program; nil: it opens its own.
+	socket *os.File
 	// url of a stand-in.
 	url  string
 	done chan struct{}
@@ -39,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	p.cmd = exec.Command(filepath.Join(binaries, p.binary), p.args...)
+	p.cmd = p.command()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		return err
@@ -53,6 +55,20 @@
 	return p.awaitReady(from)
 }
 
+// command runs the program; with a socket, as a supervisor that holds it does:
+// the socket is descriptor 3, and the environment names the process's own id.
+func (p *process) command() *exec.Cmd {
+	program := filepath.Join(binaries, p.binary)
+	if p.socket == nil {
+		return exec.Command(program, p.args...)
+	}
+	activated := append([]string{"-c", `LISTEN_PID=$$ exec "$0" "$@"`, program}, p.args...)
+	cmd := exec.Command("sh", activated...)
+	cmd.Env = append(os.Environ(), "LISTEN_FDS=1", "LISTEN_FDNAMES=callers")
+	cmd.ExtraFiles = []*os.File{p.socket}
+	return cmd
+}
+
 func (p *process) awaitReady(from int64) error {
 	var ready []string
 	err := poll(func() error {
