--- a/test/history/streams_test.go
+++ b/test/history/streams_test.go
@@ -100,6 +100,13 @@
 // every few hundred milliseconds. Each caller comes back, at whichever entry
 // the balancer names, with its token and the last event that it saw. It must
 // get the whole answer, no word lost, doubled or out of order.
+//
+// It failed beside processor load: callers spent their tries while no entry
+// served. Of 9,136 tries in four runs beside 30 busy loops 8,470 were refused
+// connections, for the 125 ms that three entries took to close and the 99 ms to
+// start, and 166 were 503 "no_configuration" of entries that did not know their
+// catalog yet, or were ending. Who had no token by then asked for a stream
+// without a name and heard 404.
 func TestStreamsComeWholeThroughDyingEntries(t *testing.T) {
 	const callers = 12
 	c, err := cluster.Start(t.Context(), cluster.Options{Entries: 3, Engines: 3})
