Fingerprint of a request in the lines of runs that broke off

Lines of runs that may have begun and did not end bear a hash of caller, host, method, target and body. It is worked out only where a line is written.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -112,7 +112,8 @@
 }
 
 func (j *job) brokenOff(choice *routing.DirectChoice, err error) result {
-	klog.InfoS("Answer broken off", "request", j.head.ID, "server", choice.Server.ID, "err", err, "events", j.stream.delivered)
+	klog.InfoS("Answer broken off", "request", j.head.ID, "server", choice.Server.ID, "err", err, "events", j.stream.delivered,
+		"fingerprint", j.fingerprint().String(), "sentMS", time.Since(j.sentAt).Milliseconds())
 	if j.ctx.Err() != nil {
 		return ended
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -263,13 +263,13 @@
 	j.tried = append(j.tried, server.ID)
 	directions := j.directions(choice)
 	j.message.Header = g.ports.Dialect.Forward(j.caller.Header, directions)
-	sentAt := time.Now()
+	j.sentAt = time.Now()
 	klog.InfoS("Placed", "request", j.head.ID, "server", server.ID, "send", j.sends, "owner", j.ownerName(), "expectedMS", int(choice.ExpectedMS),
 		"queueMS", int(choice.Terms.QueueMS), "readMS", int(choice.Terms.ReadMS), "rereadMS", int(choice.Terms.RereadMS), "memoryMS", int(choice.Terms.MemoryMS),
 		"version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "prefix", strconv.FormatUint(uint64(choice.Prefix), 36), "source", choice.Source.String(), "fetch", choice.FetchFrom, "save", choice.SaveTo, "priority", directions.Priority, "tokens", j.head.InputTokens, "output", j.head.OutputTokens, "candidates", choice.Candidates)
 	response, err := g.pool.Send(j.ctx, server.Address, &j.message, j.freshness(), j.belongs)
 	if err != nil {
-		return j.sendFailed(choice, err, sentAt)
+		return j.sendFailed(choice, err)
 	}
 	defer response.Close()
 	answer := g.ports.Dialect.Answer(response.Status, response.Header)
@@ -311,7 +311,7 @@
 	return answer.ID == j.head.ID
 }
 
-func (j *job) sendFailed(choice *routing.DirectChoice, err error, sentAt time.Time) result {
+func (j *job) sendFailed(choice *routing.DirectChoice, err error) result {
 	s := j.gateway.state
 	now := time.Now()
 	outcome := unknown
@@ -324,7 +324,8 @@
 	case errors.Is(err, upstream.ErrNotSent):
 		outcome = notSent
 	}
-	klog.InfoS("Send failed", "request", j.head.ID, "server", choice.Server.ID, "err", err, "afterMS", now.Sub(sentAt).Milliseconds(), "mayHaveRun", outcome != notSent)
+	klog.InfoS("Send failed", "request", j.head.ID, "server", choice.Server.ID, "err", err, "afterMS", now.Sub(j.sentAt).Milliseconds(), "mayHaveRun", outcome != notSent,
+		"fingerprint", j.fingerprintOf(outcome))
 	if !errors.Is(j.ctx.Err(), context.Canceled) {
 		s.sendFailed(now, choice.Server.ID, err)
 		j.evidence.notListening = errors.Is(err, upstream.ErrNoListener)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/call"
+	"github.com/jayproxy/jayproxy/internal/quarantine"
 	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/upstream"
 )
@@ -48,6 +49,10 @@
 
 	sends int
 	tried []string
+	// sentAt is when the last send began.
+	sentAt time.Time
+	// identity of the request across its caller's attempts; nil: not needed yet.
+	identity *quarantine.Fingerprint
 	// after is when to come back, of a request that was turned away.
 	after time.Duration
 	// ranOn counts the servers that may have run the request.
