Requests under which servers crash are held by the whole fleet

Cause: evidence was kept against servers only. What an attempt showed of its request ended with the attempt: each next one was a new request to each entry and was sent to as many servers as its route allows.

Ruled out: ends for other reasons (no crash, cut or loss in the operator's and the platform's log), second sends beyond max_attempts (no attempt had more than two servers that may have run it).

The fix: internal/quarantine (pure) keeps strikes, each a request's fingerprint and a lifetime of a server that is proven to have crashed (nothing listens, another lifetime at the address, its entry gone) while the request began to run there. At three the request is held and refused, not run, with the time of its next trial. A crash counts for no request with fewer strikes than another held one that was there; a whole run clears; held requests that were always side by side are tried in turn. Suspects are sent apart from each other and once an attempt. Strikes go to other entries by datagrams and as rows through the store, which an entry reads at its start; a trial is claimed there, so that one entry runs it.

Why it holds: what is known of a request outlives the attempt and the entry, and adds up alike everywhere whatever the order of words.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -107,6 +107,7 @@
 	if answer.Status >= http.StatusInternalServerError {
 		j.failed(choice.Server.ID)
 	}
+	j.whole = true
 	j.pass(whole)
 	return delivered
 }
@@ -118,6 +119,7 @@
 		return ended
 	}
 	j.failed(choice.Server.ID)
+	j.brokeOff(choice)
 	return unknown
 }
 
@@ -165,6 +167,7 @@
 		j.note()
 		panic(http.ErrAbortHandler)
 	}
+	j.whole = true
 	j.outcome = "answered " + strconv.Itoa(response.Status)
 	return delivered
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,6 +60,10 @@
 
 // run sends the request until it is answered.
 func (j *job) run() {
+	if after, held := j.isHeld(); held {
+		j.turnBack(after)
+		return
+	}
 	for {
 		choice, err := j.choose()
 		if errors.Is(err, errTurnedAway) {
@@ -70,6 +74,12 @@
 			j.giveUp("no backend server: " + err.Error())
 			return
 		}
+		// It may have waited for long.
+		if after, held := j.isHeld(); held {
+			j.finished(&choice, notSent)
+			j.turnBack(after)
+			return
+		}
 		switch j.send(&choice) {
 		case delivered:
 			return
@@ -121,7 +131,7 @@
 
 // mayRepeat decides after a send that may have run.
 func (j *job) mayRepeat() bool {
-	may := j.route.Repeatable() && j.ranOn < j.route.MaxAttempts && j.ctx.Err() == nil
+	may := j.route.Repeatable() && j.ranOn < j.route.MaxAttempts && j.ctx.Err() == nil && j.suspectsAllowRepeat()
 	if may && j.sends < maxSends && j.gateway.state.mayResend(time.Now(), j.service.Name, j.deadline) {
 		return true
 	}
@@ -174,6 +184,9 @@
 // choose asks the router for the next server, and waits where none has room. A
 // stream that has begun does not wait: its caller counts the pause.
 func (j *job) choose() (routing.DirectChoice, error) {
+	if j.apart = j.apartKey(); j.apart != 0 {
+		return j.place(false)
+	}
 	choice, err := j.placeShared(j.stream.delivered == 0)
 	if errors.Is(err, routing.ErrNoRoom) {
 		return j.await(routing.ReadingTime(j.head.InputTokens))
@@ -201,7 +214,7 @@
 
 // routed is the request as the router sees it; the state is locked.
 func (j *job) routed(s *state) routing.DirectRequest {
-	request := routing.DirectRequest{ID: j.head.ID}
+	request := routing.DirectRequest{ID: j.head.ID, Apart: j.apart}
 	if j.modelName() == "" {
 		return request
 	}
@@ -263,7 +276,7 @@
 	j.tried = append(j.tried, server.ID)
 	directions := j.directions(choice)
 	j.message.Header = g.ports.Dialect.Forward(j.caller.Header, directions)
-	j.sentAt = time.Now()
+	j.sentAt, j.firstEventAt = time.Now(), time.Time{}
 	klog.InfoS("Placed", "request", j.head.ID, "server", server.ID, "send", j.sends, "owner", j.ownerName(), "expectedMS", int(choice.ExpectedMS),
 		"queueMS", int(choice.Terms.QueueMS), "readMS", int(choice.Terms.ReadMS), "rereadMS", int(choice.Terms.RereadMS), "memoryMS", int(choice.Terms.MemoryMS),
 		"version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "prefix", strconv.FormatUint(uint64(choice.Prefix), 36), "source", choice.Source.String(), "fetch", choice.FetchFrom, "save", choice.SaveTo, "priority", directions.Priority, "tokens", j.head.InputTokens, "output", j.head.OutputTokens, "candidates", choice.Candidates)
@@ -331,6 +344,9 @@
 		j.evidence.notListening = errors.Is(err, upstream.ErrNoListener)
 		j.evidence.failed = true
 	}
+	if outcome == unknown {
+		j.brokeOff(choice)
+	}
 	j.finished(choice, outcome)
 	return outcome
 }
@@ -340,6 +356,7 @@
 func (j *job) finished(choice *routing.DirectChoice, outcome result) {
 	j.tellOwner(j.evidence.end(outcome == delivered))
 	j.offer, j.evidence = nil, evidence{}
+	j.reached = j.reached || (outcome != notSent && outcome != notRun)
 	s := j.gateway.state
 	now := time.Now()
 	s.mu.Lock()
--- a/internal/gateway/datagrams.go
+++ b/internal/gateway/datagrams.go
@@ -158,6 +158,8 @@
 		g.state.progress(time.Now(), body.Progress)
 	case *jayv1.Datagram_Switches:
 		g.takeSwitchWords(body.Switches)
+	case *jayv1.Datagram_Strikes:
+		g.takeStrikes(body.Strikes, from.IP.String())
 	default:
 		g.metrics.Count("datagrams", "unknown", 1)
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -55,7 +55,9 @@
 	table string
 	wait  time.Duration
 	pause time.Duration
-	apply func(now time.Time, rows []mirror.Row, source string)
+	// relayPause between two reads from another entry.
+	relayPause time.Duration
+	apply      func(now time.Time, rows []mirror.Row, source string)
 
 	mu   sync.Mutex
 	copy mirror.Copy
@@ -141,21 +143,24 @@
 
 // follow starts all that runs beside the requests.
 func (g *Gateway) follow(ctx context.Context) {
-	operators := &feed{table: g.ports.Decoder.OperatorTable, wait: operatorWait, apply: g.applyOperator}
-	backends := &feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: g.backendPause(), apply: g.applyBackends}
-	entries := &feed{table: g.ports.Decoder.EntryTable, wait: operatorWait, pause: entriesPause, apply: g.applyEntries}
-	g.feeds = []*feed{operators, backends, entries}
+	operators := &feed{table: g.ports.Decoder.OperatorTable, wait: operatorWait, relayPause: relayPause, apply: g.applyOperator}
+	backends := &feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: relayPause, apply: g.applyBackends}
+	entries := &feed{table: g.ports.Decoder.EntryTable, wait: operatorWait, pause: entriesPause, relayPause: relayPause, apply: g.applyEntries}
+	suspects := &feed{table: g.ports.Decoder.SuspectTable, wait: operatorWait, pause: entriesPause, relayPause: suspectRelayPause, apply: g.applySuspects}
+	g.feeds = []*feed{operators, backends, entries, suspects}
 	placed := time.Now().Add(placeWait)
 	g.spawn(func() { g.run(ctx, operators, placed) })
 	g.spawn(func() { g.run(ctx, backends, placed) })
 	g.spawn(func() { g.run(ctx, entries, time.Time{}) })
+	g.spawn(func() { g.run(ctx, suspects, placed) })
+	g.spawn(func() { g.spreadSuspects(ctx) })
 	g.spawn(func() { g.fallBack(ctx, backends) })
 	g.spawn(func() { g.register(ctx) })
 	g.spawn(func() { g.learnWeights(ctx) })
-	g.spawn(func() { g.every(ctx, stateTick, g.tick) })
 	g.spawn(func() { g.every(ctx, serveTick, g.serveRoom) })
 	g.spawn(func() { g.watchStores(ctx) })
 	g.startRollouts(ctx)
+	g.spawn(func() { g.every(ctx, stateTick, g.tick) })
 }
 
 func (g *Gateway) every(ctx context.Context, period time.Duration, do func(now time.Time)) {
@@ -174,6 +179,8 @@
 func (g *Gateway) tick(now time.Time) {
 	g.state.tick(now)
 	g.pool.Sweep(now)
+	_, holder := g.keeper.Held()
+	g.state.suspects.tick(now, holder)
 }
 
 // run keeps a feed's copy. Between its first read and placed it waits until the
@@ -186,7 +193,7 @@
 		}
 		from := g.throughRelay(ctx, f)
 		if from == relayGave {
-			sleep(ctx, relayPause)
+			sleep(ctx, f.relayPause)
 			continue
 		}
 		if from == relayAged && time.Since(askedAt) < g.agedPause() {
--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -55,7 +55,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
-	f := &feed{table: "servers", pause: time.Second, apply: func(time.Time, []mirror.Row, string) {}}
+	f := &feed{table: "servers", pause: time.Second, relayPause: relayPause, apply: func(time.Time, []mirror.Row, string) {}}
 	g.feeds = []*feed{f}
 	g.run(ctx, f, time.Time{})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,6 +202,9 @@
 	for _, model := range s.book.Models() {
 		g.metrics.Gauge("weights_named", model, int64(s.book.Newest(model))) //nolint:gosec // a count
 	}
+	known, held := s.suspects.counts()
+	g.metrics.Gauge("suspected_requests", "known", int64(known))
+	g.metrics.Gauge("suspected_requests", "held", int64(held))
 	g.metrics.Gauge("requests_active", "all", g.active.Load())
 	g.metrics.Gauge("requests_waiting", "memory", int64(s.room.Len()))
 	g.metrics.Gauge("connections_opened", "all", g.pool.Opened())
--- a/internal/gateway/lifetimes.go
+++ b/internal/gateway/lifetimes.go
@@ -76,6 +76,11 @@
 // What other holders ordered counts for the server under whatever lifetime.
 func (s *state) leftLocked(now time.Time, b *fleet.Backend, source string) {
 	klog.InfoS("Backend server gone", "server", b.ID, "source", source)
+	if b.Draining {
+		s.suspects.left(b.ID)
+	} else {
+		s.suspects.crashed(now, b.ID)
+	}
 	for _, router := range s.routers() {
 		router.Left(b.ID)
 	}
@@ -127,6 +132,7 @@
 		return
 	}
 	klog.InfoS("Lifetime over", "server", id, "source", source)
+	s.suspects.crashed(now, id)
 	s.emptiedLocked(id)
 }
 
@@ -160,8 +166,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if errors.Is(err, upstream.ErrNoListener) {
-		s.members.NotListening(now, server)
+		s.notListeningLocked(now, server)
 		return
 	}
 	s.members.Failed(now, server)
 }
+
+// notListeningLocked takes in that nothing listens at a server's address. At one
+// that is leaving that is the planned end.
+func (s *state) notListeningLocked(now time.Time, server string) {
+	s.members.NotListening(now, server)
+	if b := s.list.Get(server); b != nil && !b.Draining {
+		s.suspects.crashed(now, server)
+	}
+}
--- a/internal/gateway/owning.go
+++ b/internal/gateway/owning.go
@@ -231,7 +231,7 @@
 	case p.GetOtherLifetime():
 		s.endLocked(now, server, "entry")
 	case p.GetNotListening():
-		s.members.NotListening(now, server)
+		s.notListeningLocked(now, server)
 	case p.GetFailed():
 		s.members.Failed(now, server)
 	case p.GetRefused():
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -45,6 +45,8 @@
 	BackendTable  string
 	// EntryTable is where entries write their addresses.
 	EntryTable string
+	// SuspectTable is where entries write under which requests servers crashed.
+	SuspectTable string
 	// IsConfig tells whether a key of the operator's table holds the configuration.
 	IsConfig func(key string) bool
 	Config   func(value []byte) (*routetable.Table, error)
@@ -77,7 +79,8 @@
 	Engines Engines
 	// KeptStores may be nil.
 	KeptStores KeptStores
-	// Table holds our own rows: leases and the entries' addresses.
+	// Table holds our own rows: leases, the entries' addresses and the requests
+	// under which servers crashed.
 	Table platform.Table
 	// HistoryGone is the error of Tables.Changes for a version too long ago.
 	HistoryGone error
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -51,8 +51,20 @@
 	tried []string
 	// sentAt is when the last send began.
 	sentAt time.Time
-	// identity of the request across its caller's attempts; nil: not needed yet.
-	identity *quarantine.Fingerprint
+	// firstEventAt of the last send; zero: none came.
+	firstEventAt time.Time
+	// brokeEarly are the servers at which a run broke off that had just begun.
+	brokeEarly []string
+	// hashed is the request's fingerprint; nil: not needed yet.
+	hashed *quarantine.Fingerprint
+	// apart from other suspects; 0: the request is none.
+	apart uint64
+	// trial that this attempt is, of a held request; 0: none.
+	trial int
+	// reached: a server may have begun to run the request; whole: one ran it to
+	// its end.
+	reached bool
+	whole   bool
 	// after is when to come back, of a request that was turned away.
 	after time.Duration
 	// ranOn counts the servers that may have run the request.
@@ -91,6 +103,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
 	j.ctx = ctx
+	defer j.settle()
 	j.run()
 	j.note()
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -68,6 +68,8 @@
 	membersStale bool
 	// listReady: the list was read at least once.
 	listReady bool
+	// suspects are requests under which servers crashed.
+	suspects *suspects
 	// closeIdle closes the kept connections to an address.
 	closeIdle func(address string)
 }
@@ -99,6 +101,7 @@
 		budgets: map[string]*retry.Window{},
 		entries: 1, storesDown: map[string]bool{},
 		room: waitroom.New(), waiters: map[string]*waiter{},
+		suspects: newSuspects(),
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -119,6 +119,7 @@
 		// A stream without an event answers nothing.
 		return unknown
 	}
+	j.whole = true
 	j.outcome = "streamed"
 	return delivered
 }
@@ -126,6 +127,7 @@
 func (j *job) firstToken() {
 	s := j.gateway.state
 	now := time.Now()
+	j.firstEventAt = now
 	s.mu.Lock()
 	s.router.FirstToken(now, j.head.ID)
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/gateway/suspects.go
@@ -0,0 +1,321 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/quarantine"
+)
+
+// suspects is what an entry believes of requests under which servers crashed,
+// and what of it others are still to be told. It does no I/O. Its lock may be
+// taken while the state's is held, never the other way round.
+type suspects struct {
+	// known counts the requests in the book: while it is 0 no request is hashed.
+	known atomic.Int64
+	// wake tells that there is something to spread.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	book   *quarantine.Book
+	breaks *quarantine.Breaks
+	// asked are the lifetimes that are being asked whether they listen.
+	asked map[string]bool
+	// untold strikes and cleared requests, for datagrams.
+	untold        []quarantine.Strike
+	untoldCleared []quarantine.Fingerprint
+	// unwritten rows by their keys; false: to be removed.
+	unwritten map[string]bool
+}
+
+// maxUnwritten rows wait for the store. Others count only with those who were told.
+const maxUnwritten = 4096
+
+func newSuspects() *suspects {
+	return &suspects{
+		book: quarantine.NewBook(quarantine.DefaultSettings()), breaks: quarantine.NewBreaks(),
+		asked: map[string]bool{}, unwritten: map[string]bool{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// broke takes in that a run broke off early.
+func (s *suspects) broke(now time.Time, run quarantine.Strike) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.breaks.Broke(now, run) {
+		s.struckLocked(now, []quarantine.Strike{run})
+	}
+}
+
+// crashed takes in the proof that a lifetime of a server crashed.
+func (s *suspects) crashed(now time.Time, server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.struckLocked(now, s.breaks.Crashed(now, server))
+}
+
+// left takes in that a lifetime ended as planned.
+func (s *suspects) left(server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breaks.Left(server)
+}
+
+// mayAsk tells whether a server is to be asked if it listens; nobody else here
+// does so at the moment. answered ends that.
+func (s *suspects) mayAsk(server string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asked[server] {
+		return false
+	}
+	s.asked[server] = true
+	return true
+}
+
+func (s *suspects) answered(now time.Time, server string, alive bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asked, server)
+	if alive {
+		s.breaks.Alive(now, server)
+	}
+}
+
+// struckLocked takes in strikes that this entry saw.
+func (s *suspects) struckLocked(now time.Time, strikes []quarantine.Strike) {
+	if len(strikes) == 0 {
+		return
+	}
+	s.addLocked(now, strikes, "own")
+	for _, strike := range strikes {
+		s.untold = append(s.untold, strike)
+		s.writeLocked(strikeKey(strike), true)
+	}
+	s.wakeUp()
+}
+
+// addLocked takes in strikes from any source.
+func (s *suspects) addLocked(now time.Time, strikes []quarantine.Strike, source string) {
+	held := s.book.Add(now, strikes)
+	s.known.Store(int64(s.book.Len()))
+	for _, strike := range strikes {
+		klog.InfoS("Server crashed under request", "fingerprint", strike.Request.String(), "server", strike.Server, "source", source)
+	}
+	for _, f := range held {
+		v := s.book.Verdict(now, f)
+		klog.InfoS("Request held", "fingerprint", f.String(), "source", source, "trial", v.Trial, "retryAfterMS", v.RetryAfter.Milliseconds())
+	}
+}
+
+// heard takes in the words of another entry.
+func (s *suspects) heard(now time.Time, strikes []quarantine.Strike, cleared []quarantine.Fingerprint, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addLocked(now, strikes, source)
+	for _, f := range cleared {
+		s.clearLocked(f, source)
+	}
+}
+
+// rowPut and rowGone take in rows of the store.
+func (s *suspects) rowPut(now time.Time, row suspectRow, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if row.trial > 0 {
+		s.book.Tried(now, row.strike.Request, row.trial)
+		s.known.Store(int64(s.book.Len()))
+		return
+	}
+	s.addLocked(now, []quarantine.Strike{row.strike}, source)
+}
+
+func (s *suspects) rowGone(row suspectRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if row.trial > 0 {
+		s.book.TrialReleased(row.strike.Request, row.trial)
+	} else {
+		s.book.Remove(time.Now(), row.strike)
+	}
+	s.known.Store(int64(s.book.Len()))
+}
+
+// clear forgets a request everywhere: it ran whole, or an operator frees it.
+// False: nothing was known of it.
+func (s *suspects) clear(f quarantine.Fingerprint, why string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	request, ok := s.clearLocked(f, why)
+	if !ok {
+		return false
+	}
+	s.removeRowsLocked(request)
+	s.untoldCleared = append(s.untoldCleared, f)
+	s.wakeUp()
+	return true
+}
+
+func (s *suspects) clearLocked(f quarantine.Fingerprint, why string) (quarantine.Request, bool) {
+	request, ok := s.book.Clear(time.Now(), f)
+	if !ok {
+		return request, false
+	}
+	s.known.Store(int64(s.book.Len()))
+	for _, strike := range strikesOf(request) {
+		delete(s.unwritten, strikeKey(strike))
+	}
+	klog.InfoS("Request cleared", "fingerprint", f.String(), "why", why, "held", request.Held, "servers", request.Servers, "trials", request.Trials)
+	return request, true
+}
+
+// removeRowsLocked has all rows of a request removed from the store.
+func (s *suspects) removeRowsLocked(request quarantine.Request) {
+	for _, strike := range strikesOf(request) {
+		s.writeLocked(strikeKey(strike), false)
+	}
+	for trial := 1; trial <= request.Trials; trial++ {
+		s.writeLocked(trialKey(request.Fingerprint, trial), false)
+	}
+}
+
+func (s *suspects) writeLocked(key string, put bool) {
+	if len(s.unwritten) >= maxUnwritten {
+		klog.InfoS("Row of a suspected request not written: too many wait", "row", key)
+		return
+	}
+	s.unwritten[key] = put
+}
+
+func (s *suspects) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// mayKnow tells, without hashing a body, whether something may be known of a request.
+func (s *suspects) mayKnow(identity *quarantine.Identity) bool {
+	if s.known.Load() == 0 {
+		return false
+	}
+	head := identity.Head()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.MayKnow(head)
+}
+
+func (s *suspects) verdict(now time.Time, f quarantine.Fingerprint) quarantine.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Verdict(now, f)
+}
+
+func (s *suspects) strikes(f quarantine.Fingerprint) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Strikes(f)
+}
+
+func (s *suspects) mayRepeat(f quarantine.Fingerprint, broken []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.MayRepeat(f, broken)
+}
+
+// tried takes in that this entry claimed a trial, released that it did not run.
+func (s *suspects) tried(now time.Time, f quarantine.Fingerprint, trial int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Tried(now, f, trial)
+}
+
+func (s *suspects) released(f quarantine.Fingerprint, trial int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.TrialReleased(f, trial)
+	s.writeLocked(trialKey(f, trial), false)
+	s.wakeUp()
+}
+
+// list is for operators; counts for metrics.
+func (s *suspects) list() []quarantine.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.List()
+}
+
+func (s *suspects) counts() (known, held int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Len(), s.book.Held()
+}
+
+// tick forgets what is too old. One entry removes its rows for all.
+func (s *suspects) tick(now time.Time, removes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breaks.Tick(now)
+	forgotten := s.book.Tick(now)
+	s.known.Store(int64(s.book.Len()))
+	for _, request := range forgotten {
+		klog.InfoS("Request forgotten", "fingerprint", request.Fingerprint.String(), "held", request.Held, "servers", request.Servers)
+		if removes {
+			s.removeRowsLocked(request)
+			s.wakeUp()
+		}
+	}
+}
+
+// takeUntold returns what others are still to be told by datagrams. Of a request
+// under which fewer servers crashed nothing is told: the store does that in time.
+func (s *suspects) takeUntold(least int) ([]quarantine.Strike, []quarantine.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var strikes []quarantine.Strike
+	for _, strike := range s.untold {
+		if s.book.Strikes(strike.Request) >= least {
+			strikes = append(strikes, strike)
+		}
+	}
+	cleared := s.untoldCleared
+	s.untold, s.untoldCleared = nil, nil
+	return strikes, cleared
+}
+
+// takeUnwritten returns some of the rows that wait for the store.
+func (s *suspects) takeUnwritten(most int) map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := map[string]bool{}
+	for key, put := range s.unwritten {
+		if len(rows) == most {
+			break
+		}
+		rows[key] = put
+		delete(s.unwritten, key)
+	}
+	return rows
+}
+
+// giveBack puts rows that were not written back, unless newer words wait.
+func (s *suspects) giveBack(rows map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, put := range rows {
+		if _, ok := s.unwritten[key]; !ok {
+			s.writeLocked(key, put)
+		}
+	}
+}
+
+func strikesOf(request quarantine.Request) []quarantine.Strike {
+	strikes := make([]quarantine.Strike, 0, len(request.Servers))
+	for _, server := range request.Servers {
+		strikes = append(strikes, quarantine.Strike{Request: request.Fingerprint, Server: server})
+	}
+	return strikes
+}
--- /dev/null
+++ b/internal/quarantine/book.go
@@ -0,0 +1,420 @@
+// Package quarantine decides which requests are kept from backend servers
+// because servers crashed while they began to run them. It has no I/O,
+// goroutine or clock; callers lock.
+//
+// A server that crashes takes all its runs with it, so one crash says little of
+// any of them. A request is held when servers crashed under it time and again,
+// it never ran whole in between, and no other held request accounts for these
+// crashes better. What is known is a set of strikes, each a request and a
+// lifetime of a server: words of several entries add up in any order, and one
+// that comes twice counts once.
+package quarantine
+
+import (
+	"bytes"
+	"slices"
+	"time"
+)
+
+// Settings of a Book.
+type Settings struct {
+	// HoldAt strikes a request is held.
+	HoldAt int
+	// TrialAfter is how long after the last news of a held request it may be run
+	// once more, for each trial; there are no more trials than entries.
+	TrialAfter []time.Duration
+	// Forget is how long after the last news a request that is not held is forgotten.
+	Forget time.Duration
+	// HeldFor is the same for one that is held.
+	HeldFor time.Duration
+	// MaxRequests that are remembered.
+	MaxRequests int
+}
+
+// DefaultSettings bound what one request may end: three servers before it is
+// held, and one with each of two trials. Each server takes all its runs with it,
+// so trials are rare; a request that is held for no fault of its own ran beside
+// the one at fault each time, which its trial shows.
+func DefaultSettings() Settings {
+	return Settings{
+		HoldAt:      3,
+		TrialAfter:  []time.Duration{30 * time.Second, 5 * time.Minute},
+		Forget:      10 * time.Minute,
+		HeldFor:     24 * time.Hour,
+		MaxRequests: 4096,
+	}
+}
+
+// repeatBelow strikes a request may be sent again within one attempt: with two,
+// the third server would end by the system's own repeat.
+const repeatBelow = 2
+
+const (
+	// trialTurn is how long each of several requests in doubt may be tried before
+	// the next one: side by side their trials would tell nothing. It covers a
+	// server's crash and the word of it to all entries.
+	trialTurn = time.Second
+	// claimShare of a turn in which its trial may begin.
+	claimShare = 0.5
+)
+
+// Strike is a lifetime of a server that crashed while a request began to run there.
+type Strike struct {
+	Request Fingerprint
+	// Server is the ID of the lifetime.
+	Server string
+}
+
+// Verdict on a request.
+type Verdict struct {
+	// Held: it must not be sent, but for a trial.
+	Held bool
+	// Trial that may be claimed now, from 1; 0: none.
+	Trial int
+	// RetryAfter is how long until a trial, or until the request is forgotten.
+	RetryAfter time.Duration
+}
+
+// Request is what is known of one request, for operators.
+type Request struct {
+	Fingerprint Fingerprint
+	// Servers are the lifetimes that crashed under it, in order.
+	Servers []string
+	// Unexplained counts those that no other held request accounts for.
+	Unexplained int
+	Trials      int
+	Held        bool
+	// Doubtful: another held request was there at each crash.
+	Doubtful bool
+	// LastNews is when a strike or a trial was last learned.
+	LastNews time.Time
+}
+
+type record struct {
+	servers map[string]bool
+	trials  int
+	lastAt  time.Time
+
+	held        bool
+	unexplained int
+	// doubtSince is when it was first in doubt; zero: it is not. Of so many turns
+	// of those it is in doubt with, one is its own.
+	doubtSince  time.Time
+	turn, turns int
+}
+
+func (r *record) doubtful() bool { return !r.doubtSince.IsZero() }
+
+// Book holds the strikes and what follows from them.
+type Book struct {
+	settings Settings
+	requests map[Fingerprint]*record
+	// heads counts the requests of each head.
+	heads map[Head]int
+	held  int
+	// evicted requests, until Tick tells them.
+	evicted []Request
+}
+
+// NewBook makes an empty book.
+func NewBook(settings Settings) *Book {
+	return &Book{settings: settings, requests: map[Fingerprint]*record{}, heads: map[Head]int{}}
+}
+
+// Len counts the requests of which something is known.
+func (b *Book) Len() int { return len(b.requests) }
+
+// Held counts the requests that are held.
+func (b *Book) Held() int { return b.held }
+
+// MayKnow tells whether anything may be known of a request with this head.
+func (b *Book) MayKnow(head Head) bool { return b.heads[head] > 0 }
+
+// Strikes counts the servers that crashed under a request.
+func (b *Book) Strikes(f Fingerprint) int {
+	if r := b.requests[f]; r != nil {
+		return len(r.servers)
+	}
+	return 0
+}
+
+// Knows tells whether anything is known of the request.
+func (b *Book) Knows(f Fingerprint) bool { return b.requests[f] != nil }
+
+// Add takes in strikes. It returns the requests that are held by them.
+func (b *Book) Add(now time.Time, strikes []Strike) []Fingerprint {
+	changed := false
+	for _, strike := range strikes {
+		r := b.record(strike.Request)
+		if r.servers[strike.Server] {
+			continue
+		}
+		r.servers[strike.Server] = true
+		r.lastAt = now
+		changed = true
+	}
+	if !changed {
+		return nil
+	}
+	b.evict()
+	return b.judge(now)
+}
+
+// Remove takes back one strike.
+func (b *Book) Remove(now time.Time, strike Strike) {
+	r := b.requests[strike.Request]
+	if r == nil || !r.servers[strike.Server] {
+		return
+	}
+	delete(r.servers, strike.Server)
+	b.dropEmpty(strike.Request, r)
+	b.judge(now)
+}
+
+// Tried takes in that a trial is claimed.
+func (b *Book) Tried(now time.Time, f Fingerprint, trial int) {
+	r := b.record(f)
+	if trial > r.trials {
+		r.trials, r.lastAt = trial, now
+	}
+}
+
+// TrialReleased takes in that a claimed trial did not run the request.
+func (b *Book) TrialReleased(f Fingerprint, trial int) {
+	r := b.requests[f]
+	if r == nil || r.trials != trial {
+		return
+	}
+	r.trials--
+	b.dropEmpty(f, r)
+}
+
+// Clear forgets a request: it ran whole, or an operator frees it. It returns
+// what was known.
+func (b *Book) Clear(now time.Time, f Fingerprint) (Request, bool) {
+	r := b.requests[f]
+	if r == nil {
+		return Request{}, false
+	}
+	known := r.request(f)
+	b.drop(f)
+	b.judge(now)
+	return known, true
+}
+
+// Verdict tells whether a request may be sent.
+func (b *Book) Verdict(now time.Time, f Fingerprint) Verdict {
+	r := b.requests[f]
+	if r == nil || !r.held {
+		return Verdict{}
+	}
+	wait := b.trialIn(now, r)
+	if wait > 0 {
+		return Verdict{Held: true, RetryAfter: wait}
+	}
+	return Verdict{Held: true, Trial: r.trials + 1, RetryAfter: trialTurn}
+}
+
+// trialIn is how long until the next trial, or until the request is forgotten. In
+// doubt the first trial comes with the request's turn: it tells which of those
+// that ran side by side is at fault, and at most one of them is.
+func (b *Book) trialIn(now time.Time, r *record) time.Duration {
+	switch {
+	case r.trials >= len(b.settings.TrialAfter):
+		return r.lastAt.Add(b.settings.HeldFor).Sub(now)
+	case r.doubtful() && r.trials == 0:
+		return r.turnIn(now)
+	}
+	return r.lastAt.Add(b.settings.TrialAfter[r.trials]).Sub(now)
+}
+
+// turnIn is how long until the request's turn; 0: it has begun just now.
+func (r *record) turnIn(now time.Time) time.Duration {
+	round := time.Duration(r.turns) * trialTurn
+	into := (now.Sub(r.doubtSince) - time.Duration(r.turn)*trialTurn) % round
+	if into < 0 {
+		into += round
+	}
+	if float64(into) < claimShare*float64(trialTurn) {
+		return 0
+	}
+	return round - into
+}
+
+// MayRepeat tells whether a request may be sent again within one attempt, in
+// which it has broken off early at these servers.
+func (b *Book) MayRepeat(f Fingerprint, broken []string) bool {
+	strikes := 0
+	r := b.requests[f]
+	if r != nil {
+		strikes = r.unexplained
+	}
+	for i, server := range broken {
+		if (r == nil || !r.servers[server]) && !slices.Contains(broken[:i], server) {
+			strikes++
+		}
+	}
+	return strikes < repeatBelow
+}
+
+// Tick forgets what is too old, and returns it.
+func (b *Book) Tick(now time.Time) []Request {
+	forgotten := b.evicted
+	b.evicted = nil
+	for f, r := range b.requests {
+		life := b.settings.Forget
+		if r.held {
+			life = b.settings.HeldFor
+		}
+		if now.Sub(r.lastAt) >= life {
+			forgotten = append(forgotten, r.request(f))
+			b.drop(f)
+		}
+	}
+	if len(forgotten) > 0 {
+		b.judge(now)
+	}
+	return forgotten
+}
+
+// List returns all that is known, the most strikes first.
+func (b *Book) List() []Request {
+	list := make([]Request, 0, len(b.requests))
+	for _, f := range b.byStrikes() {
+		list = append(list, b.requests[f].request(f))
+	}
+	return list
+}
+
+func (r *record) request(f Fingerprint) Request {
+	servers := make([]string, 0, len(r.servers))
+	for server := range r.servers {
+		servers = append(servers, server)
+	}
+	slices.Sort(servers)
+	return Request{
+		Fingerprint: f, Servers: servers, Unexplained: r.unexplained, Trials: r.trials,
+		Held: r.held, Doubtful: r.doubtful(), LastNews: r.lastAt,
+	}
+}
+
+func (b *Book) record(f Fingerprint) *record {
+	r := b.requests[f]
+	if r == nil {
+		r = &record{servers: map[string]bool{}}
+		b.requests[f] = r
+		b.heads[f.Head()]++
+	}
+	return r
+}
+
+func (b *Book) dropEmpty(f Fingerprint, r *record) {
+	if len(r.servers) == 0 && r.trials == 0 {
+		b.drop(f)
+	}
+}
+
+func (b *Book) drop(f Fingerprint) {
+	delete(b.requests, f)
+	if b.heads[f.Head()]--; b.heads[f.Head()] == 0 {
+		delete(b.heads, f.Head())
+	}
+}
+
+// evict makes room: those that are not held go first, the oldest news first.
+func (b *Book) evict() {
+	for len(b.requests) > b.settings.MaxRequests {
+		var oldest Fingerprint
+		var least *record
+		for f, r := range b.requests {
+			if least == nil || r.goesBefore(least) {
+				oldest, least = f, r
+			}
+		}
+		b.evicted = append(b.evicted, least.request(oldest))
+		b.drop(oldest)
+	}
+}
+
+func (r *record) goesBefore(other *record) bool {
+	if r.held != other.held {
+		return !r.held
+	}
+	return r.lastAt.Before(other.lastAt)
+}
+
+// byStrikes returns the requests, the most strikes first.
+func (b *Book) byStrikes() []Fingerprint {
+	order := make([]Fingerprint, 0, len(b.requests))
+	for f := range b.requests {
+		order = append(order, f)
+	}
+	slices.SortFunc(order, func(x, y Fingerprint) int {
+		if more := len(b.requests[y].servers) - len(b.requests[x].servers); more != 0 {
+			return more
+		}
+		return bytes.Compare(x[:], y[:])
+	})
+	return order
+}
+
+// judge works out who is held, from the strikes alone: all entries that know the
+// same strikes hold the same requests. A crash under a held request counts for
+// no other with fewer strikes. It returns those that were not held before.
+func (b *Book) judge(now time.Time) []Fingerprint {
+	// most strikes of a held request at a server, and who is held there.
+	most, heldAt := map[string]int{}, map[string][]Fingerprint{}
+	var held, fresh []Fingerprint
+	for _, f := range b.byStrikes() {
+		r := b.requests[f]
+		was := r.held
+		r.unexplained = 0
+		for server := range r.servers {
+			if most[server] <= len(r.servers) {
+				r.unexplained++
+			}
+		}
+		r.held = r.unexplained >= b.settings.HoldAt
+		if !r.held {
+			r.doubtSince = time.Time{}
+			continue
+		}
+		held = append(held, f)
+		for server := range r.servers {
+			most[server] = max(most[server], len(r.servers))
+			heldAt[server] = append(heldAt[server], f)
+		}
+		if !was {
+			fresh = append(fresh, f)
+		}
+	}
+	b.held = len(held)
+	for _, f := range held {
+		b.requests[f].weighDoubt(now, f, heldAt)
+	}
+	return fresh
+}
+
+// weighDoubt finds out whether another held request was there at each crash, and
+// gives those in doubt their turns.
+func (r *record) weighDoubt(now time.Time, f Fingerprint, heldAt map[string][]Fingerprint) {
+	beside := map[Fingerprint]bool{}
+	for server := range r.servers {
+		if len(heldAt[server]) < 2 {
+			r.doubtSince = time.Time{}
+			return
+		}
+		for _, other := range heldAt[server] {
+			beside[other] = true
+		}
+	}
+	if r.doubtSince.IsZero() {
+		r.doubtSince = now
+	}
+	r.turn, r.turns = 0, len(beside)
+	for other := range beside {
+		if bytes.Compare(other[:], f[:]) < 0 {
+			r.turn++
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/breaks.go
@@ -0,0 +1,99 @@
+package quarantine
+
+import "time"
+
+const (
+	// proofWait is how long after a run broke off the proof that its server
+	// crashed may come: the list of servers shows it after some missed heartbeats.
+	proofWait = 10 * time.Second
+	// aliveWait is the same once the server was found to listen: it may have been
+	// asked in the moment of its end.
+	aliveWait = time.Second
+	// maxBroken runs wait for a proof.
+	maxBroken = 8192
+)
+
+// Breaks holds runs that broke off early until it is known whether their
+// servers crashed: a stream is cut by much else.
+type Breaks struct {
+	// waiting are the requests by the lifetime, with when they are given up.
+	waiting map[string]map[Fingerprint]time.Time
+	count   int
+	// crashed lifetimes, with when that is forgotten: an entry may hear of a crash
+	// before its own run there breaks off.
+	crashed map[string]time.Time
+}
+
+// NewBreaks makes an empty one.
+func NewBreaks() *Breaks {
+	return &Breaks{waiting: map[string]map[Fingerprint]time.Time{}, crashed: map[string]time.Time{}}
+}
+
+// Broke takes in that a run broke off early. True: its server is known to have crashed.
+func (b *Breaks) Broke(now time.Time, run Strike) bool {
+	if _, ok := b.crashed[run.Server]; ok {
+		return true
+	}
+	if b.count >= maxBroken {
+		return false
+	}
+	at := b.waiting[run.Server]
+	if at == nil {
+		at = map[Fingerprint]time.Time{}
+		b.waiting[run.Server] = at
+	}
+	if _, ok := at[run.Request]; !ok {
+		b.count++
+	}
+	at[run.Request] = now.Add(proofWait)
+	return false
+}
+
+// Crashed takes in the proof that a lifetime crashed and returns its strikes.
+func (b *Breaks) Crashed(now time.Time, server string) []Strike {
+	b.crashed[server] = now.Add(proofWait)
+	var strikes []Strike
+	for request := range b.waiting[server] {
+		strikes = append(strikes, Strike{Request: request, Server: server})
+	}
+	b.forget(server)
+	return strikes
+}
+
+// Left takes in that a lifetime ended as planned.
+func (b *Breaks) Left(server string) { b.forget(server) }
+
+// Alive takes in that the server listens.
+func (b *Breaks) Alive(now time.Time, server string) {
+	until := now.Add(aliveWait)
+	for request, at := range b.waiting[server] {
+		if at.After(until) {
+			b.waiting[server][request] = until
+		}
+	}
+}
+
+// Tick gives up runs for which no proof came.
+func (b *Breaks) Tick(now time.Time) {
+	for server, at := range b.waiting {
+		for request, until := range at {
+			if !now.Before(until) {
+				delete(at, request)
+				b.count--
+			}
+		}
+		if len(at) == 0 {
+			delete(b.waiting, server)
+		}
+	}
+	for server, until := range b.crashed {
+		if !now.Before(until) {
+			delete(b.crashed, server)
+		}
+	}
+}
+
+func (b *Breaks) forget(server string) {
+	b.count -= len(b.waiting[server])
+	delete(b.waiting, server)
+}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -1,6 +1,3 @@
-// Package quarantine decides which requests are kept from backend servers
-// because servers crashed while they ran them. It has no I/O, goroutine or
-// clock; callers lock.
 package quarantine
 
 import (
@@ -8,12 +5,20 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+
+	"github.com/zeebo/xxh3"
 )
 
+// headBytes of a fingerprint are a hash of all but the body's bytes.
+const headBytes = 4
+
 // Fingerprint identifies a request across the attempts of its caller, each of
-// which has an ID of its own.
+// which has an ID of its own. It begins with the Head of the request's identity.
 type Fingerprint [16]byte
 
+// Head is the part of a fingerprint that is worked out without the body's bytes.
+type Head uint32
+
 // Identity is what all attempts of one request have in common.
 type Identity struct {
 	// Caller is the workspace; empty on routes without one.
@@ -25,19 +30,41 @@
 	Body   []byte
 }
 
-// Fingerprint hashes the identity. The hash is cryptographic, so that no caller
+// Head hashes all but the body's bytes: a cheap look tells most requests from
+// those that are suspected.
+func (i *Identity) Head() Head {
+	var hash xxh3.Hasher
+	for _, field := range []string{i.Caller, i.Host, i.Method, i.Target} {
+		writeSize(&hash, len(field))
+		_, _ = hash.WriteString(field)
+	}
+	writeSize(&hash, len(i.Body))
+	return Head(hash.Sum64())
+}
+
+// Fingerprint hashes the identity. Its hash is cryptographic, so that no caller
 // can make a request that shares the fingerprint of another caller's.
 func (i *Identity) Fingerprint() Fingerprint {
 	hash := sha256.New()
-	var size [8]byte
 	for _, field := range [][]byte{[]byte(i.Caller), []byte(i.Host), []byte(i.Method), []byte(i.Target), i.Body} {
-		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
-		hash.Write(size[:])
-		hash.Write(field)
+		writeSize(hash, len(field))
+		_, _ = hash.Write(field)
 	}
-	return Fingerprint(hash.Sum(nil)[:len(Fingerprint{})])
+	var f Fingerprint
+	binary.BigEndian.PutUint32(f[:], uint32(i.Head()))
+	copy(f[headBytes:], hash.Sum(nil))
+	return f
 }
 
+func writeSize(hash interface{ Write([]byte) (int, error) }, size int) {
+	var bytes [8]byte
+	binary.BigEndian.PutUint64(bytes[:], uint64(size)) //nolint:gosec // a length
+	_, _ = hash.Write(bytes[:])
+}
+
+// Head returns the part that does not depend on the body's bytes.
+func (f Fingerprint) Head() Head { return Head(binary.BigEndian.Uint32(f[:])) }
+
 // String is the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -124,6 +124,9 @@
 	if len(usable) == 0 {
 		return DirectChoice{}, ErrNoServer
 	}
+	if req.Apart != 0 {
+		usable = firstOf(req.Apart, servers, usable)
+	}
 	d.unheard = d.unheardTokens(now)
 	p := d.plan(now, req, servers, usable)
 	best, bestTotal := usable[0], math.Inf(1)
@@ -195,6 +198,17 @@
 	return d.poor
 }
 
+// firstOf leaves the server that is first in a key's order, alike at every entry.
+func firstOf(key uint64, servers []DirectServer, usable []int32) []int32 {
+	first := 0
+	for i := range usable {
+		if Rendezvous(key, servers[usable[i]].Hash) > Rendezvous(key, servers[usable[first]].Hash) {
+			first = i
+		}
+	}
+	return usable[first : first+1]
+}
+
 // narrow bounds the servers that are scored in a large pool.
 func (d *Direct) narrow(req *DirectRequest, servers []DirectServer, usable []int32, p *prefixPlan) []int32 {
 	if p == nil || d.options.Sole || len(usable) <= scoredAtMost {
--- a/internal/routing/direct_types.go
+++ b/internal/routing/direct_types.go
@@ -50,6 +50,10 @@
 	// MayWait: Choose returns ErrNoRoom rather than a server at which the request
 	// would wait for memory.
 	MayWait bool
+	// Apart, where it is not 0, sends the request to the first server in this key's
+	// order, whatever holds its prefix: requests under which servers crashed are
+	// kept from each other so, and the next crash tells them apart.
+	Apart uint64
 	// DataCentre that the request is sent from; empty: the router's own.
 	DataCentre string
 	// Until is when the request counts no more, should its end never be told;
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -95,6 +95,18 @@
 	return &conn{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
 }
 
+// Probe opens a connection to an address, to find out whether its server
+// listens: ErrNoListener when it does not. The connection is kept for later
+// requests.
+func (p *Pool) Probe(ctx context.Context, address string, keep time.Duration) error {
+	c, err := p.take(ctx, address, Freshness{})
+	if err != nil {
+		return fmt.Errorf("probe %s: %w", address, err)
+	}
+	p.put(c, keep)
+	return nil
+}
+
 // pop takes the connection that was used last: it is the least likely to have
 // been closed by the other side.
 func (p *Pool) pop(address string) *conn {
