Only requests that may be held are judged; trials after 5 minutes and an hour

A strike in a full book of 4,096 requests cost 4 ms, as all of them were judged anew: after the loss of a rack, whose runs each give one strike, an entry of 0.144 cores would have worked at it for seconds. A request that is held without doubt is at fault most likely, and each trial ends a server with all its runs: the first comes after 5 minutes in place of 30 s.

--- a/internal/gateway/datagrams.go
+++ b/internal/gateway/datagrams.go
@@ -159,7 +159,7 @@
 	case *jayv1.Datagram_Switches:
 		g.takeSwitchWords(body.Switches)
 	case *jayv1.Datagram_Strikes:
-		g.takeStrikes(body.Strikes, from.IP.String())
+		g.takeStrikes(body.Strikes, from.String())
 	default:
 		g.metrics.Count("datagrams", "unknown", 1)
 	}
--- a/internal/gateway/datagrams_test.go
+++ b/internal/gateway/datagrams_test.go
@@ -18,6 +18,9 @@
 		{Body: &jayv1.Datagram_Offer{Offer: &jayv1.PlacementOffer{Key: 1, Outcome: jayv1.PlacementOffer_OUTCOME_SERVER}}},
 		{Body: &jayv1.Datagram_Hints{Hints: &jayv1.Hints{Prefix: []uint32{1}, PrefixServer: []uint32{2}, PrefixReadyMs: []uint32{3}}}},
 		{Body: &jayv1.Datagram_Switches{Switches: &jayv1.SwitchNews{Switches: []*jayv1.Switch{{Server: 1, Version: 2}}}}},
+		{Body: &jayv1.Datagram_Strikes{Strikes: &jayv1.StrikeNews{
+			Strikes: []*jayv1.RequestStrike{{Request: make([]byte, 16), Server: "i-1"}, {Request: []byte{1}}}, Cleared: [][]byte{make([]byte, 16), nil},
+		}}},
 		{},
 	} {
 		text, err := proto.Marshal(word)
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -38,7 +38,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		HoldAt:      3,
-		TrialAfter:  []time.Duration{30 * time.Second, 5 * time.Minute},
+		TrialAfter:  []time.Duration{5 * time.Minute, time.Hour},
 		Forget:      10 * time.Minute,
 		HeldFor:     24 * time.Hour,
 		MaxRequests: 4096,
@@ -95,8 +95,7 @@
 	trials  int
 	lastAt  time.Time
 
-	held        bool
-	unexplained int
+	held bool
 	// doubtSince is when it was first in doubt; zero: it is not. Of so many turns
 	// of those it is in doubt with, one is its own.
 	doubtSince  time.Time
@@ -111,14 +110,18 @@
 	requests map[Fingerprint]*record
 	// heads counts the requests of each head.
 	heads map[Head]int
-	held  int
+	// heavy are those with enough strikes to be held: no other is judged.
+	heavy map[Fingerprint]bool
+	// most strikes of a held request at each server that crashed under one.
+	most map[string]int
+	held int
 	// evicted requests, until Tick tells them.
 	evicted []Request
 }
 
 // NewBook makes an empty book.
 func NewBook(settings Settings) *Book {
-	return &Book{settings: settings, requests: map[Fingerprint]*record{}, heads: map[Head]int{}}
+	return &Book{settings: settings, requests: map[Fingerprint]*record{}, heads: map[Head]int{}, heavy: map[Fingerprint]bool{}}
 }
 
 // Len counts the requests of which something is known.
@@ -138,9 +141,6 @@
 	return 0
 }
 
-// Knows tells whether anything is known of the request.
-func (b *Book) Knows(f Fingerprint) bool { return b.requests[f] != nil }
-
 // Add takes in strikes. It returns the requests that are held by them.
 func (b *Book) Add(now time.Time, strikes []Strike) []Fingerprint {
 	changed := false
@@ -151,12 +151,17 @@
 		}
 		r.servers[strike.Server] = true
 		r.lastAt = now
+		if len(r.servers) >= b.settings.HoldAt {
+			b.heavy[strike.Request] = true
+			changed = true
+		}
+	}
+	if b.evict() {
 		changed = true
 	}
 	if !changed {
 		return nil
 	}
-	b.evict()
 	return b.judge(now)
 }
 
@@ -167,6 +172,10 @@
 		return
 	}
 	delete(r.servers, strike.Server)
+	if len(r.servers) < b.settings.HoldAt {
+		delete(b.heavy, strike.Request)
+		r.held, r.doubtSince = false, time.Time{}
+	}
 	b.dropEmpty(strike.Request, r)
 	b.judge(now)
 }
@@ -196,7 +205,7 @@
 	if r == nil {
 		return Request{}, false
 	}
-	known := r.request(f)
+	known := b.request(f, r)
 	b.drop(f)
 	b.judge(now)
 	return known, true
@@ -247,7 +256,7 @@
 	strikes := 0
 	r := b.requests[f]
 	if r != nil {
-		strikes = r.unexplained
+		strikes = b.unexplained(r)
 	}
 	for i, server := range broken {
 		if (r == nil || !r.servers[server]) && !slices.Contains(broken[:i], server) {
@@ -267,7 +276,7 @@
 			life = b.settings.HeldFor
 		}
 		if now.Sub(r.lastAt) >= life {
-			forgotten = append(forgotten, r.request(f))
+			forgotten = append(forgotten, b.request(f, r))
 			b.drop(f)
 		}
 	}
@@ -280,20 +289,25 @@
 // List returns all that is known, the most strikes first.
 func (b *Book) List() []Request {
 	list := make([]Request, 0, len(b.requests))
-	for _, f := range b.byStrikes() {
-		list = append(list, b.requests[f].request(f))
+	all := make([]Fingerprint, 0, len(b.requests))
+	for f := range b.requests {
+		all = append(all, f)
+	}
+	b.sortByStrikes(all)
+	for _, f := range all {
+		list = append(list, b.request(f, b.requests[f]))
 	}
 	return list
 }
 
-func (r *record) request(f Fingerprint) Request {
+func (b *Book) request(f Fingerprint, r *record) Request {
 	servers := make([]string, 0, len(r.servers))
 	for server := range r.servers {
 		servers = append(servers, server)
 	}
 	slices.Sort(servers)
 	return Request{
-		Fingerprint: f, Servers: servers, Unexplained: r.unexplained, Trials: r.trials,
+		Fingerprint: f, Servers: servers, Unexplained: b.unexplained(r), Trials: r.trials,
 		Held: r.held, Doubtful: r.doubtful(), LastNews: r.lastAt,
 	}
 }
@@ -316,72 +330,87 @@
 
 func (b *Book) drop(f Fingerprint) {
 	delete(b.requests, f)
+	delete(b.heavy, f)
 	if b.heads[f.Head()]--; b.heads[f.Head()] == 0 {
 		delete(b.heads, f.Head())
 	}
 }
 
+// evictShare of a full book is given up at once.
+const evictShare = 8
+
 // evict makes room: those that are not held go first, the oldest news first.
-func (b *Book) evict() {
-	for len(b.requests) > b.settings.MaxRequests {
-		var oldest Fingerprint
-		var least *record
-		for f, r := range b.requests {
-			if least == nil || r.goesBefore(least) {
-				oldest, least = f, r
-			}
-		}
-		b.evicted = append(b.evicted, least.request(oldest))
-		b.drop(oldest)
+// False: there was room.
+func (b *Book) evict() bool {
+	if len(b.requests) <= b.settings.MaxRequests {
+		return false
+	}
+	order := make([]Fingerprint, 0, len(b.requests))
+	for f := range b.requests {
+		order = append(order, f)
+	}
+	slices.SortFunc(order, func(x, y Fingerprint) int { return b.requests[x].evictedBefore(b.requests[y]) })
+	keep := b.settings.MaxRequests - b.settings.MaxRequests/evictShare
+	for _, f := range order[:len(order)-keep] {
+		b.evicted = append(b.evicted, b.request(f, b.requests[f]))
+		b.drop(f)
 	}
+	return true
 }
 
-func (r *record) goesBefore(other *record) bool {
-	if r.held != other.held {
-		return !r.held
+func (r *record) evictedBefore(other *record) int {
+	switch {
+	case r.held && !other.held:
+		return 1
+	case !r.held && other.held:
+		return -1
 	}
-	return r.lastAt.Before(other.lastAt)
+	return r.lastAt.Compare(other.lastAt)
 }
 
-// byStrikes returns the requests, the most strikes first.
-func (b *Book) byStrikes() []Fingerprint {
-	order := make([]Fingerprint, 0, len(b.requests))
-	for f := range b.requests {
-		order = append(order, f)
-	}
+func (b *Book) sortByStrikes(order []Fingerprint) {
 	slices.SortFunc(order, func(x, y Fingerprint) int {
 		if more := len(b.requests[y].servers) - len(b.requests[x].servers); more != 0 {
 			return more
 		}
 		return bytes.Compare(x[:], y[:])
 	})
-	return order
+}
+
+// unexplained counts the crashes that no held request with more strikes accounts for.
+func (b *Book) unexplained(r *record) int {
+	n := 0
+	for server := range r.servers {
+		if b.most[server] <= len(r.servers) {
+			n++
+		}
+	}
+	return n
 }
 
 // judge works out who is held, from the strikes alone: all entries that know the
 // same strikes hold the same requests. A crash under a held request counts for
 // no other with fewer strikes. It returns those that were not held before.
 func (b *Book) judge(now time.Time) []Fingerprint {
-	// most strikes of a held request at a server, and who is held there.
-	most, heldAt := map[string]int{}, map[string][]Fingerprint{}
+	order := make([]Fingerprint, 0, len(b.heavy))
+	for f := range b.heavy {
+		order = append(order, f)
+	}
+	b.sortByStrikes(order)
+	b.most = map[string]int{}
+	heldAt := map[string][]Fingerprint{}
 	var held, fresh []Fingerprint
-	for _, f := range b.byStrikes() {
+	for _, f := range order {
 		r := b.requests[f]
 		was := r.held
-		r.unexplained = 0
-		for server := range r.servers {
-			if most[server] <= len(r.servers) {
-				r.unexplained++
-			}
-		}
-		r.held = r.unexplained >= b.settings.HoldAt
+		r.held = b.unexplained(r) >= b.settings.HoldAt
 		if !r.held {
 			r.doubtSince = time.Time{}
 			continue
 		}
 		held = append(held, f)
 		for server := range r.servers {
-			most[server] = max(most[server], len(r.servers))
+			b.most[server] = max(b.most[server], len(r.servers))
 			heldAt[server] = append(heldAt[server], f)
 		}
 		if !was {
