A holder that stops during a renewal gives its lease back

What callers would see: new weights stand still for a lease's time after the entry that orders them was stopped. Cause: Close broke the call under way off; a renewal that the store had carried out left a row of another version, the release was refused for that and the refusal was not looked at. The same after a renewal whose answer was lost. Now a stop lets the call end (500 ms at most), settles a write in doubt by a read, and logs a release that is refused.

--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -13,6 +13,10 @@
 const (
 	keeperTick   = 200 * time.Millisecond
 	tableTimeout = 2 * time.Second
+	// stopWait bounds how long Close waits for a call to the table that is under
+	// way. Broken off, a renewal may have been carried out: the row is then another
+	// than the one that is to be given back.
+	stopWait = 500 * time.Millisecond
 )
 
 // Keeper contends for one lease and renews it until Close. Safe for concurrent use.
@@ -20,7 +24,10 @@
 	table  platform.Table
 	clock  platform.Clock
 	cancel context.CancelFunc
-	done   chan struct{}
+	// stop ends the contention after the call under way, done when that is over.
+	stop     chan struct{}
+	done     chan struct{}
+	stopOnce sync.Once
 	// contend tells whether to try for the lease now; nil: always.
 	contend func() bool
 
@@ -37,7 +44,7 @@
 // so, since each look at the lease is a call to the store. A lease that is held
 // is renewed in any case.
 func KeepIf(ctx context.Context, table platform.Table, name, holder string, settings Settings, clock platform.Clock, contend func() bool) *Keeper {
-	k := &Keeper{table: table, clock: clock, done: make(chan struct{}), lease: New(name, holder, settings), contend: contend}
+	k := &Keeper{table: table, clock: clock, stop: make(chan struct{}), done: make(chan struct{}), lease: New(name, holder, settings), contend: contend}
 	ctx, k.cancel = context.WithCancel(ctx)
 	go k.run(ctx)
 	return k
@@ -59,17 +66,45 @@
 
 // Close gives the lease back and stops. The holder must have stopped to act.
 func (k *Keeper) Close(ctx context.Context) {
-	k.cancel()
-	<-k.done
+	k.finish(ctx)
+	if k.inDoubt() {
+		readCtx, cancel := context.WithTimeout(ctx, stopWait)
+		k.read(readCtx)
+		cancel()
+	}
 	k.mu.Lock()
 	action := k.lease.Release(k.clock())
 	k.mu.Unlock()
 	if action == nil {
 		return
 	}
-	if _, err := k.table.Commit(ctx, *action.Commit); err != nil {
-		klog.V(1).InfoS("Lease not given back; it lapses", "lease", k.lease.name, "err", err)
+	result, err := k.table.Commit(ctx, *action.Commit)
+	if err != nil || !result.Committed {
+		klog.InfoS("Lease not given back; it lapses", "lease", k.lease.name, "committed", result.Committed, "err", err)
+	}
+}
+
+// finish ends the contention: the call under way is broken off only when it
+// takes too long.
+func (k *Keeper) finish(ctx context.Context) {
+	k.stopOnce.Do(func() { close(k.stop) })
+	defer k.cancel()
+	timer := time.NewTimer(stopWait)
+	defer timer.Stop()
+	select {
+	case <-k.done:
+		return
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	k.cancel()
+	<-k.done
+}
+
+func (k *Keeper) inDoubt() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease.InDoubt()
 }
 
 func (k *Keeper) run(ctx context.Context) {
@@ -81,6 +116,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-k.stop:
+			return
 		case <-ticker.C:
 		}
 	}
