--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -119,7 +119,7 @@
 		return ended
 	}
 	j.failed(choice.Server.ID)
-	j.brokeOff(choice)
+	j.noteEarlyEnd(choice)
 	return unknown
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -345,7 +345,7 @@
 		j.evidence.failed = true
 	}
 	if outcome == unknown {
-		j.brokeOff(choice)
+		j.noteEarlyEnd(choice)
 	}
 	j.finished(choice, outcome)
 	return outcome
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -146,13 +146,13 @@
 	operators := &feed{table: g.ports.Decoder.OperatorTable, wait: operatorWait, relayPause: relayPause, apply: g.applyOperator}
 	backends := &feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: relayPause, apply: g.applyBackends}
 	entries := &feed{table: g.ports.Decoder.EntryTable, wait: operatorWait, pause: entriesPause, relayPause: relayPause, apply: g.applyEntries}
-	suspects := &feed{table: g.ports.Decoder.SuspectTable, wait: operatorWait, pause: entriesPause, relayPause: suspectRelayPause, apply: g.applySuspects}
-	g.feeds = []*feed{operators, backends, entries, suspects}
+	suspected := &feed{table: g.ports.Decoder.SuspectTable, wait: operatorWait, pause: entriesPause, relayPause: suspectRelayPause, apply: g.applySuspects}
+	g.feeds = []*feed{operators, backends, entries, suspected}
 	placed := time.Now().Add(placeWait)
 	g.spawn(func() { g.run(ctx, operators, placed) })
 	g.spawn(func() { g.run(ctx, backends, placed) })
 	g.spawn(func() { g.run(ctx, entries, time.Time{}) })
-	g.spawn(func() { g.run(ctx, suspects, placed) })
+	g.spawn(func() { g.run(ctx, suspected, placed) })
 	g.spawn(func() { g.spreadSuspects(ctx) })
 	g.spawn(func() { g.fallBack(ctx, backends) })
 	g.spawn(func() { g.register(ctx) })
--- a/internal/gateway/holding.go
+++ b/internal/gateway/holding.go
@@ -107,9 +107,9 @@
 	return j.gateway.state.suspects.mayRepeat(j.fingerprint(), j.brokeEarly)
 }
 
-// brokeOff takes in that a run ended with its connection. Where it had just
+// noteEarlyEnd takes in that a run ended with its connection. Where it had just
 // begun, the server is asked whether it still listens.
-func (j *job) brokeOff(choice *routing.DirectChoice) {
+func (j *job) noteEarlyEnd(choice *routing.DirectChoice) {
 	now := time.Now()
 	if !j.firstEventAt.IsZero() && now.Sub(j.firstEventAt) >= earlyTime {
 		return
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -105,8 +105,9 @@
 	s.wakeUp()
 }
 
-// addLocked takes in strikes from any source.
+// addLocked takes in strikes from any source. Most come from several.
 func (s *suspects) addLocked(now time.Time, strikes []quarantine.Strike, source string) {
+	strikes = slices.DeleteFunc(slices.Clone(strikes), s.book.Knows)
 	held := s.book.Add(now, strikes)
 	s.countLocked()
 	for _, strike := range strikes {
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -133,6 +133,12 @@
 // MayKnow tells whether anything may be known of a request with this head.
 func (b *Book) MayKnow(head Head) bool { return b.heads[head] > 0 }
 
+// Knows tells whether the strike was taken in before.
+func (b *Book) Knows(strike Strike) bool {
+	r := b.requests[strike.Request]
+	return r != nil && r.servers[strike.Server]
+}
+
 // Strikes counts the servers that crashed under a request.
 func (b *Book) Strikes(f Fingerprint) int {
 	if r := b.requests[f]; r != nil {
