jay-entry: requests for models that crash engines are held

The agent knows of its engine's end for certain and now says so with the end of a run that had just begun (engine_crashed, and the incarnation). Entries keep quarantine.Book and tell each other with the digests that they exchange anyway; a whole run clears.

Left: plain services, whose bodies are streamed; nothing outlasts a restart of all entries (docs/OPEN.md).

--- a/internal/agent/engine_test.go
+++ b/internal/agent/engine_test.go
@@ -132,3 +132,26 @@
 		})
 	}
 }
+
+// Guards against entries that take any broken answer for a crash, or no crash for one.
+func TestTheEndOfARunSaysWhetherItsEngineCrashed(t *testing.T) {
+	for _, vendor := range []string{standin.Merle, standin.Pica} {
+		t.Run(vendor, func(t *testing.T) {
+			b, engine := standinBench(t, vendor)
+			before := b.probe().GetIncarnation()
+			engine.CrashOn("crash", time.Hour)
+			offer, body := chat(t, "r1", "w1", "crash")
+			got := readAnswer(t, b.accepted(offer, body))
+			assert.Equal(t, jayv1.Outcome_OUTCOME_UNKNOWN, got.end.GetOutcome())
+			assert.True(t, got.end.GetEngineCrashed(), got.end.GetError())
+			assert.Equal(t, before, got.end.GetIncarnation())
+		})
+		t.Run(vendor+"-cut", func(t *testing.T) {
+			b, engine := standinBench(t, vendor)
+			engine.SetFaults(sim.Faults{BreakShare: 1, BreakAfter: 1})
+			offer, body := chat(t, "r1", "w1", "cut")
+			got := readAnswer(t, b.accepted(offer, body))
+			assert.False(t, got.end.GetEngineCrashed(), got.end.GetError())
+		})
+	}
+}
--- a/internal/agent/enginestate.go
+++ b/internal/agent/enginestate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -69,6 +70,25 @@
 	m.up, m.state = true, state
 }
 
+// incarnation of the engine as last seen.
+func (m *modelBackend) incarnation() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(m.state.Incarnation, m.cache.incarnation())
+}
+
+// crashed tells whether an incarnation of the engine is proven to have ended:
+// nothing listens, or another one answers.
+func (m *modelBackend) crashed(ctx context.Context, incarnation uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, statePollTimeout)
+	defer cancel()
+	state, err := m.engine.State(ctx)
+	if err != nil {
+		return errors.Is(err, engine.ErrNotReached)
+	}
+	return incarnation != 0 && state.Incarnation > incarnation
+}
+
 // markDown refuses offers until the engine's state can be read again.
 func (m *modelBackend) markDown(err error) {
 	m.mu.Lock()
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -24,9 +24,10 @@
 	prefill := a.beginPrefill(w)
 	defer prefill.end(0)
 	req := a.engineRequest(w)
+	incarnation := a.model.incarnation()
 	stream, err := a.model.engine.Submit(w.ctx, req)
 	if err != nil {
-		a.submitFailed(w, err)
+		a.submitFailed(w, err, incarnation)
 		return
 	}
 	defer func() { _ = stream.Close() }()
@@ -38,7 +39,18 @@
 	}
 	// The engine may still work on it: the slot is free only after the cancel.
 	a.cancelEngine(req.ID)
-	a.end(w, eventFail, &jayv1.End{Error: err.Error()})
+	a.end(w, eventFail, a.brokenEnd(w, err, incarnation, prefill.early(time.Now())))
+}
+
+// brokenEnd is the end of a run whose outcome is not known. Where it had just
+// begun it says whether the engine crashed: entries keep a request under which
+// engines crash from the next one.
+func (a *Agent) brokenEnd(w *work, err error, incarnation uint64, early bool) *jayv1.End {
+	end := &jayv1.End{Error: err.Error()}
+	if early && w.ctx.Err() == nil && a.model.crashed(a.ctx, incarnation) {
+		end.EngineCrashed, end.Incarnation = true, incarnation
+	}
+	return end
 }
 
 func (a *Agent) engineRequest(w *work) engine.Request {
@@ -58,7 +70,7 @@
 
 // submitFailed ends an attempt that the engine did not take. Only the two
 // errors that prove it make it "not run".
-func (a *Agent) submitFailed(w *work, err error) {
+func (a *Agent) submitFailed(w *work, err error, incarnation uint64) {
 	switch {
 	case errors.Is(err, engine.ErrNotReached):
 		a.model.markDown(err)
@@ -71,7 +83,7 @@
 		a.end(w, eventNotReached, a.engineRefused(w, err))
 	default:
 		a.cancelEngine(w.id)
-		a.end(w, eventFail, &jayv1.End{Error: err.Error()})
+		a.end(w, eventFail, a.brokenEnd(w, err, incarnation, true))
 	}
 }
 
@@ -170,6 +182,16 @@
 	work     *work
 	measured bool
 	over     bool
+	// firstAt is when the first token came; zero: it has not.
+	firstAt time.Time
+}
+
+// earlyTime after its first token a run has just begun.
+const earlyTime = time.Second
+
+// early tells whether the run has just begun.
+func (p *prefillTimer) early(now time.Time) bool {
+	return p.firstAt.IsZero() || now.Sub(p.firstAt) < earlyTime
 }
 
 func (a *Agent) beginPrefill(w *work) *prefillTimer {
@@ -185,6 +207,7 @@
 	if p.over {
 		return
 	}
+	p.firstAt = time.Now()
 	p.end(p.work.missedTokens)
 	p.agent.observeFirstToken(p.work)
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -29,9 +29,11 @@
 		Incarnation: uint64(e.started.UnixNano()), //nolint:gosec // after 1970
 		Settings:    e.settings.Spread, Node: e.node, Holder: e.holder, Seeds: e.settings.Seeds,
 		Store: store, VMs: e.platform, OnVMs: e.heardVMs,
-		OnNews:  func(_ keys.Identity, news []*jayv1.MemberNews) { e.picker.news(time.Now(), news) },
-		News:    func() []*jayv1.MemberNews { return e.picker.tell(time.Now()) },
-		Leaving: e.stopping.Load, Process: e.tellLeases,
+		OnNews:    func(_ keys.Identity, news []*jayv1.MemberNews) { e.picker.news(time.Now(), news) },
+		News:      func() []*jayv1.MemberNews { return e.picker.tell(time.Now()) },
+		OnCrashes: func(news []*jayv1.CrashNews) { e.crashes.heard(time.Now(), news) },
+		Crashes:   func(all bool) []*jayv1.CrashNews { return e.crashes.tell(time.Now(), all) },
+		Leaving:   e.stopping.Load, Process: e.tellLeases,
 	})
 	if err != nil {
 		return err
@@ -76,6 +78,7 @@
 	defer ticker.Stop()
 	for {
 		e.picker.tick(time.Now(), e.holder.Current())
+		e.crashes.tick(time.Now())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,9 @@
 	startup *startup
 	explain *explanations
 
+	// crashes are requests under which engines crashed.
+	crashes *crashes
+
 	quotaMu  sync.Mutex
 	quota    *quota.Limiter
 	budgetMu sync.Mutex
@@ -101,6 +104,7 @@
 		startup: newStartup(settings),
 		explain: newExplanations(),
 		quota:   quota.NewLimiter(),
+		crashes: newCrashes(),
 		budget:  retry.NewBudget(settings.Attempts.RetryShare, settings.Attempts.RetryBurst),
 		started: time.Now(),
 	}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -59,6 +59,8 @@
 	last  result
 	// maybeRan: an attempt ended unknown, so the request can't be called not run.
 	maybeRan bool
+	// crashed are the engines that crashed as the request began to run there.
+	crashed []string
 }
 
 func (h *handing) run(ctx context.Context) result {
@@ -135,6 +137,7 @@
 	h.last.attempts, h.last.server = a.number, a.server
 	h.last.end, h.last.reply = a.end, a.reply
 	h.last.outcome = a.outcome()
+	h.noteCrash(a)
 	klog.V(2).InfoS("attempt over", "request", a.id, "attempt", a.number, "server", a.server, "state", a.state, "refusal", t.Refusal)
 }
 
@@ -157,6 +160,7 @@
 func (h *handing) settled(ctx context.Context, a *attempt) bool {
 	switch {
 	case a.outcome() == jayv1.Outcome_OUTCOME_DONE:
+		h.entry.ranWhole(h.work)
 		h.last.err = nil
 		return true
 	case a.outcome() == jayv1.Outcome_OUTCOME_UNKNOWN:
@@ -207,6 +211,9 @@
 	if !h.work.repeatable || h.to.Started() || errors.Is(a.cause, errCallerGone) || !h.work.body.Rewind() {
 		return false
 	}
+	if !h.entry.crashesAllowRepeat(h.work, h.crashed) {
+		return false
+	}
 	return h.entry.allowRetry(time.Now(), h.work.deadline)
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -21,6 +21,9 @@
 	}
 	defer leave()
 	defer e.leaveLimits(w.workspace.GetName())
+	if refusal := e.heldBack(w); refusal != nil {
+		return refusal
+	}
 	ctx := c.Request().Context()
 	if w.nonRepeatable {
 		// A booking that has begun is not broken off because its caller hung up:
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -7,6 +7,7 @@
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/ledger"
+	"github.com/jayproxy/jayproxy/internal/quarantine"
 	"github.com/jayproxy/jayproxy/internal/routing"
 )
 
@@ -36,6 +37,11 @@
 	body     bodySource
 	keepOpen bool
 
+	// identity across the attempts of its caller; nil: the body is not held whole.
+	identity *quarantine.Identity
+	// hashed is the fingerprint; nil: not needed yet.
+	hashed *quarantine.Fingerprint
+
 	nonRepeatable bool
 	// repeatable work may be started again when its outcome is unknown.
 	repeatable bool
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -120,6 +120,9 @@
 	if s.options.News != nil {
 		digest.News = s.options.News()
 	}
+	if s.options.Crashes != nil {
+		digest.Crashes = s.options.Crashes(false)
+	}
 	if s.options.Leaving != nil {
 		digest.Leaving = s.options.Leaving()
 	}
@@ -132,6 +135,9 @@
 	digest.Incarnation = s.options.Incarnation
 	digest.DataCentre, digest.Region = s.options.DataCentre, s.options.Region
 	digest.Address = s.options.Address
+	if s.options.Crashes != nil {
+		digest.Crashes = s.options.Crashes(true)
+	}
 }
 
 // introductionDue tells whether the peer should hear who the process is: at
@@ -190,6 +196,9 @@
 	if s.options.OnNews != nil && len(digest.GetNews()) > 0 {
 		s.options.OnNews(from, digest.GetNews())
 	}
+	if s.options.OnCrashes != nil && len(digest.GetCrashes()) > 0 {
+		s.options.OnCrashes(digest.GetCrashes())
+	}
 	peer := Peer{ID: from, Address: digest.GetAddress(), DataCentre: digest.GetDataCentre(), Region: digest.GetRegion()}
 	s.then(func(now time.Time) []Action { return s.core.HeardDigest(now, peer, digest.GetGeneration()) })
 }
--- a/internal/spread/service.go
+++ b/internal/spread/service.go
@@ -50,6 +50,11 @@
 	OnNews func(from keys.Identity, news []*jayv1.MemberNews)
 	// News is what the process's digests carry; keep it small.
 	News func() []*jayv1.MemberNews
+	// OnCrashes gets the requests under which engines crashed, of other processes'
+	// digests; Crashes are those that ours carry. all: those that a process which
+	// has just started must know too. Both may be nil.
+	OnCrashes func(news []*jayv1.CrashNews)
+	Crashes   func(all bool) []*jayv1.CrashNews
 	// Leaving tells whether the process is shutting down.
 	Leaving func() bool
 	// Process adds what else the process tells of itself in a status; may be nil.
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -35,6 +35,7 @@
 	request completionRequest
 	chat    bool
 	call    sim.Call
+	body    []byte
 }
 
 // framer writes the events of a stream in a vendor's format.
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &completion{chat: c.Path() == "/v1/chat/completions"}
+	r := &completion{chat: c.Path() == "/v1/chat/completions", body: body}
 	if err := json.Unmarshal(body, &r.request); err != nil {
 		return nil, err
 	}
@@ -81,6 +82,7 @@
 // serve answers an accepted request, streamed or whole.
 func (e *Engine) serve(c echo.Context, r *completion, answer *sim.Answer, f framer) error {
 	defer answer.Cancel()
+	e.crashFor(r.body)
 	if r.request.Stream {
 		return e.stream(c, r, answer, f)
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -53,6 +54,11 @@
 	other *wholeAnswer
 	// back brings the engine back after a crash.
 	back *time.Timer
+	// marker in the body of requests that crash it, for so long; empty: none.
+	marker string
+	down   time.Duration
+	// crashes by such requests.
+	crashes int
 }
 
 // Start serves a stand-in until Close.
@@ -106,6 +112,30 @@
 // after a time off the network.
 func (e *Engine) Crash(down time.Duration) { e.crash(context.Background(), down) }
 
+// CrashOn makes it crash when it begins to run a request with a marker in its body.
+func (e *Engine) CrashOn(marker string, down time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.marker, e.down = marker, down
+}
+
+// crashFor crashes it if the request is one that does so.
+func (e *Engine) crashFor(body []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.marker != "" && bytes.Contains(body, []byte(e.marker)) {
+		e.crashes++
+		go e.Crash(e.down)
+	}
+}
+
+// Crashes counts those by requests.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
 func (e *Engine) crash(ctx context.Context, down time.Duration) {
 	e.server.Down(ctx)
 	e.core.Crash()
