One memo of a request's hashes, one rule for a run that had just begun

jay-gateway and jay-entry each kept a fingerprint that is worked out once, and jay-gateway hashed the head up to four times a request while anything was suspected: quarantine.Hashes does both once. The rule for a run that had just begun, with its second, stood in the gateway and in the agent: quarantine.JustBegun. The engine's newest incarnation was worked out twice in the agent.

--- a/internal/agent/enginestate.go
+++ b/internal/agent/enginestate.go
@@ -74,6 +74,10 @@
 func (m *modelBackend) incarnation() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.incarnationLocked()
+}
+
+func (m *modelBackend) incarnationLocked() uint64 {
 	return max(m.state.Incarnation, m.cache.incarnation())
 }
 
@@ -119,7 +123,7 @@
 func (m *modelBackend) describe(state *jayv1.AgentState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	state.Incarnation = max(m.state.Incarnation, m.cache.incarnation())
+	state.Incarnation = m.incarnationLocked()
 	state.CacheSurvivalMs = float64(m.cache.survival(time.Now())) / float64(time.Millisecond)
 	state.VersionDigests = m.state.Versions
 	state.Adapters = m.state.Adapters
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -10,6 +10,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/engine"
+	"github.com/jayproxy/jayproxy/internal/quarantine"
 	"github.com/jayproxy/jayproxy/internal/relay"
 )
 
@@ -39,7 +40,7 @@
 	}
 	// The engine may still work on it: the slot is free only after the cancel.
 	a.cancelEngine(req.ID)
-	a.end(w, eventFail, a.brokenEnd(w, err, incarnation, prefill.early(time.Now())))
+	a.end(w, eventFail, a.brokenEnd(w, err, incarnation, quarantine.JustBegun(time.Now(), prefill.firstAt)))
 }
 
 // brokenEnd is the end of a run whose outcome is not known. Where it had just
@@ -186,14 +187,6 @@
 	firstAt time.Time
 }
 
-// earlyTime after its first token a run has just begun.
-const earlyTime = time.Second
-
-// early tells whether the run has just begun.
-func (p *prefillTimer) early(now time.Time) bool {
-	return p.firstAt.IsZero() || now.Sub(p.firstAt) < earlyTime
-}
-
 func (a *Agent) beginPrefill(w *work) *prefillTimer {
 	p := &prefillTimer{agent: a, work: w, measured: w.missedTokens >= minMeasuredTokens}
 	if p.measured {
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -156,11 +156,11 @@
 }
 
 // mayKnow tells, without hashing a body, whether something may be known.
-func (c *crashes) mayKnow(identity *quarantine.Identity) bool {
-	if identity == nil || c.known.Load() == 0 {
+func (c *crashes) mayKnow(hashes *quarantine.Hashes) bool {
+	if hashes == nil || c.known.Load() == 0 {
 		return false
 	}
-	head := identity.Head()
+	head := hashes.Head()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.book.MayKnow(head)
@@ -183,50 +183,41 @@
 	return c.book.MayRepeat(f, crashed)
 }
 
-// fingerprint of a request whose body is held whole.
-func (w *work) fingerprint() quarantine.Fingerprint {
-	if w.hashed == nil {
-		f := w.identity.Fingerprint()
-		w.hashed = &f
-	}
-	return *w.hashed
-}
-
 // heldBack refuses a request under which engines crashed; nil: it may run.
 func (e *Entry) heldBack(w *work) *Error {
-	if !e.crashes.mayKnow(w.identity) {
+	if !e.crashes.mayKnow(w.hashes) {
 		return nil
 	}
-	v := e.crashes.verdict(time.Now(), w.fingerprint())
+	v := e.crashes.verdict(time.Now(), w.hashes.Fingerprint())
 	if !v.Held || v.Trial > 0 {
 		return nil
 	}
-	klog.InfoS("request held back", "request", w.id, "fingerprint", w.fingerprint().String(), "retryAfterMS", v.RetryAfter.Milliseconds())
+	klog.InfoS("request held back", "request", w.id, "fingerprint", w.hashes.Fingerprint().String(), "retryAfterMS", v.RetryAfter.Milliseconds())
 	return refuseForNow(http.StatusServiceUnavailable, CodeHeld, "engines crashed while they began to run this request", v.RetryAfter)
 }
 
 // noteCrash takes in that an attempt's engine crashed.
 func (h *handing) noteCrash(a *attempt) {
-	if h.work.identity == nil || !a.end.GetEngineCrashed() {
+	if h.work.hashes == nil || !a.end.GetEngineCrashed() {
 		return
 	}
 	engine := a.server + "@" + strconv.FormatUint(a.end.GetIncarnation(), 36)
 	h.crashed = append(h.crashed, engine)
 	now := time.Now()
-	h.entry.crashes.take(now, now, crashWord{strike: quarantine.Strike{Request: h.work.fingerprint(), Server: engine}})
+	h.entry.crashes.take(now, now, crashWord{strike: quarantine.Strike{Request: h.work.hashes.Fingerprint(), Server: engine}})
 }
 
 // crashesAllowRepeat tells whether a request may be started again as far as the
 // crashes of engines are concerned.
 func (e *Entry) crashesAllowRepeat(w *work, crashed []string) bool {
-	return len(crashed) == 0 || e.crashes.mayRepeat(w.fingerprint(), crashed)
+	return len(crashed) == 0 || e.crashes.mayRepeat(w.hashes.Fingerprint(), crashed)
 }
 
 // ranWhole clears a request at all entries.
 func (e *Entry) ranWhole(w *work) {
-	if !e.crashes.mayKnow(w.identity) {
+	if !e.crashes.mayKnow(w.hashes) {
 		return
 	}
 	now := time.Now()
-	e.crashes.take(now, now, crashWord{strike: quarantine.Strike{Request: w.fingerprint()}, cleared: true})
+	e.crashes.take(now, now, crashWord{strike: quarantine.Strike{Request: w.hashes.Fingerprint()}, cleared: true})
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -70,7 +70,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	w.identity = &quarantine.Identity{Caller: w.workspace.GetName(), Method: http.MethodPost, Target: w.apiPath, Body: body}
+	w.hashes = &quarantine.Hashes{Identity: quarantine.Identity{Caller: w.workspace.GetName(), Method: http.MethodPost, Target: w.apiPath, Body: body}}
 	seed := prefix.Seed{Workspace: w.workspace.GetName(), Model: w.model, VersionDigest: w.version, Adapter: adapter}
 	chain := prefix.Chain(seed, req.canonical)
 	w.route = &routing.Request{
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -37,10 +37,9 @@
 	body     bodySource
 	keepOpen bool
 
-	// identity across the attempts of its caller; nil: the body is not held whole.
-	identity *quarantine.Identity
-	// hashed is the fingerprint; nil: not needed yet.
-	hashed *quarantine.Fingerprint
+	// hashes of what all attempts of its caller have in common; nil: the body is
+	// not held whole.
+	hashes *quarantine.Hashes
 
 	nonRepeatable bool
 	// repeatable work may be started again when its outcome is unknown.
--- a/internal/gateway/holding.go
+++ b/internal/gateway/holding.go
@@ -13,10 +13,6 @@
 	"github.com/jayproxy/jayproxy/internal/upstream"
 )
 
-// earlyTime after its first event a run has just begun: a server that a request
-// crashes does so while it reads the prompt or makes the first tokens.
-const earlyTime = time.Second
-
 // identity of the request across its caller's attempts.
 func (j *job) identity() quarantine.Identity {
 	identity := quarantine.Identity{
@@ -28,16 +24,7 @@
 	return identity
 }
 
-// fingerprint of the request. It is worked out when it is first needed: hashing
-// the body of each request would cost all for the sake of a few.
-func (j *job) fingerprint() quarantine.Fingerprint {
-	if j.hashed == nil {
-		identity := j.identity()
-		f := identity.Fingerprint()
-		j.hashed = &f
-	}
-	return *j.hashed
-}
+func (j *job) fingerprint() quarantine.Fingerprint { return j.hashes.Fingerprint() }
 
 // fingerprintOf a send that may have run, for logs; empty for others.
 func (j *job) fingerprintOf(outcome result) string {
@@ -49,8 +36,7 @@
 
 // suspected tells whether anything is known of the request.
 func (j *job) suspected() bool {
-	identity := j.identity()
-	return j.gateway.state.suspects.mayKnow(&identity)
+	return j.gateway.state.suspects.mayKnow(&j.hashes)
 }
 
 // isHeld tells whether the request must not be sent, and when its caller may
@@ -111,7 +97,7 @@
 // begun, the server is asked whether it still listens.
 func (j *job) noteEarlyEnd(choice *routing.DirectChoice) {
 	now := time.Now()
-	if !j.firstEventAt.IsZero() && now.Sub(j.firstEventAt) >= earlyTime {
+	if !quarantine.JustBegun(now, j.firstEventAt) {
 		return
 	}
 	g, server := j.gateway, choice.Server
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -55,8 +55,8 @@
 	firstEventAt time.Time
 	// brokeEarly are the servers at which a run broke off that had just begun.
 	brokeEarly []string
-	// hashed is the request's fingerprint; nil: not needed yet.
-	hashed *quarantine.Fingerprint
+	// hashes of what all attempts of the request have in common.
+	hashes quarantine.Hashes
 	// apart from other suspects; 0: the request is none.
 	apart uint64
 	// trial that this attempt is, of a held request; 0: none.
@@ -135,6 +135,7 @@
 	if !j.readBody() {
 		return false
 	}
+	j.hashes.Identity = j.identity()
 	g.state.arrived(j.arrived, j.service.Name)
 	return true
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -207,11 +207,11 @@
 }
 
 // mayKnow tells, without hashing a body, whether something may be known of a request.
-func (s *suspects) mayKnow(identity *quarantine.Identity) bool {
+func (s *suspects) mayKnow(hashes *quarantine.Hashes) bool {
 	if s.known.Load() == 0 {
 		return false
 	}
-	head := identity.Head()
+	head := hashes.Head()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.book.MayKnow(head) || s.breaks.MayKnow(head)
--- a/internal/quarantine/breaks.go
+++ b/internal/quarantine/breaks.go
@@ -13,6 +13,16 @@
 	maxBroken = 8192
 )
 
+// earlyTime after its first event a run has just begun: a server that a request
+// crashes does so while it reads the prompt or makes the first tokens.
+const earlyTime = time.Second
+
+// JustBegun tells whether a run had just begun when it broke off. firstAt is when
+// its first event came; zero: none did.
+func JustBegun(now, firstAt time.Time) bool {
+	return firstAt.IsZero() || now.Sub(firstAt) < earlyTime
+}
+
 // Breaks holds runs that broke off early until it is known whether their
 // servers crashed: a stream is cut by much else.
 type Breaks struct {
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -56,6 +56,32 @@
 	return f
 }
 
+// Hashes works out the hashes of one request when they are first needed, each
+// once: hashing the body of each request would cost all for the sake of a few.
+type Hashes struct {
+	Identity    Identity
+	head        *Head
+	fingerprint *Fingerprint
+}
+
+// Head is that of the identity.
+func (h *Hashes) Head() Head {
+	if h.head == nil {
+		head := h.Identity.Head()
+		h.head = &head
+	}
+	return *h.head
+}
+
+// Fingerprint is that of the identity.
+func (h *Hashes) Fingerprint() Fingerprint {
+	if h.fingerprint == nil {
+		f := h.Identity.Fingerprint()
+		h.fingerprint = &f
+	}
+	return *h.fingerprint
+}
+
 func writeSize(hash interface{ Write([]byte) (int, error) }, size int) {
 	var bytes [8]byte
 	binary.BigEndian.PutUint64(bytes[:], uint64(size)) //nolint:gosec // a length
