--- a/internal/agent/outcome_test.go
+++ b/internal/agent/outcome_test.go
@@ -149,6 +149,45 @@
 	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
 }
 
+// Guards against bodies that arrive at the same instant and together exceed queue.bytes.
+func TestBodiesThatArriveAtOnceStayWithinTheTotal(t *testing.T) {
+	const rounds, senders, bodyBytes = 60, 8, 4000
+	counter := &runCounter{count: map[string]int{}}
+	fix := newServiceFixture(t, counter.serve, func(s *agent.Settings) { s.Queue.Bytes = bodyBytes + bodyBytes/2 })
+	for round := range rounds {
+		streams := make([]*transport.Stream, senders)
+		for i := range streams {
+			stream, reply := fix.offer(callOffer(fmt.Sprint("r", round, "-", i), http.MethodPost, "/x"))
+			require.True(t, reply.GetAccepted())
+			streams[i] = stream
+		}
+		refused := make(chan *jayv1.End, senders)
+		completed := make(chan *jayv1.End, senders)
+		for _, stream := range streams {
+			go func() {
+				_ = stream.Send(bodyFrame(strings.Repeat("x", bodyBytes), false))
+				if end := readResponse(t, stream).end; end.GetOutcome() == jayv1.Outcome_OUTCOME_NOT_RUN {
+					refused <- end
+				} else {
+					completed <- end
+				}
+			}()
+		}
+		for i := range senders - 1 {
+			select {
+			case end := <-refused:
+				require.Equal(t, jayv1.Refusal_REFUSAL_QUEUE_FULL, end.GetRefusal())
+			case <-time.After(2 * time.Second):
+				require.Failf(t, "bodies exceed the total", "round %d: %d of %d bodies were refused, %d must be", round, i, senders, senders-1)
+			}
+		}
+		for _, stream := range streams {
+			_ = stream.Send(bodyFrame("", true)) // Fails on a refused stream.
+		}
+		require.Equal(t, jayv1.Outcome_OUTCOME_DONE, (<-completed).GetOutcome())
+	}
+}
+
 // Guards against unbounded memory when many streams are lost at once. The
 // responses that ended last must still be resumable.
 func TestTotalKeptResponseBytesAreBounded(t *testing.T) {
