Agent: keep a response while its reader reads or resumes it

What callers saw: 404 stream_not_found for a stream whose events they had read, in runs of TestStreamsComeWholeThroughDyingEntries of over 30 s.

Cause: the time of replay.retain_ms (30 s) counted from the engine's end. A resume stopped the timer of the lost link, not this one, so a caller that kept coming back, or still read a long response, lost it 30 s after the engine's end.

Change: the time counts from the last contact, a reader that attached or took a frame. New line "resume refused" and counter resume_refused tell why a stream can't be continued.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -58,6 +58,8 @@
 	started bool
 	// resumeTimer ends the attempt when a lost link is not resumed in time.
 	resumeTimer *time.Timer
+	// lastContact is when a reader last attached or took a frame.
+	lastContact time.Time
 }
 
 func attemptID(requestID string, attempt uint32) string {
@@ -78,6 +80,8 @@
 		cancel:    cancel,
 		offered:   now,
 		state:     charts.Must(chartName).Initial(),
+
+		lastContact: now,
 	}
 }
 
@@ -125,3 +129,17 @@
 	}
 	att.resumeTimer = timer
 }
+
+// recordContact records that a reader attached or took a frame.
+func (att *attempt) recordContact(now time.Time) {
+	att.mu.Lock()
+	defer att.mu.Unlock()
+	att.lastContact = now
+}
+
+// idle returns the time since the last contact with a reader.
+func (att *attempt) idle(now time.Time) time.Duration {
+	att.mu.Lock()
+	defer att.mu.Unlock()
+	return now.Sub(att.lastContact)
+}
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -281,7 +281,20 @@
 	klog.V(1).InfoS("attempt ended", "request", att.offer.GetRequestId(), "attempt", att.offer.GetAttempt(),
 		"workspace", att.offer.GetWorkspace(), "backendServer", a.settings.Name, "outcome", state,
 		"refusal", end.GetRefusal().String(), "error", end.GetError())
-	// A response that no entry reads is discarded after replay.retain_ms.
-	id := att.id
-	time.AfterFunc(millis(a.settings.Replay.RetainMS), func() { a.attempts.forget(id) })
+	att.recordContact(time.Now())
+	a.discardWhenAbandoned(att, millis(a.settings.Replay.RetainMS))
+}
+
+// discardWhenAbandoned discards the response of an ended attempt once no reader
+// took a frame of it for replay.retain_ms. The time counts from the last contact:
+// a reader may need longer than that for the whole response, or come back after
+// several entries have failed.
+func (a *Agent) discardWhenAbandoned(att *attempt, after time.Duration) {
+	time.AfterFunc(after, func() {
+		if left := millis(a.settings.Replay.RetainMS) - att.idle(time.Now()); left > 0 {
+			a.discardWhenAbandoned(att, left)
+			return
+		}
+		a.attempts.forget(att.id)
+	})
 }
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -123,6 +123,13 @@
 	return r.attempts[id]
 }
 
+// accepted reports whether the id is among those accepted recently.
+func (r *attemptRegistry) accepted(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.acceptedIDs.Contains(id)
+}
+
 func (r *attemptRegistry) all() []*attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -67,7 +67,7 @@
 type ReplaySettings struct {
 	Bytes      int `toml:"bytes" validate:"min=1024" unit:"bytes" doc:"Answer kept for resume, for each request."`
 	TotalBytes int `toml:"total_bytes" validate:"min=1024" unit:"bytes" doc:"Ended answers kept for readers that lost their link, together."`
-	RetainMS   int `toml:"retain_ms" validate:"min=1" unit:"ms" doc:"How long an answer waits for its reader to come back."`
+	RetainMS   int `toml:"retain_ms" validate:"min=1" unit:"ms" doc:"How long an answer is kept after its reader last attached or took a part of it."`
 	StallMS    int `toml:"stall_ms" validate:"min=1" unit:"ms" doc:"How long a full buffer holds the engine's stream back before the answer ends in an error."`
 }
 
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -205,3 +205,57 @@
 		}
 	})
 }
+
+// Guards against a response that is discarded while its caller still reads it: it is kept for
+// replay.retain_ms after the last contact, not after the engine's end.
+func TestResponseIsKeptWhileItsReaderMakesProgress(t *testing.T) {
+	const chunks, chunkBytes, retain = 12, 64 << 10, 400 * time.Millisecond
+	fix := newFixture(t, func(s *agent.Settings) { s.Replay.RetainMS = int(retain.Milliseconds()) })
+	list := make([]string, chunks)
+	for i := range list {
+		list[i] = strings.Repeat("x", chunkBytes)
+	}
+	fix.engine.set(func(f *fakeEngine) { f.script = wordEvents(list...) })
+	s := fix.accepted(modelOffer("r1"), "{}")
+	for range chunks {
+		require.Len(t, receive(t, s).GetChunk().GetData(), chunkBytes)
+		time.Sleep(retain / 4)
+	}
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, receive(t, s).GetEnd().GetOutcome())
+}
+
+// Guards against 404 for a caller that keeps coming back although its entries fail: each resume
+// starts the time of replay.retain_ms anew.
+func TestResponseIsKeptWhileItsReaderKeepsResuming(t *testing.T) {
+	const resumes, retain = 6, 400 * time.Millisecond
+	fix := newFixture(t, func(s *agent.Settings) { s.Replay.RetainMS = int(retain.Milliseconds()) })
+	offer := modelOffer("r1")
+	s := fix.accepted(offer, "{}")
+	receive(t, s)
+	for range resumes {
+		s.Abort()
+		time.Sleep(retain / 2)
+		s = fix.open()
+		send(t, s, resumeFrame(offer, 0))
+		require.Equal(t, "one", string(receive(t, s).GetChunk().GetData()))
+	}
+}
+
+// Guards against responses that are kept for ever: without contact, or with a reader that takes
+// nothing, they are discarded after replay.retain_ms.
+func TestResponseWithoutProgressIsDiscarded(t *testing.T) {
+	const retain = 200 * time.Millisecond
+	fix := newFixture(t, func(s *agent.Settings) { s.Replay.RetainMS = int(retain.Milliseconds()) })
+	long := strings.Repeat("x", 100<<10)
+	fix.engine.set(func(f *fakeEngine) { f.script = wordEvents(long, long, long, long, long, long) })
+	offer := modelOffer("r1")
+	fix.accepted(offer, "{}")
+	abandoned := modelOffer("r2")
+	fix.accepted(abandoned, "{}").Abort()
+	time.Sleep(3 * retain)
+	for _, offer := range []*jayv1.Offer{offer, abandoned} {
+		s := fix.open()
+		send(t, s, resumeFrame(offer, 0))
+		assert.Equal(t, jayv1.Refusal_REFUSAL_NOT_FOUND, receive(t, s).GetEnd().GetRefusal(), offer.GetRequestId())
+	}
+}
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -62,6 +62,7 @@
 func (a *Agent) serveResume(ctx context.Context, req *jayv1.Resume, s *transport.Stream) {
 	att := a.attempts.get(attemptID(req.GetRequestId(), req.GetAttempt()))
 	if att == nil || !att.claim.Matches(claimOf(req)) {
+		a.refusedResume(req, "no response is kept", att)
 		a.sendEnd(s, &jayv1.End{
 			Outcome: jayv1.Outcome_OUTCOME_UNKNOWN,
 			Refusal: jayv1.Refusal_REFUSAL_NOT_FOUND,
@@ -71,6 +72,7 @@
 	}
 	link, err := att.response.attach(req.GetNextSeq())
 	if err != nil {
+		a.refusedResume(req, err.Error(), att)
 		a.sendEnd(s, &jayv1.End{
 			Outcome: jayv1.Outcome_OUTCOME_UNKNOWN,
 			Refusal: jayv1.Refusal_REFUSAL_NOT_FOUND,
@@ -79,9 +81,22 @@
 		return
 	}
 	att.setResumeTimer(nil)
+	att.recordContact(time.Now())
 	a.relay(ctx, att, link, s)
 }
 
+// metricResumeRefused counts callers whose stream can't be continued, by workspace.
+const metricResumeRefused = "resume_refused"
+
+// refusedResume records why a stream can't be continued. att is the attempt with
+// the id of the request, nil when none is kept.
+func (a *Agent) refusedResume(req *jayv1.Resume, reason string, att *attempt) {
+	id := attemptID(req.GetRequestId(), req.GetAttempt())
+	a.metrics.Count(metricResumeRefused, req.GetWorkspace(), 1)
+	klog.InfoS("resume refused", "request", id, "workspace", req.GetWorkspace(), "nextSeq", req.GetNextSeq(), "reason", reason,
+		"otherClaim", att != nil && !att.claim.Matches(claimOf(req)), "acceptedBefore", a.attempts.accepted(id))
+}
+
 func (a *Agent) sendEnd(s *transport.Stream, end *jayv1.End) {
 	end.State = a.state()
 	_ = s.Send(&jayv1.ServerFrame{Frame: &jayv1.ServerFrame_End{End: end}})
@@ -148,6 +163,7 @@
 		if err := s.Send(out.frame); err != nil {
 			return sendLost
 		}
+		att.recordContact(time.Now())
 		if out.last {
 			return sendCompleted
 		}
