Entry: accept callers on an inherited socket once they can be served

What callers saw: no event and 404 in TestStreamsComeWholeThroughDyingEntries beside 40 to 60 busy loops on 5 cores; each ask ended with its entry (EOF).

Cause: an entry accepted callers at its start. A connection that was accepted is lost with its process and costs its caller a try; one in the queue of a socket that a supervisor holds is served by the next process.

Change: on an inherited socket the port opens when the configuration is in force and the first connections to agents were tried (16 at most, 500 ms), when no configuration exists, or after warmup_ms; then callers without a configuration are refused at once. On a socket of its own an entry accepts at once, as before.

Measured: TestCallersOutliveAnEntryWithoutConfiguration failed before (EOF), passes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/jayproxy/jayproxy/internal/retry"
 	"github.com/jayproxy/jayproxy/internal/spread"
 	"github.com/jayproxy/jayproxy/internal/transport"
+	"github.com/jayproxy/jayproxy/internal/warmup"
 )
 
 // requestHeaderTimeout limits the wait for the headers of a caller's request.
@@ -90,7 +91,7 @@
 		return nil, err
 	}
 	e.startBackground()
-	klog.InfoS("entry serves", "name", settings.Name, "callers", e.CallersURL(), "admin", e.AdminURL(), "quic", e.Address(),
+	klog.InfoS("entry started", "name", settings.Name, "callers", e.CallersURL(), "admin", e.AdminURL(), "quic", e.Address(),
 		"afterStart", time.Since(e.started))
 	return e, nil
 }
@@ -136,11 +137,16 @@
 	}
 	e.admin = newServer(admin, e.adminAPI(), e.settings.Limits.HeaderBytes)
 	e.admin.start()
-	e.callers.start()
+	if e.settings.CallersListener == nil {
+		e.startCallers(warmup.Port{Config: e.search()})
+	}
 	return nil
 }
 
 func (e *Entry) startBackground() {
+	if e.settings.CallersListener != nil {
+		e.runInBackground(e.acceptCallers)
+	}
 	e.runInBackground(e.watchStart)
 	e.runInBackground(e.watchMembership)
 	e.runInBackground(e.pruneClaims)
@@ -192,24 +198,44 @@
 // Close stops at once and aborts the requests in flight.
 func (e *Entry) Close() {
 	e.stopping.Store(true)
+	began := time.Now()
 	// First, since the rest may take long on a busy machine: callers that connect
 	// meanwhile would be accepted only to be cut off. With the port closed they
 	// reach another entry, or wait for the successor of this one.
-	e.callers.close()
+	e.callers.stopListening()
 	e.cancel()
-	e.stopRollouts()
+	// At the same time, since each part waits for goroutines of its own: in turn,
+	// their waits add up to a time in which nobody serves this VM's callers.
+	var parts sync.WaitGroup
+	for _, closePart := range []func(){e.callers.close, e.stopRollouts, e.closeSpread, e.closeOperators, e.admin.close, e.closeNode} {
+		parts.Go(closePart)
+	}
+	parts.Wait()
+	e.ledger.Close()
+	e.wg.Wait()
+	klog.InfoS("entry closed", "name", e.settings.Name, "took", time.Since(began), "afterStart", time.Since(e.started),
+		"configured", e.holder.Current().Generation() > 0)
+}
+
+func (e *Entry) closeSpread() {
 	if e.spread != nil {
 		e.spread.Close()
 	}
+}
+
+func (e *Entry) closeOperators() {
 	if e.operators != nil {
 		e.operators.Close()
 	}
-	e.admin.close()
-	if e.node != nil {
-		_ = e.node.Close()
+}
+
+func (e *Entry) closeNode() {
+	if e.node == nil {
+		return
+	}
+	if err := e.node.Close(); err != nil {
+		klog.ErrorS(err, "QUIC node not closed cleanly", "name", e.settings.Name)
 	}
-	e.ledger.Close()
-	e.wg.Wait()
 }
 
 // server is an HTTP server with its listener.
@@ -257,6 +283,9 @@
 // drain closes the listener and waits for the requests in flight.
 func (s *server) drain(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+// stopListening closes the listener; connections stay open.
+func (s *server) stopListening() { _ = s.listener.Close() }
+
 // close closes all connections and the listener, even if it was never served.
 func (s *server) close() {
 	if s != nil {
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -193,6 +193,63 @@
 	}
 }
 
+// Guards against callers that are lost with an entry that could not have served them: on an
+// inherited socket they wait for an entry that has its configuration.
+func TestCallersOutliveAnEntryWithoutConfiguration(t *testing.T) {
+	const callers = 5
+	s := newDeployment(t, "b1")
+	socket := sharedSocket(t)
+	table := platformtest.New()
+	table.SetDown(true)
+	unconfigured := s.entry("e1", socket, withPlatform(table), func(settings *entry.Settings) {
+		settings.Holder = catalog.NewHolder()
+		settings.Timeouts.WarmupMS = 60000
+	})
+	answers := make(chan reply, callers)
+	for range callers {
+		go func() { answers <- call(t, "POST", unconfigured.CallersURL()+chatPath, keyQuarry, chatPlain) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	unconfigured.Close()
+	s.entry("e2", socket)
+	for n := range callers {
+		select {
+		case r := <-answers:
+			assert.Equal(t, http.StatusOK, r.status, r.body)
+			assert.True(t, strings.HasPrefix(r.header.Get(entry.HeaderRequestID), "req-e2-"), r.header.Get(entry.HeaderRequestID))
+		case <-time.After(10 * time.Second):
+			require.Failf(t, "callers were lost with the first entry", "%d of %d were answered", n, callers)
+		}
+	}
+}
+
+// Guards against callers that wait in the queue of an inherited socket for a configuration or
+// an agent that never comes: they are refused after warmup_ms, and served without the agent.
+func TestWaitInTheQueueOfAnInheritedSocketIsBounded(t *testing.T) {
+	t.Run("no configuration", func(t *testing.T) {
+		s := newDeployment(t)
+		table := platformtest.New()
+		table.SetDown(true)
+		e := s.entry("e1", sharedSocket(t), withPlatform(table), func(settings *entry.Settings) {
+			settings.Holder = catalog.NewHolder()
+			settings.Timeouts.WarmupMS = 300
+		})
+		r := call(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatPlain)
+		assert.Equal(t, http.StatusServiceUnavailable, r.status)
+		assert.Equal(t, "not_run", errorOf(t, r).Outcome)
+	})
+	t.Run("an agent that does not answer", func(t *testing.T) {
+		s := newDeployment(t, "b1", "b2")
+		require.NoError(t, s.agents[1].node.Close())
+		silent, err := net.ListenPacket("udp", s.agents[1].node.Address())
+		require.NoError(t, err)
+		defer func() { _ = silent.Close() }()
+		e := s.entry("e1", sharedSocket(t), func(settings *entry.Settings) { settings.Timeouts.WarmupMS = 60000 })
+		r := call(t, "GET", e.CallersURL()+"/v1/models", keyQuarry, "")
+		assert.Equal(t, http.StatusOK, r.status, r.body)
+	})
+}
+
 // blockedPlatform is a platform whose list of VMs blocks until it is released, even
 // after its context has ended.
 type blockedPlatform struct {
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -22,15 +23,21 @@
 
 // startup counts and limits the requests that wait for the first configuration.
 type startup struct {
+	limits warmup.Limits
+	// overdue: callers have waited for the first configuration for the limit's
+	// timeout before the callers' port was opened.
+	overdue atomic.Bool
+
 	mu   sync.Mutex
 	gate *warmup.Gate
 }
 
 func newStartup(settings Settings) *startup {
-	return &startup{gate: warmup.NewGate(warmup.Limits{
+	limits := warmup.Limits{
 		MaxWaiting: settings.Limits.WarmupRequests,
 		Timeout:    ms(settings.Timeouts.WarmupMS),
-	})}
+	}
+	return &startup{limits: limits, gate: warmup.NewGate(limits)}
 }
 
 func (s *startup) arrive(search warmup.ConfigState) warmup.Decision {
@@ -116,7 +123,7 @@
 	switch {
 	case e.holder.Current().Generation() > 0:
 		return warmup.Loaded
-	case loaded:
+	case loaded, e.startup.overdue.Load():
 		return warmup.NotFound
 	}
 	return warmup.Loading
@@ -125,7 +132,6 @@
 // watchStart logs and records when the first configuration is in force. Callers
 // are served from then on.
 func (e *Entry) watchStart(ctx context.Context) {
-	e.metrics.Time(metricStartServing, e.settings.Name, time.Since(e.started))
 	loaded := e.spread.Loaded()
 	for {
 		next := e.holder.Next()
--- a/internal/transport/node.go
+++ b/internal/transport/node.go
@@ -181,6 +181,13 @@
 	return n.openOn(ctx, l)
 }
 
+// Connect dials the process at the address, which must have one of the roles, unless there is
+// a connection already.
+func (n *Node) Connect(ctx context.Context, address string, roles ...keys.Role) error {
+	_, err := n.dial(ctx, address, roles)
+	return err
+}
+
 // OpenPeer opens a stream on the open connection of a peer, whichever side dialled it. It
 // returns ErrNoConnection if there is none.
 func (n *Node) OpenPeer(ctx context.Context, peer keys.Identity) (*Stream, error) {
