Gateway: a process that stops sends no orders while it gives its lease back

What operators saw: servers that a stopping lease holder ordered after SIGTERM got the newest weights a whole lease later, since the next holder must leave them alone for that long.

Cause: Shutdown waits for the store's answer to the call in flight before it releases the lease; the loop that sends orders ran on, as the lease was held.

Evidence: with a store that answers after 400 ms and SIGTERM during a renewal, two servers were ordered 195 ms after the line "Stopping".

Change: rollouts.holds is false once the process stops.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -87,13 +87,24 @@
 	}
 }
 
+// holds returns the fencing number, and ok while this entry may act under the lease. A
+// process that stops may not: it gives the lease back, which takes as long as the store
+// needs for its answers, and each server that it orders meanwhile gets no order of the next
+// holder for the duration of a lease.
+func (r *rollouts) holds() (fence uint64, ok bool) {
+	if r.gateway.stopping.Load() {
+		return 0, false
+	}
+	return r.gateway.keeper.Held()
+}
+
 // mayAct reports whether this entry may send orders now. Unless it is the first holder of
 // all, it must have received the orders of earlier holders for the duration of a lease, so
 // that no server gets orders from two holders in turn. An entry that is not sent the
 // orders of others waits that long after taking the lease. Servers that another holder has
 // ordered recently are skipped (state.orderedAt).
 func (r *rollouts) mayAct(now time.Time) bool {
-	fence, held := r.gateway.keeper.Held()
+	fence, held := r.holds()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !held {
@@ -167,7 +178,7 @@
 func (r *rollouts) order(ctx context.Context, plan *rollout.Plan, model string, action rollout.Action, fence uint64) {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
-	current, held := r.gateway.keeper.Held()
+	current, held := r.holds()
 	if !held || current != fence {
 		klog.InfoS("Order not sent: lease no longer held", "server", action.Server, "fence", fence)
 		return
