Entry: bound the send buffer of callers' connections

What callers saw: beside load, others were held up by callers that read nothing (TestSlowReadersAreCutOffAndHarmNobody, 1.5 to 2.3 s), and those were cut off late; a caller that is not cut off holds an engine's slot.

Cause: the kernel's send buffer grows to megabytes, and the write timeout begins once it is full. Each slow caller was handed 4 MB first.

Evidence, 40 busy loops on 5 cores,: all eight were cut off 1.50 to 1.52 s after their last write began, the 62nd of 64 KB, which came 6 to 9 s after the first; each cancel was sent at once.

A caller who reads is not slowed: 128 KB per round trip of 6 ms is 21 MB/s.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -57,6 +57,7 @@
 	Streams             int   `toml:"streams" validate:"gt=0" unit:"requests" doc:"Requests under way at once."`
 	StreamsPerWorkspace int   `toml:"streams_per_workspace" validate:"gt=0" unit:"requests" doc:"Requests of one workspace under way at once."`
 	WarmupRequests      int   `toml:"warmup_requests" validate:"gt=0" unit:"requests" doc:"Requests that wait at once for the first configuration of an entry that just started; others are refused."`
+	CallerSendBytes     int   `toml:"caller_send_bytes" validate:"gte=4096" unit:"bytes" doc:"Kernel send buffer of a caller's connection: what a caller that does not read is handed before its writes block. The kernel may double it."`
 	KeyBytes            int   `toml:"key_bytes" validate:"gt=0,lte=512" unit:"bytes" doc:"Longest idempotency key."`
 }
 
@@ -102,7 +103,8 @@
 		MaxLabels: 512,
 		Limits: LimitSettings{
 			BodyBytes: 8 << 20, AnswerBytes: 8 << 20, HeaderBytes: 32 << 10, PromptBytes: 4 << 20,
-			KeptBodyBytes: 1 << 20, Streams: 20000, StreamsPerWorkspace: 5000, WarmupRequests: 1000, KeyBytes: 200,
+			KeptBodyBytes: 1 << 20, Streams: 20000, StreamsPerWorkspace: 5000, WarmupRequests: 1000,
+			CallerSendBytes: 128 << 10, KeyBytes: 200,
 		},
 		Timeouts: TimeoutSettings{
 			DeadlineMS: 60000, OfferMS: 3000, StreamIdleMS: 60000, CallerWriteMS: 20000, CallerReadMS: 20000,
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -168,6 +168,29 @@
 	}, 10*time.Second, 10*time.Millisecond)
 }
 
+// Guards against slow readers that are noticed late: a caller that takes nothing must be handed
+// little before it is cut off.
+func TestReaderThatTakesNothingIsHandedLittle(t *testing.T) {
+	const maxHanded = 2 << 20
+	s := newDeployment(t, "b1")
+	long := strings.Repeat("x", 64<<10)
+	s.agents[0].set(func(f *fakeAgent) {
+		f.respond = func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+			for range 400 {
+				emit(long)
+			}
+			return done()
+		}
+	})
+	e := s.entry("e1", func(settings *entry.Settings) { settings.Timeouts.CallerWriteMS = 300 })
+	response := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
+	defer func() { _ = response.Body.Close() }()
+	require.Eventually(t, func() bool {
+		return s.agents[0].count(func(f *fakeAgent) int { return f.cancels }) == 1
+	}, 10*time.Second, 10*time.Millisecond)
+	assert.Less(t, s.agents[0].node.Stats.BytesSent.Load(), uint64(maxHanded))
+}
+
 // startStream starts a resumable stream, disconnects after five events and returns the
 // resume token.
 func startStream(t *testing.T, e *entry.Entry) (token string) {
