Agent: let a KV cache lookup take a share of the time that it saves

What callers saw: on a busy machine, prompts that the KV cache store had were computed again (TestHotPrefixIsFetchedInsteadOfComputed, 0 cached tokens).

Cause: a fixed bound of 50 ms on the lookup, whatever it can save.

Evidence: beside 40 busy loops on three cores, lookups ended with "context deadline exceeded" after 57 to 129 ms for prompts that take 530 ms to compute. With a store that answers after 75 ms the prompt was computed in 3 of 3 runs.

Change: half of the time that the deepest candidate saves, between 50 and 400 ms (kvplan.LookupTimeout). New counter kv_lookup_timeouts and line.

Measured: TestLongPrefixIsFetchedFromAStoreThatAnswersLate failed 3 of 3 before, passed 2 of 2, as TestHotPrefixIsFetchedInsteadOfComputed did.

--- a/internal/agent/kv.go
+++ b/internal/agent/kv.go
@@ -21,9 +21,6 @@
 )
 
 const (
-	// kvLookupTimeout bounds the lookup of a prompt's prefixes in the store, so
-	// that a slow store costs less than computing the prompt.
-	kvLookupTimeout = 50 * time.Millisecond
 	// kvTransferTimeout bounds one fetch or one export.
 	kvTransferTimeout = 2 * time.Second
 	// maxKVBytes bounds one fetch.
@@ -81,7 +78,13 @@
 	k.mu.Lock()
 	candidates := k.planner.Candidates(time.Now(), att.offer.GetChain(), cached, rate, perToken)
 	k.mu.Unlock()
-	point, size := k.findDeepest(att.ctx, candidates)
+	timeout := kvplan.LookupTimeout(candidates, cached, rate, perToken)
+	began := time.Now()
+	point, size := k.findDeepest(att.ctx, candidates, timeout)
+	if took := time.Since(began); point == nil && took >= timeout {
+		a.metrics.Count(metricLookupTimeout, att.offer.GetWorkspace(), 1)
+		klog.V(1).InfoS("KV cache lookup timed out", "request", att.id, "candidates", len(candidates), "timeout", timeout, "took", took)
+	}
 	if point == nil {
 		return
 	}
@@ -99,10 +102,11 @@
 	a.metrics.Count(metricImported, att.offer.GetWorkspace(), 1)
 }
 
-// findDeepest looks all candidates up in parallel and returns the first that
-// the store has, with its size in bytes. Candidates are ordered deepest first.
-func (k *kvStore) findDeepest(ctx context.Context, candidates []*jayv1.PrefixPoint) (*jayv1.PrefixPoint, int64) {
-	ctx, cancel := context.WithTimeout(ctx, kvLookupTimeout)
+// findDeepest looks all candidates up in parallel, for the timeout at most, and
+// returns the first that the store has, with its size in bytes. Candidates are
+// ordered deepest first.
+func (k *kvStore) findDeepest(ctx context.Context, candidates []*jayv1.PrefixPoint, timeout time.Duration) (*jayv1.PrefixPoint, int64) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sizes := make([]int64, len(candidates))
 	var group errgroup.Group
--- a/internal/agent/kv_test.go
+++ b/internal/agent/kv_test.go
@@ -75,3 +75,18 @@
 		})
 	}
 }
+
+// Guards against computing a long prefix that the KV cache store has, because the store needed a
+// fraction of the saved time to answer the lookup.
+func TestLongPrefixIsFetchedFromAStoreThatAnswersLate(t *testing.T) {
+	store, err := kvstore.Start(kvstore.Options{})
+	require.NoError(t, err)
+	t.Cleanup(store.Close)
+	warm := newKVFixture(t, standin.Merle, store)
+	for i := 0; i < 40 && store.Len() == 0; i++ {
+		warm.runCachedTokens(fmt.Sprint("warm", i), "w1", strings.Repeat(fmt.Sprint("document ", i, " "), 300))
+	}
+	require.Eventually(t, func() bool { return store.Len() > 0 }, 5*time.Second, 10*time.Millisecond)
+	store.SetFaults(kvstore.Faults{DelayMS: 75})
+	assert.Positive(t, newKVFixture(t, standin.Merle, store).runCachedTokens("r1", "w1", "another"))
+}
--- a/internal/agent/observe.go
+++ b/internal/agent/observe.go
@@ -15,8 +15,10 @@
 	metricCachedShare = "cached_share_permille"
 	metricRecomputed  = "recomputed_tokens"
 	metricImported    = "kv_imports"
-	metricRefusals    = "refusals_"
-	metricOutcomes    = "outcomes_"
+	// metricLookupTimeout counts lookups in the KV cache store that found nothing in time.
+	metricLookupTimeout = "kv_lookup_timeouts"
+	metricRefusals      = "refusals_"
+	metricOutcomes      = "outcomes_"
 )
 
 const permille = 1000
--- a/internal/kvplan/planner.go
+++ b/internal/kvplan/planner.go
@@ -32,6 +32,11 @@
 	maxFetchShare = 0.7
 	// minComputeTime is the least time to compute for which the store is used.
 	minComputeTime = 50 * time.Millisecond
+	// minLookupTimeout and maxLookupTimeout bound LookupTimeout; lookupDivisor is the
+	// part of the saved time that a lookup may take.
+	minLookupTimeout = 50 * time.Millisecond
+	maxLookupTimeout = 400 * time.Millisecond
+	lookupDivisor    = 2
 )
 
 // pointState is what is known of a prefix point.
@@ -110,6 +115,16 @@
 	return candidates
 }
 
+// LookupTimeout bounds the lookup of candidates: a share of the time that the deepest of
+// them saves, so that a lookup that fails costs little compared with computing the prompt.
+func LookupTimeout(candidates []*jayv1.PrefixPoint, cachedBytes int, tokensPerSecond, bytesPerToken float64) time.Duration {
+	if len(candidates) == 0 {
+		return minLookupTimeout
+	}
+	saved := computeTime(int(candidates[0].GetBytes())-cachedBytes, tokensPerSecond, bytesPerToken)
+	return min(max(saved/lookupDivisor, minLookupTimeout), maxLookupTimeout)
+}
+
 // WorthFetching reports whether fetching size bytes takes less time than computing
 // the prompt from cachedBytes up to the point. It must take clearly less, since its
 // estimate is less exact and a failed fetch costs time.
--- a/internal/kvplan/planner_test.go
+++ b/internal/kvplan/planner_test.go
@@ -59,3 +59,22 @@
 	assert.False(t, p.WorthFetching(100e6, shared, 0, rate, perToken))
 	assert.True(t, p.WorthFetching(5e6, shared, 0, rate, perToken))
 }
+
+// Guards against giving up on the store after a time that is small against what it saves, and
+// against waiting for a slow store as long as computing takes.
+func TestLookupTakesAShareOfTheSavedTime(t *testing.T) {
+	const tokensPerSecond, bytesPerToken = 1000, 4
+	for _, tt := range []struct {
+		bytes, cached int
+		want          time.Duration
+	}{
+		{800, 0, 100 * time.Millisecond},
+		{1600, 800, 100 * time.Millisecond},
+		{40, 0, 50 * time.Millisecond},
+		{1 << 20, 0, 400 * time.Millisecond},
+	} {
+		candidates := []*jayv1.PrefixPoint{point(1, uint32(tt.bytes)), point(2, 8)}
+		assert.Equal(t, tt.want, kvplan.LookupTimeout(candidates, tt.cached, tokensPerSecond, bytesPerToken), "%+v", tt)
+	}
+	assert.Equal(t, 50*time.Millisecond, kvplan.LookupTimeout(nil, 0, tokensPerSecond, bytesPerToken))
+}
