Entry: closing the listener first is no error of the HTTP server

The first connections were made by a goroutine that Close did not wait for.

Change: net.ErrClosed is expected; the goroutine is one of the entry's own.

Measured: TestCallersOutliveAnEntryWithoutConfiguration and the tests of the queue and of slow readers passed (-race).

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -47,7 +47,7 @@
 			break
 		}
 		if port.Config == warmup.Loaded && linked == nil {
-			linked = e.connectFirst(ctx)
+			linked = e.connectFirst()
 		}
 		select {
 		case <-next:
@@ -76,10 +76,10 @@
 
 // connectFirst connects to the first agents. The channel is closed when every
 // connection was made or has failed, or after firstLinksTimeout.
-func (e *Entry) connectFirst(ctx context.Context) <-chan struct{} {
+func (e *Entry) connectFirst() <-chan struct{} {
 	done := make(chan struct{})
 	servers := firstServers(e.settings, e.holder.Current().BackendServers())
-	go func() {
+	e.runInBackground(func(ctx context.Context) {
 		defer close(done)
 		ctx, cancel := context.WithTimeout(ctx, firstLinksTimeout)
 		defer cancel()
@@ -89,7 +89,7 @@
 		e.metrics.Count(metricFirstLinksFailed, e.settings.Name, failed)
 		klog.InfoS("entry connected to its first agents", "name", e.settings.Name, "agents", len(servers), "failed", failed,
 			"took", time.Since(began))
-	}()
+	})
 	return done
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -287,7 +287,8 @@
 // start serves connections, those already in the listener's backlog included.
 func (s *server) start() {
 	go func() {
-		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		// stopListening closes the listener before the server.
+		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			klog.ErrorS(err, "HTTP server stopped", "address", s.listener.Addr().String())
 		}
 	}()
