Agent: hold no delivered response until its timer fires

Cause: since the timer of an ended attempt held the attempt with its response, up to 1 MB, also after it was delivered, for replay.retain_ms.

"resume refused" is logged by default only for streams that the agent accepted: any caller can name others.

--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -296,19 +296,24 @@
 		"workspace", att.offer.GetWorkspace(), "backendServer", a.settings.Name, "outcome", state,
 		"refusal", end.GetRefusal().String(), "error", end.GetError())
 	att.recordContact(time.Now())
-	a.discardWhenAbandoned(att, millis(a.settings.Replay.RetainMS))
+	a.discardWhenAbandoned(att.id, millis(a.settings.Replay.RetainMS))
 }
 
 // discardWhenAbandoned discards the response of an ended attempt once no reader
 // took a frame of it for replay.retain_ms. The time counts from the last contact:
 // a reader may need longer than that for the whole response, or come back after
-// several entries have failed.
-func (a *Agent) discardWhenAbandoned(att *attempt, after time.Duration) {
+// several entries have failed. The timer has the id only, so that a response that was
+// delivered is not held until it fires.
+func (a *Agent) discardWhenAbandoned(id string, after time.Duration) {
 	time.AfterFunc(after, func() {
+		att := a.attempts.get(id)
+		if att == nil {
+			return
+		}
 		if left := millis(a.settings.Replay.RetainMS) - att.idle(time.Now()); left > 0 {
-			a.discardWhenAbandoned(att, left)
+			a.discardWhenAbandoned(id, left)
 			return
 		}
-		a.attempts.forget(att.id)
+		a.attempts.forget(id)
 	})
 }
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -89,12 +89,18 @@
 const metricResumeRefused = "resume_refused"
 
 // refusedResume records why a stream can't be continued. att is the attempt with
-// the id of the request, nil when none is kept.
+// the id of the request, nil when none is kept. Streams that this agent never had are
+// logged at a higher verbosity, since any caller can name one.
 func (a *Agent) refusedResume(req *jayv1.Resume, reason string, att *attempt) {
 	id := attemptID(req.GetRequestId(), req.GetAttempt())
 	a.metrics.Count(metricResumeRefused, req.GetWorkspace(), 1)
-	klog.InfoS("resume refused", "request", id, "workspace", req.GetWorkspace(), "nextSeq", req.GetNextSeq(), "reason", reason,
-		"otherClaim", att != nil && !att.claim.Matches(claimOf(req)), "acceptedBefore", a.attempts.accepted(id))
+	level := klog.Level(1)
+	accepted := a.attempts.accepted(id)
+	if accepted {
+		level = 0
+	}
+	klog.V(level).InfoS("resume refused", "request", id, "workspace", req.GetWorkspace(), "nextSeq", req.GetNextSeq(), "reason", reason,
+		"otherClaim", att != nil && !att.claim.Matches(claimOf(req)), "acceptedBefore", accepted)
 }
 
 func (a *Agent) sendEnd(s *transport.Stream, end *jayv1.End) {
