Quota: caps of the fleet by loans from one lender

Cause: the entries of jay-gateway know no usage caps, and the existing limiter gives each entry 1/N of a limit. A workspace's callers reach few entries and a prompt can be larger than an entry's part, so 1/N refuses far below the cap.

Change: Lender and Borrower, pure decisions beside the existing Limiter. One entry counts what all have used in the window, answers requests that do not fit into a borrower's credit line, and keeps a token bucket for the shape. Entries that hear no lender admit an equal part of what was left of the budget. The invariant and its bound are in the package comment.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,19 +1,35 @@
-// Package quota enforces the limits of workspaces over the whole fleet without
-// coordination: each of N entries enforces 1/N of every limit. It does no I/O, starts
-// no goroutine and reads no clock. It is not safe for concurrent use.
+// Package quota enforces the usage caps of workspaces over the whole fleet. It does no
+// I/O, starts no goroutine and reads no clock; callers provide the locking and the
+// transport of messages.
 //
-// Accuracy. Over any window of length T the fleet admits at most limit*(T+Depth)
-// requests, and one more request for each entry. For tokens the same holds, with the
-// largest request of each entry instead of the one request. Each entry admits at
-// least the smaller of its demand and limit/N, so that unevenly balanced load is
-// limited to less than the declared limit, down to limit/N if all of it arrives at
-// one entry. The fleet admits at most limit+N-1 concurrent streams. While entries
-// count different numbers of entries, after a change of the number, the upper bounds
-// grow by the factor N divided by the smallest number counted.
+// A Limiter works without messages: each of N entries enforces 1/N of every limit.
 //
-// Bursts and debt. An entry accumulates unused quota for at most Depth. It may admit
-// one request larger than that; the debt must be repaid before it admits the next
-// one. Entries do not borrow from each other.
+// A Borrower and a Lender enforce a Cap together, for load that is spread unevenly: a
+// workspace's callers often reach only a few entries, and one prompt can be larger than
+// an entry's part of the cap. One entry, the lender, knows what every entry has admitted
+// in the last window. It answers requests that it is asked about, and lends each entry
+// that needs it a credit line, from which the entry admits requests without a message.
+//
+// Guarantee. Let B be Bounds.budget: the units that may be admitted in one window, plus
+// a part of the tolerance. A lender keeps
+//
+//	sum over live members of (used + lent) + sum over all other entries of
+//	max(B/N, what each was last known to have used and borrowed) <= B
+//
+// and an entry without a lender admits at most its part of what was left of B when it
+// last heard, and of what has left the window since. So at most B are admitted in any
+// window, in any number of parts that are
+// cut off from each other, as long as usage is known. Usage is forgotten when a process
+// ends. The lender still counts it while it lives itself. If it ends at the same time,
+// its successor starts from the total that its members were told last. If all entries
+// end, the bucket limits a window that spans the restart to Rate*window + 1.5*Burst,
+// plus credit lines. The rest of the tolerance covers reports on their way, and entries
+// that count different numbers of entries for a while.
+//
+// Shape. Within the budget the lender keeps a token bucket of Cap.Rate and Cap.Burst,
+// so that a workspace over its cap is served evenly. A request is admitted while the
+// level is above the reserve of its priority, and may overdraw it: long prompts are not
+// starved by short calls, which wait only until the debt is repaid.
 package quota
 
 import (
@@ -21,135 +37,65 @@
 	"time"
 )
 
-// Depth is the time over which unused quota accumulates.
-const Depth = time.Second
+// Account identifies one capped quantity of one workspace.
+type Account uint32
 
-// Limits are the declared limits of one workspace over the fleet; zero means no
-// limit.
-type Limits struct {
-	RequestsPerSecond float64
-	TokensPerSecond   float64
-	ConcurrentStreams int
+// Cap is the declared usage cap of an account, for the whole fleet.
+type Cap struct {
+	// Rate is in units per second; 0: no cap.
+	Rate float64
+	// Burst is in units. It may be 0.
+	Burst float64
 }
 
-// Reason is the limit because of which a request is rejected, or Admitted.
-type Reason int
-
-// The reasons: Requests, Tokens and Streams name the limit that is used up.
-const (
-	Admitted Reason = iota
-	Requests
-	Tokens
-	Streams
-)
-
-// Decision is the result of Admit. RetryAfter is the time until the limit named by
-// Reason admits again; 0 for Streams, where it is not known.
-type Decision struct {
-	Reason     Reason
-	RetryAfter time.Duration
+// Limited reports whether there is a cap.
+func (c Cap) Limited() bool { return c.Rate > 0 }
+
+// Bounds say how exactly the fleet must keep caps.
+type Bounds struct {
+	// Window is the length of the time over which usage is counted.
+	Window time.Duration
+	// Overshoot, as a share of what a cap allows in a window, and Slack, in units, may
+	// be admitted beyond it.
+	Overshoot float64
+	Slack     float64
 }
 
-// Limiter enforces one entry's part of the limits.
-type Limiter struct {
-	entries  int
-	accounts map[string]*account
-}
+// toleranceShare is the part of the permitted excess that is lent. The rest covers
+// what is not known at once.
+const toleranceShare = 0.5
 
-type account struct {
-	requests bucket
-	tokens   bucket
-	streams  int
+// budget returns how many units all entries together admit at most in a window.
+func (b Bounds) budget(c Cap) float64 {
+	declared := c.Rate*b.Window.Seconds() + c.Burst
+	return declared + toleranceShare*(declared*b.Overshoot+b.Slack)
 }
 
-// bucket is a token bucket. It fills at a rate per second, up to the amount for
-// Depth; a negative level is debt.
-type bucket struct {
-	level float64
-	at    time.Time
-}
-
-// NewLimiter returns a limiter for a fleet of one entry.
-func NewLimiter() *Limiter { return &Limiter{entries: 1, accounts: map[string]*account{}} }
-
-// SetEntries sets the number of live entries, this one included.
-func (l *Limiter) SetEntries(n int) { l.entries = max(n, 1) }
-
-// Entries returns the number of entries that the limits are divided by.
-func (l *Limiter) Entries() int { return l.entries }
+// depth returns the size of an account's bucket. A full bucket that is emptied at once
+// and drained at the rate from then on uses the budget of a window.
+func (b Bounds) depth(c Cap) float64 { return b.budget(c) - c.Rate*b.Window.Seconds() }
 
-// Admit decides whether a request of the workspace is admitted. Call Release when an
-// admitted request ends.
-func (l *Limiter) Admit(now time.Time, workspace string, limits Limits, tokens float64) Decision {
-	a, ok := l.accounts[workspace]
-	if !ok {
-		a = &account{}
-		l.accounts[workspace] = a
-	}
-	if limits.ConcurrentStreams > 0 && a.streams >= l.streams(limits.ConcurrentStreams) {
-		return Decision{Reason: Streams}
-	}
-	requestRate, tokenRate := l.share(limits.RequestsPerSecond), l.share(limits.TokensPerSecond)
-	if wait := a.requests.wait(now, requestRate); wait > 0 {
-		return Decision{Reason: Requests, RetryAfter: wait}
-	}
-	if wait := a.tokens.wait(now, tokenRate); wait > 0 {
-		return Decision{Reason: Tokens, RetryAfter: wait}
-	}
-	a.requests.take(requestRate, 1)
-	a.tokens.take(tokenRate, tokens)
-	a.streams++
-	return Decision{}
-}
-
-// Release records the end of an admitted request.
-func (l *Limiter) Release(workspace string) {
-	if a := l.accounts[workspace]; a != nil {
-		a.streams--
-	}
-}
-
-// Forget removes the state of workspaces that have no stream and for which keep
-// returns false.
-func (l *Limiter) Forget(keep func(workspace string) bool) {
-	for name, a := range l.accounts {
-		if a.streams == 0 && !keep(name) {
-			delete(l.accounts, name)
-		}
+// remaining returns how much of a total, used in a window that ended age ago, may still
+// be in the window that ends now. It is all of it, unless the bucket cannot have let so
+// much through since.
+func (b Bounds) remaining(c Cap, total float64, age time.Duration) float64 {
+	if age >= b.Window {
+		return 0
 	}
+	return min(total, c.Rate*(b.Window-age).Seconds()+b.depth(c))
 }
 
-func (l *Limiter) share(rate float64) float64 { return rate / float64(l.entries) }
-
-// streams returns this entry's part of a limit on concurrent streams, rounded up so
-// that a limit below the number of entries does not exclude the workspace.
-func (l *Limiter) streams(limit int) int {
-	return (limit + l.entries - 1) / l.entries
-}
+const (
+	// loanTime is how long a credit line is valid.
+	loanTime = 4 * time.Second
+	// minRetryAfter is the least retry delay.
+	minRetryAfter = 60 * time.Millisecond
+)
 
-// wait refills the bucket and returns the time until it admits again; 0: now.
-func (b *bucket) wait(now time.Time, rate float64) time.Duration {
+// perSecond returns how long it takes until n units have accumulated at a rate.
+func perSecond(n, rate float64) time.Duration {
 	if rate <= 0 {
 		return 0
 	}
-	full := rate * Depth.Seconds()
-	if b.at.IsZero() {
-		b.level = full
-	} else {
-		b.level = min(full, b.level+rate*now.Sub(b.at).Seconds())
-	}
-	b.at = now
-	// A full bucket always admits, even if it holds less than one: a limit below one
-	// request per second must still let requests through.
-	needed := min(1, full)
-	if b.level >= needed {
-		return 0
-	}
-	return time.Duration(math.Ceil((needed - b.level) / rate * float64(time.Second)))
-}
-
-func (b *bucket) take(rate, n float64) {
-	if rate > 0 {
-		b.level -= n
-	}
+	return time.Duration(math.Ceil(n / rate * float64(time.Second)))
 }
