Platform: read the usage caps of workspaces

Cause: rate_per_s, burst, unit and uncached_tokens of a workspace were ignored, and so were the bounds that say how exactly caps must hold.

Change: the configuration carries a cap and what a request counts as.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -31,7 +31,9 @@
 	// InputTokens is the length of the prompt, OutputTokens that of the longest output.
 	InputTokens  int
 	OutputTokens int
-	Parts        []Part
+	// HasTokens: the caller stated these lengths.
+	HasTokens bool
+	Parts     []Part
 	// LastEventID is the last event that the caller has of a stream that it resumes.
 	LastEventID string
 }
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -8,6 +8,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/jayproxy/jayproxy/internal/quota"
 )
 
 // Kind is the kind of a route. It determines whether a call may run more than once.
@@ -110,6 +112,9 @@
 	HasPriority bool
 	// Isolated: it shares no cached prefixes with other workspaces.
 	Isolated bool
+	Usage    Usage
+	// Account of the workspace's usage cap; set by New.
+	Account quota.Account
 }
 
 // Limits bound the requests of callers. A field that is zero sets no limit.
@@ -131,8 +136,9 @@
 	KVStores []KVStore
 	// byHost holds the routes of each host, longest prefix first.
 	byHost map[string][]*Route
-	// byKey holds the workspace of each API key.
-	byKey map[string]*Workspace
+	// byKey holds the workspace of each API key, byAccount that of each usage cap.
+	byKey     map[string]*Workspace
+	byAccount map[quota.Account]*Workspace
 	// priorityRanks ranks all priorities that requests to model engines can have.
 	priorityRanks map[requestPriority]int
 	// enginePriorities are the distinct priorities of the routes to model engines.
@@ -146,7 +152,7 @@
 		Version: version, Limits: limits, Workspaces: workspaces,
 		Services: make(map[string]*Service, len(services)),
 		byHost:   map[string][]*Route{},
-		byKey:    map[string]*Workspace{},
+		byKey:    map[string]*Workspace{}, byAccount: map[quota.Account]*Workspace{},
 	}
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
@@ -163,6 +169,7 @@
 			t.byKey[key] = &workspaces[i]
 		}
 	}
+	t.assignAccounts()
 	t.KVStores = kvStoresOf(services)
 	t.rankPriorities()
 	return t
