Gateway: enforce usage caps over all entries

Change: a request of a capped workspace is admitted from the entry's credit line, or by the lender of its account in one exchange of datagrams, before its body is read. Otherwise it gets 429 with the time at which the cap admits it. What is proven not to have run is given back, a second run is counted.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,7 +87,11 @@
 			j.respondQuarantined(retryAfter)
 			return
 		}
-		switch j.send(&choice) {
+		outcome := j.send(&choice)
+		if outcome == notSent || outcome == notRun {
+			j.unrunSends++
+		}
+		switch outcome {
 		case delivered:
 			return
 		case notSent:
@@ -141,6 +145,7 @@
 func (j *job) mayRepeat() bool {
 	allowed := j.route.Repeatable() && j.indeterminateSends < j.route.MaxAttempts && j.ctx.Err() == nil && j.crashesAllowRepeat()
 	if allowed && j.sends < maxSends && j.gateway.state.takeRetry(time.Now(), j.service.Name, j.deadline) {
+		j.chargeRepeat()
 		return true
 	}
 	j.giveUp("outcome unknown, not repeated")
--- a/internal/gateway/datagrams.go
+++ b/internal/gateway/datagrams.go
@@ -163,6 +163,10 @@
 		g.receiveSwitches(body.Switches)
 	case *jayv1.Datagram_Strikes:
 		g.receiveCrashes(body.Strikes, from.String())
+	case *jayv1.Datagram_QuotaReport:
+		g.usage.receiveReport(body.QuotaReport, from)
+	case *jayv1.Datagram_QuotaGrant:
+		g.usage.receiveGrant(body.QuotaGrant)
 	default:
 		g.metrics.Count("datagrams", "unknown", 1)
 	}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -162,6 +162,7 @@
 	g.spawn(func() { g.fetchWeightHistory(ctx) })
 	g.spawn(func() { g.every(ctx, waitQueueInterval, g.serveWaitQueue) })
 	g.spawn(func() { g.watchKVStores(ctx) })
+	g.spawn(func() { g.usage.run(ctx) })
 	g.startRollouts(ctx)
 	g.spawn(func() { g.every(ctx, stateTickInterval, g.tick) })
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	// requests over it.
 	datagrams  *datagrams
 	placements *placementClient
+	usage      *usageCaps
 	feeds      []*feed
 	keeper     *lease.Keeper
 
@@ -88,6 +89,7 @@
 	}
 	g.peers = newPeers(settings)
 	g.placements = newPlacementClient(g)
+	g.usage = newUsageCaps(g)
 	ctx, g.cancel = context.WithCancel(ctx)
 	if err := g.listenInternal(); err != nil {
 		return nil, err
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -284,5 +284,6 @@
 	g.peers.mu.Unlock()
 	g.state.setEntryCount(g.peers.count())
 	g.state.setOwners(g.peers.shardEntries())
+	g.usage.setEntries(g.peers.shardEntries(), g.peers.ownRowSeen())
 	g.hints.setTargets(g.peers.addresses())
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -13,6 +13,7 @@
 	"github.com/jayproxy/jayproxy/internal/fleet"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/quota"
 	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/weights"
 )
@@ -124,4 +125,6 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Usage says how exactly all entries together keep usage caps.
+	Usage quota.Bounds
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,8 +49,10 @@
 	// ctx ends when the caller disconnects or the deadline passes.
 	ctx context.Context
 
-	sends int
-	tried []string
+	// unrunSends counts the sends that are proven not to have run.
+	sends, unrunSends int
+	tried             []string
+	usage             admittedUsage
 	// sentAt is when the last send began.
 	sentAt time.Time
 	// firstEventAt is when the first event of the last send arrived; zero: none
@@ -105,6 +107,7 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer j.settleUsage()
 	if !j.admit() {
 		j.logOutcome()
 		return
@@ -142,7 +145,7 @@
 		return j.respondUnavailable("no declared service for the route", notReadyRetryAfter)
 	}
 	j.setDeadline()
-	if !j.readBody() {
+	if !j.admitUsage() || !j.readBody() {
 		return false
 	}
 	j.hashes.Identity = j.identity()
--- /dev/null
+++ b/internal/gateway/usagecaps.go
@@ -0,0 +1,334 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/lease"
+	"github.com/jayproxy/jayproxy/internal/quota"
+	"github.com/jayproxy/jayproxy/internal/shard"
+)
+
+const (
+	// lenderTimeout bounds the wait for a lender's answer, with one repetition of the
+	// report after lenderResendPause, since datagrams get lost.
+	lenderTimeout     = 60 * time.Millisecond
+	lenderResendPause = 20 * time.Millisecond
+	// noLenderRetryAfter is the retry delay while no lender answers. By then the entry
+	// has found another one, or admits from its own part.
+	noLenderRetryAfter = 300 * time.Millisecond
+	// maxPositions bounds the accounts in one datagram.
+	maxPositions = 20
+)
+
+// usageCaps enforces the usage caps of workspaces together with the other entries. Its
+// clock is that of the time since boot: a loan must not outlive a suspension of the VM.
+type usageCaps struct {
+	gateway *Gateway
+	// start identifies this run of the process in reports.
+	start uint64
+
+	mu        sync.Mutex
+	borrower  *quota.Borrower
+	lender    *quota.Lender
+	directory *quota.Directory
+	entries   int
+	// key is that of the last report. pending are the reports without an answer.
+	key     uint64
+	pending map[uint64]*pendingReport
+	// received is the number of the newest grant of each lender. informed are the lenders
+	// that know all of this entry's accounts.
+	received map[string]uint64
+	informed map[string]bool
+}
+
+// pendingReport is a report that was sent to another entry. answered has room for the
+// one answer; it is nil if nobody waits for it.
+type pendingReport struct {
+	lender   string
+	sentAt   time.Time
+	answered chan quota.Grant
+}
+
+func newUsageCaps(g *Gateway) *usageCaps {
+	return &usageCaps{
+		gateway: g, start: rand.Uint64(), //nolint:gosec // no secret
+		borrower: quota.NewBorrower(lease.BootClock(), g.settings.Usage), lender: quota.NewLender(g.settings.Usage),
+		directory: quota.NewDirectory(g.settings.Node), pending: map[uint64]*pendingReport{}, received: map[string]uint64{}, informed: map[string]bool{},
+	}
+}
+
+// setEntries sets the entries that share the caps. known is false until this entry has
+// seen its own row, and with it those of the others.
+func (u *usageCaps) setEntries(entries []shard.Entry, known bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.entries = len(entries)
+	u.directory.SetEntries(entries)
+	u.lender.SetEntries(u.entries)
+	if known {
+		u.borrower.SetEntries(u.entries)
+	}
+}
+
+// capOf returns the cap of an account in the configuration in force.
+func (u *usageCaps) capOf(account quota.Account) quota.Cap {
+	if table := u.gateway.state.table.Load(); table != nil {
+		return table.CapOf(account)
+	}
+	return quota.Cap{}
+}
+
+// usageRequest is a request for admission under a usage cap.
+type usageRequest struct {
+	account  quota.Account
+	cap      quota.Cap
+	cost     float64
+	rank     int
+	caller   uint64
+	patience time.Duration
+}
+
+// usageDecision is the result. basis says who decided.
+type usageDecision struct {
+	admitted   bool
+	retryAfter time.Duration
+	basis      string
+}
+
+// admit decides on a request, and asks the lender if this entry may not decide alone.
+func (u *usageCaps) admit(ctx context.Context, r usageRequest) usageDecision {
+	u.mu.Lock()
+	verdict, wait := u.borrower.Admit(lease.BootClock(), r.account, r.cap, r.cost)
+	u.mu.Unlock()
+	switch verdict {
+	case quota.Granted:
+		return usageDecision{admitted: true, basis: "own"}
+	case quota.Denied:
+		return usageDecision{retryAfter: wait, basis: "isolated"}
+	}
+	// A lender that does not answer may be passed over for the next one.
+	for range 2 {
+		if d, answered := u.askLender(ctx, r); answered {
+			return d
+		}
+	}
+	return usageDecision{retryAfter: noLenderRetryAfter, basis: "no lender answered"}
+}
+
+// askLender asks the account's lender to admit a request.
+func (u *usageCaps) askLender(ctx context.Context, r usageRequest) (decision usageDecision, answered bool) {
+	u.mu.Lock()
+	now := lease.BootClock()
+	lender, ok := u.directory.LenderOf(r.account)
+	if !ok {
+		u.mu.Unlock()
+		return usageDecision{}, false
+	}
+	p := u.borrower.Position(now, r.account, lender.Name)
+	p.Need, p.Rank, p.Caller, p.Patience = r.cost, r.rank, r.caller, r.patience
+	report := u.reportLocked(lender.Name, []quota.Position{p})
+	if lender.Name == u.gateway.settings.Node {
+		grant := u.lender.Handle(now, report, u.capOf)
+		u.borrower.Receive(now, lender.Name, grant)
+		u.mu.Unlock()
+		return u.decided(r, lender.Name, grant), true
+	}
+	pending := &pendingReport{lender: lender.Name, sentAt: now, answered: make(chan quota.Grant, 1)}
+	u.pending[report.Key] = pending
+	u.mu.Unlock()
+	grant, answered := u.exchange(ctx, lender, &report, pending)
+	if !answered {
+		return usageDecision{}, false
+	}
+	return u.decided(r, lender.Name, grant), true
+}
+
+// decided converts a grant with one loan to the decision on the request.
+func (u *usageCaps) decided(r usageRequest, lender string, grant quota.Grant) usageDecision {
+	if len(grant.Items) != 1 {
+		return usageDecision{retryAfter: noLenderRetryAfter, basis: "malformed answer of " + lender}
+	}
+	loan := grant.Items[0]
+	if loan.Admitted {
+		u.mu.Lock()
+		u.borrower.Taken(lease.BootClock(), r.account, r.cost)
+		u.mu.Unlock()
+	}
+	return usageDecision{admitted: loan.Admitted, retryAfter: loan.RetryAfter, basis: lender}
+}
+
+// exchange sends a report to a lender and waits for the answer.
+func (u *usageCaps) exchange(ctx context.Context, lender shard.Entry, report *quota.Report, pending *pendingReport) (quota.Grant, bool) {
+	datagrams := u.gateway.datagrams
+	datagram := &jayv1.Datagram{Body: &jayv1.Datagram_QuotaReport{QuotaReport: encodeReport(report)}}
+	to := datagrams.addressOf(lender.Address)
+	resend := time.NewTimer(lenderResendPause)
+	defer resend.Stop()
+	timeout := time.NewTimer(lenderTimeout)
+	defer timeout.Stop()
+	datagrams.trySend(to, datagram)
+	for {
+		select {
+		case grant := <-pending.answered:
+			return grant, true
+		case <-resend.C:
+			datagrams.trySend(to, datagram)
+		case <-timeout.C:
+			u.unanswered(report.Key)
+			return quota.Grant{}, false
+		case <-ctx.Done():
+			u.mu.Lock()
+			delete(u.pending, report.Key)
+			u.mu.Unlock()
+			return quota.Grant{}, false
+		}
+	}
+}
+
+// unanswered records that a report got no answer in time.
+func (u *usageCaps) unanswered(key uint64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if pending := u.pending[key]; pending != nil {
+		u.missingLocked(lease.BootClock(), key, pending.lender)
+	}
+}
+
+func (u *usageCaps) missingLocked(now time.Time, key uint64, lender string) {
+	delete(u.pending, key)
+	delete(u.informed, lender)
+	u.gateway.metrics.Count("quota_unanswered", lender, 1)
+	if u.directory.Missing(now, lender) {
+		klog.InfoS("Lender of usage caps passed over: it does not answer", "lender", lender)
+	}
+}
+
+// reportLocked builds the next report to a lender.
+func (u *usageCaps) reportLocked(lender string, items []quota.Position) quota.Report {
+	u.key++
+	return quota.Report{Entry: u.gateway.settings.Node, Start: u.start, Key: u.key, Received: u.received[lender], Items: items}
+}
+
+// run reports to the lenders until ctx ends.
+func (u *usageCaps) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		u.mu.Lock()
+		pause := quota.ReportInterval(u.entries)
+		u.mu.Unlock()
+		sleep(ctx, pause)
+		u.reportAll()
+	}
+}
+
+// reportAll reports to all lenders what changed, and asks those that were passed over
+// whether they answer again.
+func (u *usageCaps) reportAll() {
+	table := u.gateway.state.table.Load()
+	if table == nil || !table.HasUsageCaps() {
+		return
+	}
+	type message struct {
+		to     *net.UDPAddr
+		report quota.Report
+	}
+	var messages []message
+	u.mu.Lock()
+	now := lease.BootClock()
+	u.expireLocked(now)
+	for _, lender := range u.directory.Lenders() {
+		items := u.borrower.Changes(now, lender.Name, !u.informed[lender.Name], func(account quota.Account) bool {
+			l, ok := u.directory.LenderOf(account)
+			return ok && l.Name == lender.Name
+		})
+		u.informed[lender.Name] = true
+		for first := true; first || len(items) > 0; first = false {
+			n := min(len(items), maxPositions)
+			report := u.reportLocked(lender.Name, items[:n])
+			items = items[n:]
+			if lender.Name == u.gateway.settings.Node {
+				u.borrower.Receive(now, lender.Name, u.lender.Handle(now, report, u.capOf))
+				continue
+			}
+			u.pending[report.Key] = &pendingReport{lender: lender.Name, sentAt: now}
+			messages = append(messages, message{u.gateway.datagrams.addressOf(lender.Address), report})
+		}
+	}
+	for _, lender := range u.directory.Probes(now) {
+		report := u.reportLocked(lender.Name, nil)
+		u.pending[report.Key] = &pendingReport{lender: lender.Name, sentAt: now}
+		messages = append(messages, message{u.gateway.datagrams.addressOf(lender.Address), report})
+	}
+	u.lender.Forget(now)
+	u.mu.Unlock()
+	for _, m := range messages {
+		u.gateway.datagrams.trySend(m.to, &jayv1.Datagram{Body: &jayv1.Datagram_QuotaReport{QuotaReport: encodeReport(&m.report)}})
+	}
+}
+
+// expireLocked records the reports that nobody waits for as unanswered.
+func (u *usageCaps) expireLocked(now time.Time) {
+	for key, pending := range u.pending {
+		if pending.answered == nil && now.Sub(pending.sentAt) >= lenderTimeout {
+			u.missingLocked(now, key, pending.lender)
+		}
+	}
+}
+
+// receiveReport answers the report of another entry.
+func (u *usageCaps) receiveReport(message *jayv1.QuotaReport, from *net.UDPAddr) {
+	u.mu.Lock()
+	grant := u.lender.Handle(lease.BootClock(), decodeReport(message), u.capOf)
+	u.mu.Unlock()
+	u.gateway.datagrams.trySend(from, &jayv1.Datagram{Body: &jayv1.Datagram_QuotaGrant{QuotaGrant: encodeGrant(&grant)}})
+}
+
+// receiveGrant applies a lender's answer. An answer that comes after its time-out is
+// ignored: its lender counts it as granted until the next report.
+func (u *usageCaps) receiveGrant(message *jayv1.QuotaGrant) {
+	grant := decodeGrant(message)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	pending := u.pending[grant.Key]
+	if pending == nil {
+		u.gateway.metrics.Count("quota_late_grants", "all", 1)
+		return
+	}
+	delete(u.pending, grant.Key)
+	now := lease.BootClock()
+	u.received[pending.lender] = max(u.received[pending.lender], grant.Number)
+	if u.directory.Answered(pending.lender) {
+		klog.InfoS("Lender of usage caps answers again", "lender", pending.lender)
+	}
+	u.borrower.Receive(now, pending.lender, grant)
+	if pending.answered != nil {
+		pending.answered <- grant
+	}
+}
+
+// charge counts a second run of a request.
+func (u *usageCaps) charge(account quota.Account, cost float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.borrower.Charge(lease.BootClock(), account, cost)
+}
+
+// giveBack counts an admitted request as unused that is proven not to have run.
+func (u *usageCaps) giveBack(admitted time.Time, account quota.Account, cost float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.borrower.Return(lease.BootClock(), admitted, account, cost)
+}
+
+// state returns what this entry knows of an account.
+func (u *usageCaps) state(account quota.Account) quota.State {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.borrower.State(lease.BootClock(), account)
+}
