Quota: a full bucket for a lender that most entries have long reported to

Change: only a lender that may have succeeded another one begins low. The reserve of each priority is 5% of the depth (8% before). The simulation plays four ways of sharing a cap on the same load, callers that return, and asks a second time as the gateway does.

--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -152,3 +152,112 @@
 		}
 	}
 }
+
+// oneBucket is a policy to compare with: a single bucket that all entries share without
+// messages, which is the best that any exchange between entries can reach.
+func oneBucket() simPolicy {
+	type bucket struct {
+		level float64
+		at    time.Time
+	}
+	buckets := map[quota.Account]*bucket{}
+	return func(e *simEntry, r simRequest, done func(bool, time.Duration)) {
+		s := e.sim
+		limit := s.caps[r.account]
+		depth := limit.Burst + 0.5*(s.allowed(limit)-limit.Rate*s.bounds.Window.Seconds()-limit.Burst)
+		b := buckets[r.account]
+		if b == nil {
+			b = &bucket{level: depth, at: s.now}
+			buckets[r.account] = b
+		}
+		b.level = min(depth, b.level+limit.Rate*s.now.Sub(b.at).Seconds())
+		b.at = s.now
+		if b.level <= 0 {
+			done(false, time.Duration(-b.level/limit.Rate*float64(time.Second))+60*time.Millisecond)
+			return
+		}
+		b.level -= r.cost
+		done(true, 0)
+	}
+}
+
+// warmUp is how long the entries run before the load starts.
+const warmUp = 10 * time.Second
+
+// outcome is what a policy did with one account, over several seeds.
+type outcome struct{ refused, worst, bytes float64 }
+
+func play(t *testing.T, policy func() simPolicy, entries, seeds int, load float64, inject func(*simulation)) map[quota.Account]outcome {
+	t.Helper()
+	const length = 28 * time.Second
+	results := map[quota.Account]outcome{}
+	for seed := range uint64(seeds) {
+		s := newSimulation(seed, entries, policy())
+		s.runFor(warmUp)
+		s.capped(load)
+		inject(s)
+		s.runFor(length)
+		for id, c := range s.caps {
+			o := results[id]
+			o.refused += s.stats[id].refused / s.stats[id].asked / float64(seeds)
+			o.worst = max(o.worst, s.worst(id)/s.allowed(c))
+			o.bytes += float64(s.bytes) / length.Seconds() / float64(entries*seeds)
+			results[id] = o
+		}
+	}
+	return results
+}
+
+func always(p simPolicy) func() simPolicy { return func() simPolicy { return p } }
+
+// The ways of sharing a cap, on the same load: below the cap, far above it, and in parts
+// that do not hear each other.
+func TestWaysOfSharingACap(t *testing.T) {
+	ways := []struct {
+		name   string
+		policy func() simPolicy
+	}{{"one bucket", oneBucket}, {"equal shares", always(equalShares)}, {"tell all", always(tellAll)}, {"one lender", always(pooled)}}
+	for _, fault := range []string{"none", "a third cut off", "two halves", "each alone", "lenders killed"} {
+		for _, load := range []float64{0.55, 0.95, 4.2} {
+			for _, way := range ways {
+				inject := faults[fault]
+				if way.name == "equal shares" {
+					inject = func(s *simulation) {
+						faults[fault](s)
+						s.after(0, func() { s.network.lost = 1 })
+					}
+				}
+				got := play(t, way.policy, 20, 3, load, inject)
+				t.Logf("%-16s load %.2f %-12s refused small %.4f large %.4f, at most small %.2f large %.2f of the allowed, %.0f bytes/s an entry",
+					fault, load, way.name, got[smallCap].refused, got[largeCap].refused, got[smallCap].worst, got[largeCap].worst, got[largeCap].bytes)
+			}
+		}
+	}
+}
+
+// Guards against refusals of a workspace that keeps to its cap.
+func TestWorkspaceBelowItsCapIsHardlyRefused(t *testing.T) {
+	const maxRefused = 0.005
+	best, got := play(t, oneBucket, 20, 40, 0.95, faults["none"]), play(t, always(pooled), 20, 40, 0.95, faults["none"])
+	assert.Less(t, got[largeCap].refused, maxRefused)
+	// One prompt can be twice what the small cap allows in a second, so that even one
+	// bucket refuses some.
+	assert.Less(t, got[smallCap].refused-best[smallCap].refused, maxRefused)
+	got = play(t, always(pooled), 20, 40, 0.55, faults["none"])
+	assert.Less(t, got[smallCap].refused, maxRefused)
+	assert.Less(t, got[largeCap].refused, maxRefused)
+}
+
+// Guards against callers that come back when they were told to, and are refused again.
+func TestCallersThatReturnAsToldAreAdmitted(t *testing.T) {
+	const minServed = 0.9
+	for seed := range uint64(6) {
+		s := newSimulation(seed, 20, pooled)
+		s.capped(4.2)
+		s.runFor(28 * time.Second)
+		for id := range s.caps {
+			assert.Greater(t, s.stats[id].returned, 50)
+			assert.GreaterOrEqual(t, s.stats[id].shareServed(), minServed)
+		}
+	}
+}
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -7,14 +7,14 @@
 	lineShare = 0.25
 	// lineLevel is the share of the bucket's depth above which credit lines are lent.
 	lineLevel = 0.5
-	// startLevel is the share of the depth that a bucket holds at first. It counts what
-	// was admitted before an earlier lender ended as used.
+	// startLevel is the share of the depth that the bucket of a lender holds at first that
+	// may have succeeded another one.
 	startLevel = 0.25
 	// maxDebt is the largest debt of a bucket from credit lines, as a share of its depth.
 	maxDebt = 0.1
 	// rankReserve is the share of the depth that each rank leaves to the rank above it,
 	// for up to maxRank ranks.
-	rankReserve = 0.08
+	rankReserve = 0.05
 	maxRank     = 3
 	// sumLife is how long the sum over all members is used before it is computed again.
 	sumLife = 20 * time.Millisecond
@@ -31,6 +31,9 @@
 	entries int
 	members map[string]*member
 	pools   map[Account]*pool
+	// reachedSince is when more than half of the entries became live members; zero: they
+	// are not.
+	reachedSince time.Time
 }
 
 // member is an entry that has reported.
@@ -90,6 +93,7 @@
 // Handle applies a report and returns the answer. capOf returns the cap of an account.
 func (l *Lender) Handle(now time.Time, r Report, capOf func(Account) Cap) Grant {
 	m := l.member(now, r)
+	l.countLive(now)
 	if grant, repeated := m.answered[r.Key]; repeated {
 		return grant
 	}
@@ -106,6 +110,27 @@
 	return grant
 }
 
+// live returns the number of live members.
+func (l *Lender) live(now time.Time) int {
+	live := 0
+	for _, m := range l.members {
+		if now.Sub(m.seenAt) < lapseTime(l.entries) {
+			live++
+		}
+	}
+	return live
+}
+
+// countLive updates since when most entries are live members.
+func (l *Lender) countLive(now time.Time) {
+	switch most := 2*l.live(now) > l.entries; {
+	case !most:
+		l.reachedSince = time.Time{}
+	case l.reachedSince.IsZero():
+		l.reachedSince = now
+	}
+}
+
 // member returns the sender of a report, which is live from now on.
 func (l *Lender) member(now time.Time, r Report) *member {
 	m := l.members[r.Entry]
@@ -213,7 +238,10 @@
 func (l *Lender) pool(now time.Time, id Account, limit Cap) *pool {
 	q := l.pools[id]
 	if q == nil {
-		q = &pool{level: startLevel * l.bounds.depth(limit), filledAt: now}
+		q = &pool{level: l.bounds.depth(limit), filledAt: now}
+		if l.reachedSince.IsZero() || now.Sub(l.reachedSince) < l.bounds.Window {
+			q.level *= startLevel
+		}
 		l.pools[id] = q
 	}
 	if since := now.Sub(q.filledAt); since > 0 {
@@ -250,13 +278,7 @@
 	if !l.succeeding(now, q) {
 		return limit.Rate
 	}
-	live := 0
-	for _, m := range l.members {
-		if now.Sub(m.seenAt) < lapseTime(l.entries) {
-			live++
-		}
-	}
-	return limit.Rate * float64(min(live, l.entries)) / float64(l.entries)
+	return limit.Rate * float64(min(l.live(now), l.entries)) / float64(l.entries)
 }
 
 // told returns what is left in the window of what all entries had used by the word of an
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -311,18 +311,25 @@
 		done(verdict == quota.Granted, wait)
 		return
 	}
+	e.askFor(r, 2, done)
+}
+
+// askFor asks the lender of the moment, and once more if it does not answer.
+func (e *simEntry) askFor(r simRequest, attempts int, done func(bool, time.Duration)) {
 	lender, ok := e.directory.LenderOf(r.account)
-	if !ok {
-		done(false, 250*time.Millisecond)
+	if !ok || attempts == 0 {
+		done(false, 300*time.Millisecond)
 		return
 	}
-	p := e.borrower.Position(now, r.account, lender.Name)
+	p := e.borrower.Position(e.clock(), r.account, lender.Name)
 	p.Need, p.Rank, p.Caller, p.Patience = r.cost, r.rank, r.caller, r.patience
 	start := e.start
 	e.ask(lender.Name, []quota.Position{p}, func(answered bool, loan quota.Loan) {
 		switch {
-		case !answered || e.start != start:
-			done(false, 250*time.Millisecond)
+		case e.start != start:
+			return
+		case !answered:
+			e.askFor(r, attempts-1, done)
 		case loan.Admitted:
 			e.borrower.Taken(e.clock(), r.account, r.cost)
 			done(true, 0)
