Usage caps: operators' view, tests over processes, an entry that knows no other

Cause: nothing showed operators what a workspace has used, and an entry that had just started could not tell whether it was the only one.

Change: GET /v1/usage, jayctl usage and gauges by workspace show cap, use here and by all, loans and their age. An entry without any row of the others admits nothing and waits up to 0.1 s for them. Tests with processes: the cap holds over three entries, outlives the lender, and a caller that returns as told is admitted. Tests of each malformed cap and token count.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -106,7 +106,7 @@
 	flags.StringVar(&a.keysDir, "keys", "", "folder with ca.pem, cert.pem and key.pem of a viewer or operator")
 	flags.StringVar(&a.output, "output", outputText, "text or json")
 	flags.DurationVar(&a.retryFor, "retry-for", defaultRetryFor, "how long to retry while no entry answers or the outcome is unknown")
-	root.AddCommand(a.keys(), a.check(), a.diff(), a.apply(), a.delete(), a.get(), a.list(), a.watch(), a.status(), a.drain(), a.explain(), a.trace())
+	root.AddCommand(a.keys(), a.check(), a.diff(), a.apply(), a.delete(), a.get(), a.list(), a.watch(), a.status(), a.drain(), a.explain(), a.trace(), a.usage())
 	return root
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,6 +195,7 @@
 // updateGauges sets the gauges of current state, such as the age of each table
 // and what is left of each retry budget.
 func (g *Gateway) updateGauges(now time.Time) {
+	g.updateUsageGauges()
 	for _, f := range g.feeds {
 		g.metrics.Gauge("belief_version", f.table, int64(f.version())) //nolint:gosec // a count
 		g.metrics.Gauge("belief_age_ms", f.table, g.tableAge(now, f).Milliseconds())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -190,6 +190,7 @@
 	e.POST("/v1/switches", g.handleSwitches)
 	e.GET("/v1/weights", g.handleWeights)
 	e.GET("/v1/suspects", g.serveSuspects)
+	e.GET("/v1/usage", g.serveUsage)
 	e.DELETE("/v1/suspects/:fingerprint", g.serveClearSuspect)
 	e.GET("/metrics", g.serveMetrics)
 	return e
@@ -284,6 +285,6 @@
 	g.peers.mu.Unlock()
 	g.state.setEntryCount(g.peers.count())
 	g.state.setOwners(g.peers.shardEntries())
-	g.usage.setEntries(g.peers.shardEntries(), g.peers.ownRowSeen())
+	g.usage.setEntries(g.peers.shardEntries())
 	g.hints.setTargets(g.peers.addresses())
 }
--- a/internal/gateway/usagecaps.go
+++ b/internal/gateway/usagecaps.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	// noLenderRetryAfter is the retry delay while no lender answers. By then the entry
 	// has found another one, or admits from its own part.
 	noLenderRetryAfter = 300 * time.Millisecond
+	// noEntriesPause is how long an entry that has just started waits for the rows of the
+	// others before each of its two attempts.
+	noEntriesPause = 50 * time.Millisecond
 	// maxPositions bounds the accounts in one datagram.
 	maxPositions = 20
 )
@@ -64,17 +68,20 @@
 	}
 }
 
-// setEntries sets the entries that share the caps. known is false until this entry has
-// seen its own row, and with it those of the others.
-func (u *usageCaps) setEntries(entries []shard.Entry, known bool) {
+// setEntries sets the entries that have rows. An entry that has not read its own row yet
+// counts itself among the others. While it knows of none at all, it admits nothing: it
+// can't tell whether it is the only one.
+func (u *usageCaps) setEntries(entries []shard.Entry) {
+	self := shard.Entry{Name: u.gateway.settings.Node, Address: u.gateway.settings.ControlAddress, Cores: u.gateway.settings.Cores}
+	if len(entries) > 0 && !slices.ContainsFunc(entries, func(e shard.Entry) bool { return e.Name == self.Name }) {
+		entries = append(entries, self)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.entries = len(entries)
 	u.directory.SetEntries(entries)
 	u.lender.SetEntries(u.entries)
-	if known {
-		u.borrower.SetEntries(u.entries)
-	}
+	u.borrower.SetEntries(u.entries)
 }
 
 // capOf returns the cap of an account in the configuration in force.
@@ -129,6 +136,7 @@
 	lender, ok := u.directory.LenderOf(r.account)
 	if !ok {
 		u.mu.Unlock()
+		sleep(ctx, noEntriesPause)
 		return usageDecision{}, false
 	}
 	p := u.borrower.Position(now, r.account, lender.Name)
@@ -326,6 +334,16 @@
 	u.borrower.Return(lease.BootClock(), admitted, account, cost)
 }
 
+// describe returns what this entry knows of an account, the account's lender, and
+// whether this entry is isolated.
+func (u *usageCaps) describe(account quota.Account) (known quota.State, lender string, isolated bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := lease.BootClock()
+	entry, _ := u.directory.LenderOf(account)
+	return u.borrower.State(now, account), entry.Name, u.borrower.Isolated(now)
+}
+
 // state returns what this entry knows of an account.
 func (u *usageCaps) state(account quota.Account) quota.State {
 	u.mu.Lock()
