Hints: tell the other entries which servers do not answer

Change: a server that did not answer at the level of the connection is named in the next hint. It counts as a failure at an entry without a success there in the last 0.4 s; the bound on the ejected share holds as before.

--- a/internal/gateway/hints.go
+++ b/internal/gateway/hints.go
@@ -110,12 +110,13 @@
 	if memoryDue {
 		memory = s.router.MemoryHints()
 	}
+	unreached := s.takeUnreachedLocked()
 	s.mu.Unlock()
 	h.mu.Lock()
 	message := h.postponed
 	h.postponed = nil
 	h.mu.Unlock()
-	if message == nil && len(prefixes) == 0 && len(loads) == 0 && len(memory) == 0 && len(placed) == 0 && len(saved) == 0 {
+	if message == nil && len(unreached) == 0 && len(prefixes) == 0 && len(loads) == 0 && len(memory) == 0 && len(placed) == 0 && len(saved) == 0 {
 		return nil
 	}
 	if message == nil {
@@ -127,6 +128,9 @@
 		message.PrefixReadyMs = append(message.PrefixReadyMs, uint32(n.ReadyIn.Milliseconds())) //nolint:gosec // below a minute
 	}
 	message.Saved = append(message.Saved, saved...)
+	for _, server := range unreached {
+		message.UnreachedServer = append(message.UnreachedServer, nameHash(server))
+	}
 	for _, l := range loads {
 		message.LoadServer = append(message.LoadServer, nameHash(l.Server))
 		message.LoadMs = append(message.LoadMs, uint32(l.PrefillMS))
@@ -181,7 +185,7 @@
 }
 
 func hasHints(message *jayv1.Hints) bool {
-	return len(message.GetPrefix())+len(message.GetLoadServer())+len(message.GetMemoryServer())+len(message.GetPlacedServer())+len(message.GetSaved()) > 0
+	return len(message.GetPrefix())+len(message.GetLoadServer())+len(message.GetMemoryServer())+len(message.GetPlacedServer())+len(message.GetSaved())+len(message.GetUnreachedServer()) > 0
 }
 
 // postpone keeps the prefixes of a message until the budget allows them to be sent.
@@ -212,6 +216,11 @@
 			prefixes = append(prefixes, routing.PrefixHint{Prefix: key, Server: b.ID, Address: b.Address, ReadyIn: time.Duration(ready[i]) * time.Millisecond})
 		}
 	}
+	for _, server := range message.GetUnreachedServer() {
+		if b := byHash[server]; b != nil {
+			s.members.FailedElsewhere(now, b.ID)
+		}
+	}
 	s.router.ReceivePrefixHints(now, prefixes)
 	s.router.ReceiveSavedParts(now, message.GetSaved())
 	if message.GetHasMemory() {
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -171,6 +172,21 @@
 		return
 	}
 	s.members.Failed(now, server)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() && len(s.unreached) < maxUnreached {
+		s.unreached = append(s.unreached, server)
+	}
+}
+
+// maxUnreached bounds the servers in one hint that were not reached.
+const maxUnreached = 32
+
+// takeUnreachedLocked returns the servers that this entry did not reach since the last
+// call.
+func (s *state) takeUnreachedLocked() []string {
+	servers := s.unreached
+	s.unreached = nil
+	return servers
 }
 
 // notListeningLocked records that nothing listens at a server's address. For a draining
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -68,6 +68,8 @@
 	kvStoresDown map[string]bool
 	// scratch is the buffer behind the results of candidatesLocked and candidatesAtLocked.
 	scratch []routing.DirectServer
+	// unreached are the servers that the other entries are to be told of.
+	unreached []string
 	// membersStale is set when the list has changed since members was last updated.
 	membersStale bool
 	// listReady is set once the list has been read.
--- a/internal/membership/detection_test.go
+++ b/internal/membership/detection_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sort"
 	"testing"
@@ -111,3 +112,35 @@
 	t.Logf("0.5%% of all requests failing: %d false ejections in %d hours with 12 servers", ejections, hours)
 	assert.LessOrEqual(t, ejections, 1)
 }
+
+// Guards against unresponsive servers that each entry has to find out about by itself.
+func TestReportsOfOtherEntriesEjectAServer(t *testing.T) {
+	m := membership.New(membership.DefaultSettings())
+	servers := make([]membership.Server, 6)
+	for i := range servers {
+		servers[i] = membership.Server{Name: fmt.Sprintf("b%d", i), Group: "models"}
+	}
+	now := time.Unix(1000, 0)
+	m.SetServers(now, servers)
+	for range 3 {
+		m.FailedElsewhere(now, "b0")
+	}
+	assert.False(t, m.Usable("b0"))
+	m.Succeeded(now, "b1")
+	for range 10 {
+		m.FailedElsewhere(now.Add(100*time.Millisecond), "b1")
+	}
+	assert.True(t, m.Usable("b1"), "a success of its own is newer evidence")
+	for _, server := range servers {
+		for range 10 {
+			m.FailedElsewhere(now.Add(time.Second), server.Name)
+		}
+	}
+	usable := 0
+	for _, server := range servers {
+		if m.Usable(server.Name) {
+			usable++
+		}
+	}
+	assert.GreaterOrEqual(t, usable, 4, "an entry without a link must not empty the pool")
+}
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// FailedElsewhere records that another entry did not reach a server. It counts as a
+// failure, unless a request of this entry has just succeeded there: the other entry may
+// have lost its own link.
+func (m *Members) FailedElsewhere(now time.Time, server string) {
+	if b := m.members[server]; b != nil && now.Sub(b.facts.aliveAt) >= recentSuccess {
+		m.Failed(now, server)
+	}
+}
+
+// recentSuccess is the age up to which a success outweighs what other entries report.
+const recentSuccess = 400 * time.Millisecond
+
 // NotListening records that nothing listens at the server's address, so its
 // process has ended. One such report ejects the server, whereas other failures
 // may be due to the request: waiting for a streak would send further requests to
