--- a/internal/quota/directory.go
+++ b/internal/quota/directory.go
@@ -12,7 +12,7 @@
 
 const (
 	// entriesPerLender is how many entries share one lender.
-	entriesPerLender = 64
+	entriesPerLender = 160
 	// silentAnswers consecutive answers must be missing, over at least silentTime, before
 	// a lender is passed over: datagrams get lost, and a VM that is throttled by its CPU
 	// quota continues within a tenth of a second.
@@ -130,12 +130,15 @@
 // ReportInterval is the pause between two reports to a lender. In large fleets it is
 // longer, which bounds the messages that a lender receives.
 func ReportInterval(entries int) time.Duration {
-	return min(max(reportInterval, reportInterval*time.Duration(entries)/entriesPerLender), maxReportInterval)
+	return min(max(reportInterval, reportInterval*time.Duration(entries)/entriesAtBase), maxReportInterval)
 }
 
 const (
 	reportInterval    = 250 * time.Millisecond
 	maxReportInterval = time.Second
+	// entriesAtBase is the number of entries up to which reports are sent at the shortest
+	// interval.
+	entriesAtBase = 64
 )
 
 // lapseTime is how long after its last report an entry is a live member of its lender.
