Comments: put reasons back that the rewording deleted

Change: comments only. One or two sentences each, from the old comments, in today's names, where the constant or rule still stands. Figures of mechanisms that no longer exist, and those whose test or unit is gone, stay out.

Measured: nothing; the diff has no line of code.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -28,8 +28,8 @@
 	relayPause  = 350 * time.Millisecond
 	relayMargin = 300 * time.Millisecond
 	// entriesPause is the pause between two reads of the entries' rows. When all entries
-	// start at once, every row written ends all blocking reads, which would cause a burst
-	// of calls to the store.
+	// start at once, every row written ends all blocking reads: 103 entries made more than
+	// a thousand calls to the store in their first second.
 	entriesPause = 500 * time.Millisecond
 	// ownRowTimeout is how long after its start an entry waits to see its own row, which
 	// determines its relays, before it reads from the store directly.
@@ -40,8 +40,8 @@
 	otherTablesRetryPause = time.Second
 	// staleRelayPausePerPeer and maxStaleRelayPause limit how often an entry reads from
 	// the store itself while its relays answer with stale data. Relays detect an outage
-	// first; without the limit all entries would call the unreachable store at the full
-	// rate.
+	// first; without the limit 103 entries called an unreachable store 7,000 times in
+	// eight seconds.
 	staleRelayPausePerPeer = 100 * time.Millisecond
 	maxStaleRelayPause     = 3 * time.Second
 	// minOutage is the time without a successful read of the list that counts as an
--- a/internal/gateway/hints.go
+++ b/internal/gateway/hints.go
@@ -25,7 +25,8 @@
 	// this entry's requests, which use it for seconds.
 	memoryHintInterval = 500 * time.Millisecond
 	// hintBytesPerSecondPerPeer limits the hints to one other entry, maxHintBytesPerSecond
-	// those to all of them.
+	// those to all of them. Four entries that sent 2 KB/s in all earned 0.776 of a day
+	// with new weights, with 4 KB/s 0.796, with 8 KB/s no more.
 	hintBytesPerSecondPerPeer = 1300
 	maxHintBytesPerSecond     = 32 << 10
 	// hintBurst is the time for which unused bytes are accumulated.
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -30,8 +30,8 @@
 }
 
 // changeBackends applies changes of the list. It updates the members once for all changes:
-// an update for each of thousands of servers would take seconds of CPU time at the start,
-// while the entry serves no requests.
+// an update for each of 3,000 servers took seven seconds of a core at the start, in which
+// the entry served no requests.
 func (s *state) changeBackends(now time.Time, changes []backendChange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -69,7 +69,8 @@
 // contends reports whether this entry contends for the lease. The first few entries always
 // do. The others do only if weights that were replaced some time ago are still in use and
 // no holder is active: a rollout in a large fleet may take longer than contendAfter, and
-// should not make all entries read the lease.
+// should not make all entries read the lease. By the age alone they did: 732 of 1,090 calls
+// to the store on a quiet day.
 func (g *Gateway) contends() bool {
 	rank, _ := g.peers.rank(everyEntry)
 	if rank >= 0 && rank < ordinaryContenders {
--- a/internal/gateway/switches.go
+++ b/internal/gateway/switches.go
@@ -39,8 +39,8 @@
 }
 
 // sendSwitchUpdates sends updates to the other entries. In a small fleet all of them get
-// HTTP calls. In a large one the next holders do, as calls to all entries would slow down
-// the orders. Owners of shards get datagrams, each twice in case one is lost. The others
+// HTTP calls. In a large one the next holders do: with calls to 102 others an entry of 0.144
+// cores sent 30 orders a second at best. Owners of shards get datagrams, each twice in case one is lost. The others
 // learn a server's weights from offers.
 func (g *Gateway) sendSwitchUpdates(ctx context.Context, updates []switchUpdate) {
 	if len(updates) == 0 {
--- a/internal/gateway/waitqueue.go
+++ b/internal/gateway/waitqueue.go
@@ -13,7 +13,8 @@
 // waitQueueInterval is the pause between two attempts to place waiting
 // requests. It leaves time for the updates on large placements to reach the
 // other entries, which would otherwise all send to a server whose memory has
-// just become free.
+// just become free: in the model, under new weights, 63 requests were preempted with
+// a pause of 20 ms and 46 with this one.
 const waitQueueInterval = 100 * time.Millisecond
 
 // errRejected ends a request that must not wait.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -92,7 +92,8 @@
 	// load time.
 	loadTimeWeight = 0.3
 	// announceLead is how long before the expected end of a load the next server is
-	// announced, so that it has drained by then. Announced earlier it would be idle.
+	// announced, so that it has drained by then. Announced earlier it would be idle: with
+	// one such server for each that loads a fifth of the fleet did nothing.
 	announceLead = maxDrainTime
 )
 
--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -20,7 +20,8 @@
 }
 
 const (
-	// prefillTokensPerMS is the prefill rate assumed of an engine.
+	// prefillTokensPerMS is the prefill rate assumed of an engine. First tokens came
+	// after 0.75 of the time that it gives, on average over 12 engines.
 	prefillTokensPerMS = 50
 	// recomputeMSPerToken is the cost of prefilling again what another server
 	// or a store holds, beyond its own time: it delays all requests queued
@@ -48,7 +49,8 @@
 	// decision. Of more, only those are scored that rank first for the prefix
 	// or hold it, and sampledServers others that the request's id selects.
 	// Entries that score the same servers with information of the same age
-	// would all choose the same one.
+	// would all choose the same one: with 31 entries and 56 servers an overloaded
+	// day earned 0.47 with all scored, 0.52 with three others, 0.56 with one.
 	maxScored      = 16
 	sampledServers = 1
 	// inflowWindow is the averaging time of the inflow of prompts.
@@ -58,10 +60,12 @@
 	cacheShare = 1.0
 	// maxEntryFactor bounds the number of entries, this one included, that are
 	// assumed to have as much pending prefill at a server as this one: requests
-	// that other entries sent just now are in no report yet.
+	// that other entries sent just now are in no report yet. Without it more
+	// responses are late while weights change: 0.899 earned instead of 0.934.
 	maxEntryFactor = 6
 	// estimateShare is the share of that estimate that is added to the pending
-	// prefill reported by the other entries.
+	// prefill reported by the other entries. A day with new weights earned 0.732
+	// with 0, 0.736 with 0.5 and 0.715 with 1.
 	estimateShare = 0.5
 	// reportLifetime is how long a load reported by a server counts, with
 	// linearly falling weight.
--- a/internal/routing/direct_memory.go
+++ b/internal/routing/direct_memory.go
@@ -30,7 +30,9 @@
 	// maxMemoryWaitMS is the expected wait for memory above which a request
 	// waits in the entry instead of at the server. In the entry it occupies no
 	// memory, preempts no other request and goes to the server that has free
-	// memory first.
+	// memory first. In the model of TestPromptsWaitOutsideFullEngines, at 1.7 times
+	// the load at which memory fills, the net share was 0.20 without waiting, 0.60
+	// from 0 ms, 0.59 from 300 and 0.47 from 600.
 	maxMemoryWaitMS = 300
 	// minReportedMemoryShare is the used share of all engines' memory below
 	// which entries send no memory hints, as nothing waits for memory.
@@ -166,7 +168,8 @@
 // estimateUnreported estimates the tokens that entries without recent memory
 // hints occupy at each server: as many as this router's requests, spread
 // evenly. Without it, an entry that is cut off from the others assumes that the
-// engines are empty, and overfills them.
+// engines are empty, and overfills them: with three of nine entries cut off the
+// model's net share at 1.5 times the load was 0.53 instead of 0.70.
 func (d *Direct) estimateUnreported(now time.Time) int {
 	reporting := 0
 	for entry, at := range d.memoryHintAt {
--- a/internal/routing/direct_offer.go
+++ b/internal/routing/direct_offer.go
@@ -79,7 +79,9 @@
 
 // maxGoodWaitMS is the wait at an offered server above which another owner is
 // asked. Asking takes a few milliseconds and may end in one more copy of the
-// prefix; callers wait for about a second.
+// prefix; callers wait for about a second. In the model of
+// TestShardOwnersServeLargeFleet the net share was 0.897 with 60 ms, 0.906 with
+// 120 and 0.911 with 250.
 const maxGoodWaitMS = 150
 
 // GoodOffer reports whether an offer with these expected waits for other work
--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -258,7 +258,7 @@
 	held := v.heldBy(s.ID)
 	if held == p.tokens {
 		// The server fetches only what it lacks: the store is the fallback if
-		// it has evicted the prefix.
+		// it has evicted the prefix. Without it worth fell by 0.008.
 		return sourcePlan{kind: SourceHeld, address: v.storeAddress(p.tokens)}
 	}
 	from := v.elsewhere(now, s.ID, held)
--- a/internal/routing/kvstore.go
+++ b/internal/routing/kvstore.go
@@ -47,18 +47,22 @@
 
 const (
 	// saveDelay is the time from the placement of a request that saves its
-	// prefix until others can fetch it: prefill, and the queue of transfers.
+	// prefix until others can fetch it: prefill, and the queue of transfers. It
+	// took 0.3 to 1.5 s.
 	saveDelay = 1200 * time.Millisecond
 	// storeRetention is how long a store is assumed to hold a saved prefix
 	// without a report from the store. A failed fetch costs a millisecond,
-	// whereas frequent repeated saves evict prefixes before they are fetched.
+	// whereas frequent repeated saves evict prefixes before they are fetched:
+	// saved again after 3 s, the store turned over before anything was fetched.
 	storeRetention = 15 * time.Second
 	// minStoreRetention is how long a store should keep a part: a prefix in use
 	// is requested again within some seconds. Each part that it drops sooner
 	// raises the share of a prompt that must be shared for it to be saved by
 	// neededShareStep, up to maxNeededShare; it falls again by neededShareDecay
 	// per second. Parts that only one request uses would evict shared
-	// prefixes.
+	// prefixes. In the model of TestLostPrefixesComeFromStore 298,000
+	// tokens were computed again with one store and 48,000 with two; 269,000 and
+	// 140,000 with a fixed share of 0.5, 489,000 and 54,000 without one.
 	minStoreRetention = 8 * time.Second
 	neededShareStep   = 0.02
 	neededShareDecay  = 0.02
@@ -74,7 +78,8 @@
 	// weights all prefixes are saved again within a second or two.
 	saveBurst = 2 * time.Second
 	// holderTrustPeriod is how long after its last use of a prefix another
-	// server is preferred to the store as a source.
+	// server is preferred to the store as a source. Fifteen days were worth 0.758
+	// with 2 s, 0.760 with 0.7 s and 0.762 with 0.3 s.
 	holderTrustPeriod = 300 * time.Millisecond
 )
 
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -34,11 +34,13 @@
 const (
 	// maxWaitShare is the share of the time between arrival and deadline that a
 	// request waits at most. A request sent without free memory takes memory from
-	// others, so the share is high; the rest is left for the server.
+	// others, so the share is high; the rest is left for the server. From 0.95 on
+	// too little would be left for the send to be more than an offer in name.
 	maxWaitShare = 0.9
 	// lateWaitShare of its maximum wait is how long a late request may have waited
 	// before other requests of its priority that become late are rejected. Their
-	// callers then learn early enough to retry.
+	// callers then learn early enough to retry: in the model 56 of 800 long prompts
+	// failed at 1.8 times the load, 94 if none was rejected.
 	lateWaitShare = 0.3
 	// RetryAfter is the retry delay for the caller of a request that was rejected
 	// while waiting: by then about half of the running requests have ended.
@@ -154,7 +156,8 @@
 
 // order sorts the requests by priority. Within a priority, those that can still be
 // on time come before the late ones, and earlier arrivals before later ones.
-// Serving the late ones first would make all those behind them late as well.
+// Serving the late ones first would make all those behind them late as well: in the
+// model 2,210 of 3,400 long prompts were on time then, 2,441 in this order.
 func (q *Queue) order(now time.Time) []*Request {
 	order := make([]*Request, 0, len(q.waiting))
 	for _, w := range q.waiting {
