Quota: plain names for what a lender takes over

Cause: comments and unexported names spoke of words and of what was told.

Change: inherited totals, reported state.

--- a/internal/gateway/usageadmin.go
+++ b/internal/gateway/usageadmin.go
@@ -18,7 +18,7 @@
 	// UsedHere in the last window, LentHere: may be used without asking.
 	UsedHere int64 `json:"used_here"`
 	LentHere int64 `json:"lent_here"`
-	// UsedByAll in a window and Level of the bucket, as the lender told AgeMS ago.
+	// UsedByAll in a window and Level of the bucket, as the lender reported AgeMS ago.
 	UsedByAll int64  `json:"used_by_all"`
 	Level     int64  `json:"level"`
 	AgeMS     int64  `json:"age_ms"`
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -32,12 +32,12 @@
 	line      float64
 	lineUntil time.Time
 	drawn     float64
-	// total and level are what a lender told last, at toldAt.
+	// total and level are what the lender last reported, at reportedAt.
 	total, level float64
-	toldAt       time.Time
+	reportedAt   time.Time
 	lender       string
-	// sinceTold is what was used since then.
-	sinceTold float64
+	// usedSinceReport is what was used since then.
+	usedSinceReport float64
 	// changed: there were requests since the last report.
 	changed bool
 }
@@ -85,8 +85,8 @@
 // budget when its lender answered last.
 func (a *balance) excess(now time.Time, bounds Bounds, limit Cap, entries int, cost float64) float64 {
 	budget, used := bounds.budget(limit), a.used.total(now, bounds.Window)
-	left := budget - bounds.remaining(limit, a.total, now.Sub(a.toldAt))
-	return cost + max(used-budget/float64(entries), min(a.sinceTold, used)-left/float64(entries))
+	left := budget - bounds.remaining(limit, a.total, now.Sub(a.reportedAt))
+	return cost + max(used-budget/float64(entries), min(a.usedSinceReport, used)-left/float64(entries))
 }
 
 func (b *Borrower) account(id Account) *balance {
@@ -110,7 +110,7 @@
 	a.changed = true
 	a.used.add(now, window, units)
 	a.drawn += units
-	a.sinceTold += units
+	a.usedSinceReport += units
 }
 
 // Charge counts units that may run without having been admitted, as with a second run
@@ -134,7 +134,7 @@
 	a.lapse(now)
 	p := Position{Account: id, Used: a.used.total(now, b.bounds.Window), Balance: a.line, Drawn: a.drawn, Borrows: a.changed}
 	if a.lender != lender && a.lender != "" {
-		p.Total, p.TotalAge = a.total, now.Sub(a.toldAt)
+		p.Total, p.TotalAge = a.total, now.Sub(a.reportedAt)
 	}
 	return p
 }
@@ -168,7 +168,7 @@
 	for _, loan := range g.Items {
 		a := b.account(loan.Account)
 		a.lapse(now)
-		a.total, a.level, a.toldAt, a.lender, a.sinceTold = loan.Total, loan.Level, now, lender, 0
+		a.total, a.level, a.reportedAt, a.lender, a.usedSinceReport = loan.Total, loan.Level, now, lender, 0
 		if loan.Line > 0 {
 			a.line += loan.Line
 			a.lineUntil = now.Add(loanTime)
@@ -185,7 +185,7 @@
 type State struct {
 	// Used by this entry in the last window, Line what it may use without asking.
 	Used, Line float64
-	// Total used by all entries and Level of the bucket, as told Age ago.
+	// Total used by all entries and Level of the bucket, as reported Age ago.
 	Total, Level float64
 	Age          time.Duration
 }
@@ -198,8 +198,8 @@
 	}
 	a.lapse(now)
 	s := State{Used: a.used.total(now, b.bounds.Window), Line: a.line, Total: a.total, Level: a.level}
-	if !a.toldAt.IsZero() {
-		s.Age = now.Sub(a.toldAt)
+	if !a.reportedAt.IsZero() {
+		s.Age = now.Sub(a.reportedAt)
 	}
 	return s
 }
--- a/internal/quota/directory.go
+++ b/internal/quota/directory.go
@@ -22,7 +22,7 @@
 	probePause = 500 * time.Millisecond
 )
 
-// Directory derives from the list of entries which one lends each account. Entries that
+// Directory derives the lender of each account from the list of entries. Entries that
 // have the same list and reach the same entries choose the same lender; any other choice
 // costs accuracy below the cap, never the cap.
 type Directory struct {
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -13,8 +13,8 @@
 	maxRank     = 3
 )
 
-// Lender knows what all entries have admitted of the accounts that it lends, and
-// decides who may admit more. It is not safe for concurrent use.
+// Lender counts what all entries have admitted of its accounts, and decides who may
+// admit more. It is not safe for concurrent use.
 type Lender struct {
 	bounds  Bounds
 	entries int
@@ -69,7 +69,7 @@
 		drawn = s.report(now, r.Received, p)
 	}
 	q := l.pool(now, p.Account, limit)
-	l.hearTotal(now, q, p, limit)
+	l.inheritTotal(now, q, p, limit)
 	q.draw(drawn, l.bounds.depth(limit))
 	l.sum(now, p.Account, q, limit)
 	if p.Need > 0 {
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -23,11 +23,11 @@
 	Used float64
 	// Balance is what is left of the entry's credit line.
 	Balance float64
-	// Drawn is what the entry has counted without a lender's word on the request, less
+	// Drawn is what the entry has counted without asking a lender, less
 	// what it has counted as unused, since its process started.
 	Drawn float64
-	// Total is what all entries had used by the word of an earlier lender, TotalAge ago;
-	// 0: unknown.
+	// Total is the usage of all entries as an earlier lender reported it, TotalAge ago; 0:
+	// unknown.
 	Total    float64
 	TotalAge time.Duration
 	// Borrows: the entry had requests of the account since its last report.
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -17,12 +17,12 @@
 	level    float64
 	filledAt time.Time
 	promises promises
-	// toldTotal is what all entries had used by the word of an earlier lender, at toldAt;
-	// grantedSince was granted since it was heard.
-	toldTotal, grantedSince float64
-	toldAt                  time.Time
-	// heardAt is when an entry last came from another lender.
-	heardAt time.Time
+	// inheritedTotal is the usage of all entries at inheritedAt, as an earlier lender
+	// reported it; grantedSince was granted since it was received.
+	inheritedTotal, grantedSince float64
+	inheritedAt                  time.Time
+	// succeededAt is when an entry last came from another lender.
+	succeededAt time.Time
 	// committed and total are sums over all members, computed at summedAt.
 	committed, total float64
 	summedAt         time.Time
@@ -52,24 +52,24 @@
 	return q
 }
 
-// hearTotal records a total of an earlier lender.
-func (l *Lender) hearTotal(now time.Time, q *pool, p Position, limit Cap) {
+// inheritTotal records a total of an earlier lender.
+func (l *Lender) inheritTotal(now time.Time, q *pool, p Position, limit Cap) {
 	if p.Total <= 0 {
 		return
 	}
 	if !l.succeeding(now, q) {
 		q.level = min(q.level, startLevel*l.bounds.depth(limit))
 	}
-	q.heardAt = now
-	if l.bounds.remaining(limit, p.Total, p.TotalAge) > l.told(now, q, limit) {
-		q.toldTotal, q.toldAt, q.grantedSince = p.Total, now.Add(-p.TotalAge), 0
+	q.succeededAt = now
+	if l.bounds.remaining(limit, p.Total, p.TotalAge) > l.inherited(now, q, limit) {
+		q.inheritedTotal, q.inheritedAt, q.grantedSince = p.Total, now.Add(-p.TotalAge), 0
 	}
 }
 
 // succeeding reports whether entries have just come from another lender, which may still
 // count them as its members.
 func (l *Lender) succeeding(now time.Time, q *pool) bool {
-	return !q.heardAt.IsZero() && now.Sub(q.heardAt) < lapseTime(l.entries)
+	return !q.succeededAt.IsZero() && now.Sub(q.succeededAt) < lapseTime(l.entries)
 }
 
 // rate returns how fast the bucket fills. While another lender may be active, it is this
@@ -81,13 +81,13 @@
 	return limit.Rate * float64(min(l.live(now), l.entries)) / float64(l.entries)
 }
 
-// told returns what is left in the window of what all entries had used by the word of an
-// earlier lender, plus what was granted since.
-func (l *Lender) told(now time.Time, q *pool, limit Cap) float64 {
-	if now.Sub(q.toldAt) >= l.bounds.Window {
+// inherited returns what is left in the window of the usage that an earlier lender
+// reported, plus what was granted since.
+func (l *Lender) inherited(now time.Time, q *pool, limit Cap) float64 {
+	if now.Sub(q.inheritedAt) >= l.bounds.Window {
 		return 0
 	}
-	return l.bounds.remaining(limit, q.toldTotal, now.Sub(q.toldAt)) + q.grantedSince
+	return l.bounds.remaining(limit, q.inheritedTotal, now.Sub(q.inheritedAt)) + q.grantedSince
 }
 
 // sum computes what is committed of an account: what each live member holds, and for
@@ -118,6 +118,6 @@
 		known++
 	}
 	q.committed += share * float64(max(l.entries-known, 0))
-	told := l.told(now, q, limit)
-	q.committed, q.total = max(q.committed, told), max(q.total, told)
+	inherited := l.inherited(now, q, limit)
+	q.committed, q.total = max(q.committed, inherited), max(q.total, inherited)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -7,7 +7,7 @@
 // A Borrower and a Lender enforce a Cap together, for load that is spread unevenly: a
 // workspace's callers often reach only a few entries, and one prompt can be larger than
 // an entry's part of the cap. One entry, the lender, knows what every entry has admitted
-// in the last window. It answers requests that it is asked about, and lends each entry
+// in the last window. It decides on requests of other entries, and lends each entry
 // that needs it a credit line, from which the entry admits requests without a message.
 //
 // Guarantee. Let B be Bounds.budget: the units that may be admitted in one window, plus
@@ -16,12 +16,12 @@
 //	sum over live members of (used + lent) + sum over all other entries of
 //	max(B/N, what each was last known to have used and borrowed) <= B
 //
-// and an entry without a lender admits at most its part of what was left of B when it
-// last heard, and of what has left the window since. So at most B are admitted in any
+// and an entry without a lender admits at most its part of what was left of B at its
+// lender's last answer, and of what has left the window since. So at most B are admitted in any
 // window, in any number of parts that are
 // cut off from each other, as long as usage is known. Usage is forgotten when a process
 // ends. The lender still counts it while it lives itself. If it ends at the same time,
-// its successor starts from the total that its members were told last. If all entries
+// its successor starts from the total in the last answers to its members. If all entries
 // end, the bucket limits a window that spans the restart to Rate*window + 1.5*Burst,
 // plus credit lines. The rest of the tolerance covers reports on their way, and entries
 // that count different numbers of entries for a while.
