--- a/internal/gateway/datagrams_test.go
+++ b/internal/gateway/datagrams_test.go
@@ -21,6 +21,8 @@
 		{Body: &jayv1.Datagram_Strikes{Strikes: &jayv1.StrikeNews{
 			Strikes: []*jayv1.RequestStrike{{Request: make([]byte, 16), Server: "i-1"}, {Request: []byte{1}}}, Cleared: [][]byte{make([]byte, 16), nil},
 		}}},
+		{Body: &jayv1.Datagram_QuotaReport{QuotaReport: &jayv1.QuotaReport{Entry: "gw2", Key: 1, Items: []*jayv1.QuotaPosition{{Account: 1, Used: 2, Need: 3}}}}},
+		{Body: &jayv1.Datagram_QuotaGrant{QuotaGrant: &jayv1.QuotaGrant{Key: 1, Number: 1, Items: []*jayv1.QuotaLoan{{Account: 1, Line: 2}}}}},
 		{},
 	} {
 		data, err := proto.Marshal(message)
@@ -35,7 +37,7 @@
 			return
 		}
 		g := &Gateway{settings: Settings{Node: "gw1"}, state: newOwner("gw1"), metrics: metrics.New(8), peers: newPeers(Settings{Node: "gw1"})}
-		g.placements, g.hints, g.datagrams = newPlacementClient(g), &hints{gateway: g}, &datagrams{gateway: g}
+		g.placements, g.hints, g.datagrams, g.usage = newPlacementClient(g), &hints{gateway: g}, &datagrams{gateway: g}, newUsageCaps(g)
 		g.datagrams.handle(message, nil)
 		g.datagrams.handle(message, nil)
 	})
