Quota: credit lines are bounded by the bucket, and four tenths of the tolerance are lent

Change: lines together take at most a quarter of the bucket's depth, and the budget takes 0.4 of the tolerance instead of half.

--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -6,7 +6,10 @@
 	// lineShare of what is free of a budget is lent ahead, divided among all entries.
 	lineShare = 0.25
 	// lineLevel is the share of the bucket's depth above which credit lines are lent.
-	lineLevel = 0.5
+	// lineFactor times what is above it bounds the lines: they are admitted in addition to
+	// the bucket when the lender's counts are lost.
+	lineLevel  = 0.5
+	lineFactor = 2
 	// rankReserve is the share of the depth that each rank leaves to the rank above it,
 	// for up to maxRank ranks.
 	rankReserve = 0.05
@@ -123,7 +126,8 @@
 		return 0
 	}
 	free := l.bounds.budget(limit) - q.committed
-	line := free*lineShare/float64(l.entries) - p.Balance
+	above := q.level - q.promises.held - lineLevel*l.bounds.depth(limit)
+	line := lineShare*min(free, lineFactor*above)/float64(l.entries) - p.Balance
 	if line < minLineShare*l.bounds.depth(limit)/float64(l.entries) {
 		return 0
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -17,19 +17,20 @@
 //	max(B/N, what each was last known to have used and borrowed) <= B
 //
 // and an entry without a lender admits at most its part of what was left of B at its
-// lender's last answer, and of what has left the window since. So at most B are admitted in any
-// window, in any number of parts that are
-// cut off from each other, as long as usage is known. Usage is forgotten when a process
-// ends. The lender still counts it while it lives itself. If it ends at the same time,
-// its successor starts from the total in the last answers to its members. If all entries
-// end, the bucket limits a window that spans the restart to Rate*window + 1.5*Burst,
-// plus credit lines. The rest of the tolerance covers reports on their way, and entries
-// that count different numbers of entries for a while.
+// lender's last answer, and of what has left the window since. So at most B are admitted
+// in any window, in any number of parts that are cut off from each other, as long as
+// usage is known. Usage is forgotten when a process ends. The lender still counts it while
+// it lives itself. If it ends at the same time, its successor starts from the total in the
+// last answers to its members, with an empty bucket. If all counts are lost, a window that
+// spans the loss holds at most Rate*window, the bucket's depth and a quarter of it in credit
+// lines. The rest of the tolerance covers that, reports on their way, and entries that count
+// different numbers of entries for a while.
 //
-// Shape. Within the budget the lender keeps a token bucket of Cap.Rate and Cap.Burst,
-// so that a workspace over its cap is served evenly. A request is admitted while the
-// level is above the reserve of its priority, and may overdraw it: long prompts are not
-// starved by short calls, which wait only until the debt is repaid.
+// Shape. Within the budget the lender keeps a token bucket, so that a workspace over its
+// cap is served evenly. It fills at Cap.Rate, and from full to empty it adds to that what
+// the budget of one window allows. A request is admitted while the level is above the
+// reserve of its priority, and may overdraw it: long prompts are not starved by short
+// calls, which wait only until the debt is repaid.
 package quota
 
 import (
@@ -63,7 +64,7 @@
 
 // toleranceShare is the part of the permitted excess that is lent. The rest covers
 // what is not known at once.
-const toleranceShare = 0.5
+const toleranceShare = 0.4
 
 // budget returns how many units all entries together admit at most in a window.
 func (b Bounds) budget(c Cap) float64 {
