Quota: a succeeding lender begins with 0.15 of its bucket and the full rate

Cause: since it began empty and at a part of the rate.

Change: 0.15 of the depth at first, and the full rate unless entries have just come from another lender.

--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -3,6 +3,10 @@
 import "time"
 
 const (
+	// startLevel is the share of the depth that the bucket of a lender holds at first that
+	// may have succeeded another one. With an empty one callers are refused for seconds
+	// after all entries have restarted.
+	startLevel = 0.15
 	// maxDebt is the largest debt of a bucket from credit lines, as a share of its depth.
 	maxDebt = 0.1
 	// sumLife is how long the sum over all members is used before it is computed again.
@@ -39,7 +43,7 @@
 	if q == nil {
 		q = &pool{level: l.bounds.depth(limit), filledAt: now}
 		if l.reachedSince.IsZero() || now.Sub(l.reachedSince) < l.bounds.Window {
-			q.level = 0
+			q.level *= startLevel
 		}
 		l.pools[id] = q
 	}
@@ -57,7 +61,7 @@
 		return
 	}
 	if !l.succeeding(now, q) {
-		q.level = min(q.level, 0)
+		q.level = min(q.level, startLevel*l.bounds.depth(limit))
 	}
 	q.succeededAt = now
 	if l.bounds.remaining(limit, p.Total, p.TotalAge)+q.recent.total(now, lapseTime(l.entries)) > l.inherited(now, q, limit) {
@@ -74,8 +78,7 @@
 // rate returns how fast the bucket fills. While another lender may be active, it is this
 // lender's part.
 func (l *Lender) rate(now time.Time, q *pool, limit Cap) float64 {
-	settled := !l.reachedSince.IsZero() && now.Sub(l.reachedSince) >= lapseTime(l.entries)
-	if settled && !l.succeeding(now, q) {
+	if !l.succeeding(now, q) {
 		return limit.Rate
 	}
 	return limit.Rate * float64(min(l.live(now), l.entries)) / float64(l.entries)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -21,9 +21,9 @@
 // in any window, in any number of parts that are cut off from each other, as long as
 // usage is known. Usage is forgotten when a process ends. The lender still counts it while
 // it lives itself. If it ends at the same time, its successor starts from the total in the
-// last answers to its members, with an empty bucket. If all counts are lost, a window that
-// spans the loss holds at most Rate*window, the bucket's depth and a quarter of it in credit
-// lines. The rest of the tolerance covers that, reports on their way, and entries that count
+// last answers to its members, with little in its bucket. If all counts are lost, a window
+// that spans the loss holds at most Rate*window, 1.15 times the bucket's depth, and a quarter
+// of it in credit lines. The rest of the tolerance covers that, reports on their way, and entries that count
 // different numbers of entries for a while.
 //
 // Shape. Within the budget the lender keeps a token bucket, so that a workspace over its
