--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -137,13 +137,10 @@
 
 // line returns the credit that a member is lent ahead.
 func (l *Lender) line(now time.Time, q *pool, p Position, limit Cap) float64 {
-	if q.level-q.promises.held < lineLevel*l.bounds.depth(limit) {
-		return 0
-	}
-	free := l.bounds.budget(limit) - q.committed
-	above := q.level - q.promises.held - lineLevel*l.bounds.depth(limit)
+	depth, free := l.bounds.depth(limit), l.bounds.budget(limit)-q.committed
+	above := q.level - q.promises.held - lineLevel*depth
 	line := lineShare*min(free, lineFactor*above)/float64(l.entries) - p.Balance
-	if line < minLineShare*l.bounds.depth(limit)/float64(l.entries) {
+	if line < minLineShare*depth/float64(l.entries) {
 		return 0
 	}
 	return line
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -193,6 +193,12 @@
 	s.after(time.Duration(s.random.Int64N(int64(quota.ReportInterval(s.listed)))), loop)
 }
 
+// kill ends an entry's process and boots it again after a time.
+func (e *simEntry) kill(down time.Duration) {
+	e.down, e.start = true, 0
+	e.sim.after(down, e.boot)
+}
+
 func (e *simEntry) learnList() {
 	e.directory.SetEntries(e.sim.list())
 	e.borrower.SetEntries(e.sim.listed)
