--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -83,7 +83,7 @@
 | a configuration in force after its acknowledgement, ms, longest | 0 | 178 | 12 | 12 | 5,000 | holds |
 | serving again after all were killed, ms | 500 | 1,000 | 7,500 | 24,064 | 15,000 | **does not hold** at 815: each entry reads the whole list from the store |
 
-` + "`fleetbench sweep shifted/aeat-flota-now-grown.toml --jobs 2`" + `, with usage caps over all entries; no rule broken, worth 0.897, 0.873, 0.858:
+` + "`fleetbench sweep shifted/aeat-flota-now-grown.toml --jobs 2`" + `, with usage caps over all entries, at d17aa18; no rule broken, worth 0.897, 0.873, 0.858:
 
 | busiest entry | 31 | 98 | 299 | at 815, computed | bound | verdict |
 |---|---|---|---|---|---|---|
@@ -101,6 +101,7 @@
 | sites/aeat-flota | 0.901, 0.911, 0.879 | 137, 174, 1,335 | 1,000, 1,000, 5,500 |
 | further/ckex-platform | 0.886, 0.909, 0.857 | 174, 137, 862 | 1,000, 1,000, 1,500 |
 | grown/aeat-flota-grown | 0.899, 0.890, 0.853 | 73, 207, 1,318 | 500, 1,500, 6,500 |
+| further-grown/ckex-platform-grown | 0.886, 0.852, 0.776 | 59, 174, 999 | 500, 1,000, 30,000 (docs/OPEN.md) |
 | usage caps, the exchange alone | | 0.32 KB/s an entry at 299 entries and 16 workspaces, 1.5 at 810 and 220 with 13 requests/s (computed by a simulation); a lender there 78 | |
 `
 
