Entry: stop reading a response once its caller was cut off

Cause: after the write timeout the entry sent a Cancel and then read the stream until the agent's End, for up to 300 ms, to learn the outcome. All chunks that the agent had buffered came over the link meanwhile and were dropped.

Change: the entry doesn't wait for the End when the caller is gone and the response had begun. Such a request ran, so the End can't change the outcome. The agent no longer aborts a stream whose reader stopped before it has read what the entry sent last, or the Cancel could be lost, and it discards a response that was canceled and closed; else it would be kept for replay.retain_ms and push out others.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -109,6 +109,9 @@
 	return att.state
 }
 
+// ended reports whether the attempt is in a final state.
+func (att *attempt) ended() bool { return charts.Must(chartName).Final(att.currentState()) }
+
 // outcomeOf returns the wire outcome of a final state of the chart.
 func outcomeOf(state string) jayv1.Outcome {
 	switch state {
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -69,6 +70,31 @@
 	}
 }
 
+// Guards against a request that runs on, and a response that stays in memory, after an entry
+// canceled it and stopped reading without waiting for the End.
+func TestCanceledResponseThatIsNotReadIsDiscarded(t *testing.T) {
+	const requests, beyondEnd = 20, 1000
+	const wait = 3 * time.Second // Far below the default of replay.retain_ms.
+	fix := newFixture(t, nil)
+	long := strings.Repeat("x", 64<<10)
+	fix.engine.set(func(f *fakeEngine) { f.script = wordEvents(strings.Split(strings.Repeat(long+" ", 40), " ")...) })
+	for i := range requests {
+		offer := modelOffer(fmt.Sprint("r", i))
+		s := fix.accepted(offer, "{}")
+		receive(t, s)
+		send(t, s, cancelFrame())
+		require.NoError(t, s.CloseSend())
+		s.Abort()
+		require.Eventually(t, func() bool { return len(fix.engine.cancels()) == i+1 }, wait, time.Millisecond, "request %d runs on", i)
+		require.Eventually(t, func() bool {
+			resumed := fix.open()
+			defer resumed.Abort()
+			send(t, resumed, resumeFrame(offer, beyondEnd)) // Attaches no reader.
+			return strings.HasPrefix(receive(t, resumed).GetEnd().GetError(), "no response is kept")
+		}, wait, 10*time.Millisecond, "response %d is kept", i)
+	}
+}
+
 // Guards against running a request whose body was not completely received; the
 // entry reports it as not run.
 func TestIncompleteBodyNeverRuns(t *testing.T) {
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -138,8 +138,16 @@
 	case sendReplaced:
 		s.Abort()
 	case sendLost:
+		// An entry that stops reading fails the send, possibly before its Cancel is
+		// received.
+		_ = s.SetReadDeadline(time.Now().Add(lingerTimeout))
+		<-readerDone
 		s.Abort()
-		a.linkLost(att, link)
+		if errors.Is(readerErr, io.EOF) && att.ended() {
+			a.discardCanceled(att, link)
+		} else {
+			a.linkLost(att, link)
+		}
 	}
 	<-readerDone
 }
@@ -212,6 +220,15 @@
 	return nil
 }
 
+// discardCanceled discards the response of an attempt that its entry canceled and
+// closed without reading the rest. Kept responses of others would be evicted for it,
+// and nobody will resume it.
+func (a *Agent) discardCanceled(att *attempt, link int) {
+	if att.response.isCurrent(link) {
+		a.attempts.forget(att.id)
+	}
+}
+
 // linkLost keeps an attempt for resume within replay.retain_ms. An attempt
 // whose body is incomplete has not run, and ends.
 func (a *Agent) linkLost(att *attempt, link int) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -32,7 +32,7 @@
 // response has started, for the idle timeout of a stream.
 func (a *attempt) receive(ctx context.Context) (*jayv1.ServerFrame, error) {
 	deadline := time.Now().Add(ms(a.timeouts.StreamIdleMS))
-	if a.chunks.Next() == 0 && !a.headReceived && !a.deadline.IsZero() {
+	if !a.responseBegan() && !a.deadline.IsZero() {
 		// The agent itself ends a request at the deadline and reports whether it
 		// ran, so that report gets a short extra wait.
 		deadline = a.deadline.Add(cancelTimeout)
@@ -139,11 +139,15 @@
 }
 
 // cancel asks the agent to cancel the request and waits for its report of the
-// outcome, for cancelTimeout at most.
+// outcome, for cancelTimeout at most. It does not wait if the caller disconnected
+// after the response began: such a request has run, and the rest of the response
+// would be received only to be dropped.
 func (a *attempt) cancel(cause error) {
 	_ = a.stream.SetDeadline(time.Now().Add(cancelTimeout))
 	reason := &jayv1.Cancel{Reason: cause.Error()}
-	if a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Cancel{Cancel: reason}}) == nil {
+	err := a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Cancel{Cancel: reason}})
+	unread := errors.Is(cause, errCallerGone) && a.responseBegan()
+	if err == nil && !unread {
 		a.awaitEnd()
 	}
 	if !a.ended() {
@@ -151,6 +155,9 @@
 	}
 }
 
+// responseBegan reports whether any part of the response was received.
+func (a *attempt) responseBegan() bool { return a.headReceived || a.chunks.Next() > 0 }
+
 func (a *attempt) awaitEnd() {
 	for {
 		frame := &jayv1.ServerFrame{}
