Entry: close the connections to the platform when the entry is closed

What callers saw: nothing where a process ends with its entry. Where entries are replaced in one process (jay-dev, TestStreamsComeWholeThroughDyingEntries), each left three connections and six goroutines, and replacements got slower.

Cause: Entry.Close never closed the client that it had made for the platform.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -65,6 +65,14 @@
 	return platform.NewClient(url, platform.ClientOptions{})
 }
 
+// closePlatform closes the connections to the platform, unless the client belongs
+// to the settings. The platform would keep them until its idle timeout.
+func (e *Entry) closePlatform() {
+	if client, ok := e.platform.(*platform.Client); ok && e.settings.Platform == nil {
+		client.Close()
+	}
+}
+
 // receiveVMs applies the platform's list of VMs: which servers may get requests,
 // and how many entries share the limits.
 func (e *Entry) receiveVMs(list platform.VMList) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -214,6 +214,7 @@
 	parts.Wait()
 	e.ledger.Close()
 	e.wg.Wait()
+	e.closePlatform()
 	klog.InfoS("entry closed", "name", e.settings.Name, "took", time.Since(began), "afterStart", time.Since(e.started),
 		"configured", e.holder.Current().Generation() > 0)
 }
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -1,10 +1,13 @@
 package entry_test
 
 import (
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -292,3 +295,26 @@
 	assert.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
 	assert.Zero(t, agent.count(func(f *fakeAgent) int { return len(f.runs) }))
 }
+
+// Guards against an entry that leaves its connections to the platform open when it is closed: each
+// replacement in one process would add some, with two goroutines each.
+func TestClosedEntryKeepsNoConnectionToThePlatform(t *testing.T) {
+	var opened, closed atomic.Int64
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			opened.Add(1)
+		case http.StateClosed:
+			closed.Add(1)
+		default:
+		}
+	}
+	server.Start()
+	defer server.Close()
+	s := newDeployment(t, "b1")
+	e := s.entry("e1", func(settings *entry.Settings) { settings.PlatformURL = server.URL })
+	require.Eventually(t, func() bool { return opened.Load() > 0 }, 5*time.Second, time.Millisecond)
+	e.Close()
+	require.Eventually(t, func() bool { return closed.Load() == opened.Load() }, 2*time.Second, time.Millisecond)
+}
