Stand-in cluster: a replaced entry keeps its keys

What callers of TestStreamsComeWholeThroughDyingEntries saw: at times no entry for seconds, as all three are replaced together and none started.

Cause: the stand-in cluster issued and saved new keys at each replacement of an entry, which no real restart does, and neither does its own restart of an agent. keys.Save renames over the old files; on ext4 that waits for the disk.

Held by TestReplacedEntriesKeepTheirKeys: failed before, passes now.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -87,8 +87,12 @@
 	return c.Apply(ctx, c.Declaration())
 }
 
-// issue creates the keys of a process or operator and writes them to its folder.
+// issue creates the keys of a process or operator and writes them to its folder. A
+// process that starts again has its keys already.
 func (c *Cluster) issue(role keys.Role, name string) error {
+	if _, err := os.Stat(c.keysOf(name)); err == nil {
+		return nil
+	}
 	cert, err := c.authority.Issue(keys.Identity{Role: role, Name: name}, keysValid)
 	if err != nil {
 		return err
--- a/internal/standin/cluster/cluster_test.go
+++ b/internal/standin/cluster/cluster_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/jayproxy/jayproxy/internal/keys"
 	"github.com/jayproxy/jayproxy/internal/standin/cluster"
 )
 
@@ -51,3 +54,18 @@
 	require.NoError(t, c.RestartEntries(t.Context()))
 	assert.Eventually(t, served(c.Entries()[0].CallersURL(), c.Options.Workspaces[0]), 10*time.Second, 50*time.Millisecond)
 }
+
+// Guards against replacements that write keys and so wait for the disk: at times it answers only after
+// seconds, in which no entry serves.
+func TestReplacedEntriesKeepTheirKeys(t *testing.T) {
+	c, err := cluster.Start(t.Context(), cluster.Options{})
+	require.NoError(t, err)
+	defer c.Close()
+	certificate := filepath.Join(c.KeysDir, cluster.EntryName(0), keys.CertFile)
+	before, err := os.ReadFile(certificate)
+	require.NoError(t, err)
+	require.NoError(t, c.RestartEntries(t.Context()))
+	after, err := os.ReadFile(certificate)
+	require.NoError(t, err)
+	assert.Equal(t, before, after)
+}
