Agent: keep a complete response for longer than a run without a reader

What callers saw: 404 stream_not_found after 19 events, in the first of two runs of TestStreamsComeWholeThroughDyingEntries on beside 60 busy loops on 5 cores (36.7 s, entries replaced 99 times).

Cause: the agent discarded a complete response 30 s after the last contact, with the same time that stops a run without a reader. For those 30 s no entry that the caller reached lived long enough to accept it.

Evidence: "resume refused" with "no response is kept" and acceptedBefore=true for that caller, 34.2 s after the start of the run. A trace of each resume, lost link and discard in two more runs: 15 responses discarded, all with state=done, 29.4 to 30.0 s after the last contact, while callers' tries waited up to 17.7 s in queues and ended with EOF.

Why this works: a complete response takes memory only, and replay.total_bytes bounds that; it now counts an attempt's own memory as well. replay.retain_ms becomes 5 min for it, the new replay.abandon_ms (30 s) stops runs, which take a slot. A caller that comes back after such a stop reads what there is and hears how it ended. A shutdown waits for readers as long as before.

Held by three tests of the agent; with one time for both, as before, the response of TestCompleteResponseOutlivesAbandonedRuns would be gone.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -47,6 +47,8 @@
 	spread           *spread.Service
 	ready            chan struct{} // closed when spread is set
 	draining         atomic.Bool
+	// stopping: Shutdown was called.
+	stopping atomic.Bool
 	// bodyBytes is the total size of the request bodies held by all attempts.
 	bodyBytes atomic.Int64
 	wg        sync.WaitGroup
@@ -181,7 +183,13 @@
 	a.StartDrain()
 	ctx, cancel := context.WithTimeout(ctx, millis(a.settings.DrainMS))
 	defer cancel()
+	a.stopping.Store(true)
 	a.attempts.close()
+	for _, att := range a.attempts.all() {
+		if att.ended() {
+			a.discardUnread(att.id, 0) // The retention is shorter from now on.
+		}
+	}
 	err := a.attempts.waitEmpty(ctx)
 	a.Close()
 	return eris.Wrap(err, "wait for accepted requests to end")
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/charts"
 	"github.com/jayproxy/jayproxy/internal/relay"
@@ -112,6 +114,15 @@
 // ended reports whether the attempt is in a final state.
 func (att *attempt) ended() bool { return charts.Must(chartName).Final(att.currentState()) }
 
+// attemptOverhead is the memory of an attempt besides its response and offer, in
+// bytes: two contexts, two timers, the replay buffer's structs and map entries.
+const attemptOverhead = 2 << 10
+
+// keptBytes returns the memory that the attempt takes while its response is kept.
+func (att *attempt) keptBytes() int {
+	return att.response.bytes() + proto.Size(att.offer) + attemptOverhead
+}
+
 // outcomeOf returns the wire outcome of a final state of the chart.
 func outcomeOf(state string) jayv1.Outcome {
 	switch state {
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -291,27 +291,38 @@
 	end.State = a.state()
 	a.observeEnd(att, end)
 	att.response.finish(end)
-	a.attempts.keep(att.id, att.response.bytes())
+	a.attempts.keep(att.id, att.keptBytes())
 	klog.V(1).InfoS("attempt ended", "request", att.offer.GetRequestId(), "attempt", att.offer.GetAttempt(),
 		"workspace", att.offer.GetWorkspace(), "backendServer", a.settings.Name, "outcome", state,
 		"refusal", end.GetRefusal().String(), "error", end.GetError())
 	att.recordContact(time.Now())
-	a.discardWhenAbandoned(att.id, millis(a.settings.Replay.RetainMS))
+	a.discardUnread(att.id, a.retention())
 }
 
-// discardWhenAbandoned discards the response of an ended attempt once no reader
-// took a frame of it for replay.retain_ms. The time counts from the last contact:
-// a reader may need longer than that for the whole response, or come back after
-// several entries have failed. The timer has the id only, so that a response that was
-// delivered is not held until it fires.
-func (a *Agent) discardWhenAbandoned(id string, after time.Duration) {
+// retention returns how long the response of an ended attempt is kept after the last
+// contact with a reader. An agent that shuts down does not wait for longer than
+// replay.abandon_ms.
+func (a *Agent) retention() time.Duration {
+	retention := millis(a.settings.Replay.RetainMS)
+	if a.stopping.Load() {
+		return min(retention, millis(a.settings.Replay.AbandonMS))
+	}
+	return retention
+}
+
+// discardUnread discards the response of an ended attempt once no reader took a frame
+// of it for the retention. The time counts from the last contact: a reader may need
+// longer than that for the whole response, or come back after several entries have
+// failed. The timer has the id only, so that a response that was delivered is not held
+// until it fires.
+func (a *Agent) discardUnread(id string, after time.Duration) {
 	time.AfterFunc(after, func() {
 		att := a.attempts.get(id)
 		if att == nil {
 			return
 		}
-		if left := millis(a.settings.Replay.RetainMS) - att.idle(time.Now()); left > 0 {
-			a.discardWhenAbandoned(id, left)
+		if left := a.retention() - att.idle(time.Now()); left > 0 {
+			a.discardUnread(id, left)
 			return
 		}
 		a.attempts.forget(id)
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"container/list"
 	"context"
 	"sync"
 
@@ -15,7 +16,8 @@
 // attemptRegistry holds the attempts whose response can still be read, and the
 // ids of all recently accepted ones.
 type attemptRegistry struct {
-	// maxKeptBytes bounds the total size of complete responses kept for resume.
+	// maxKeptBytes bounds the memory of the attempts that have ended and are kept for
+	// resume.
 	maxKeptBytes int
 
 	mu          sync.Mutex
@@ -23,20 +25,27 @@
 	attempts    map[string]*attempt
 	acceptedIDs *simplelru.LRU[string, struct{}]
 	changed     chan struct{}
-	// ended lists the attempts that have ended, oldest first; keptBytes has the
-	// size of each one's response, totalBytes their sum.
-	ended      []string
-	keptBytes  map[string]int
+	// kept lists the attempts that have ended, oldest first, as keptAttempt; keptByID
+	// has their elements, totalBytes is the sum of their sizes.
+	kept       *list.List
+	keptByID   map[string]*list.Element
 	totalBytes int
 }
 
+// keptAttempt is an attempt that has ended and can still be resumed.
+type keptAttempt struct {
+	id    string
+	bytes int
+}
+
 func newAttemptRegistry(maxKeptBytes int) *attemptRegistry {
 	acceptedIDs, err := simplelru.NewLRU[string, struct{}](maxAcceptedIDs, nil)
 	if err != nil {
 		panic(err) // NewLRU fails only for a size below 1.
 	}
 	return &attemptRegistry{
-		maxKeptBytes: maxKeptBytes, attempts: map[string]*attempt{}, acceptedIDs: acceptedIDs, changed: make(chan struct{}), keptBytes: map[string]int{},
+		maxKeptBytes: maxKeptBytes, attempts: map[string]*attempt{}, acceptedIDs: acceptedIDs, changed: make(chan struct{}),
+		kept: list.New(), keptByID: map[string]*list.Element{},
 	}
 }
 
@@ -86,21 +95,18 @@
 	r.drop(id)
 }
 
-// keep records that an attempt has ended and the size of its kept response. When
-// the total exceeds maxKeptBytes, the oldest responses are discarded.
+// keep records that an attempt has ended and the memory that it takes until it is
+// dropped. When the total exceeds maxKeptBytes, the oldest ones are discarded.
 func (r *attemptRegistry) keep(id string, bytes int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.attempts[id] == nil {
 		return
 	}
-	r.ended = append(r.ended, id)
-	r.keptBytes[id] = bytes
+	r.keptByID[id] = r.kept.PushBack(keptAttempt{id, bytes})
 	r.totalBytes += bytes
-	for len(r.ended) > 0 && (r.totalBytes > r.maxKeptBytes || r.attempts[r.ended[0]] == nil) {
-		oldest := r.ended[0]
-		r.ended = r.ended[1:]
-		r.drop(oldest)
+	for r.totalBytes > r.maxKeptBytes {
+		r.drop(r.kept.Front().Value.(keptAttempt).id)
 	}
 }
 
@@ -109,8 +115,10 @@
 	if !ok {
 		return
 	}
-	r.totalBytes -= r.keptBytes[id]
-	delete(r.keptBytes, id)
+	if element, ok := r.keptByID[id]; ok {
+		r.totalBytes -= r.kept.Remove(element).(keptAttempt).bytes
+		delete(r.keptByID, id)
+	}
 	att.discard()
 	delete(r.attempts, id)
 	close(r.changed)
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -67,7 +67,8 @@
 type ReplaySettings struct {
 	Bytes      int `toml:"bytes" validate:"min=1024" unit:"bytes" doc:"Answer kept for resume, for each request."`
 	TotalBytes int `toml:"total_bytes" validate:"min=1024" unit:"bytes" doc:"Ended answers kept for readers that lost their link, together."`
-	RetainMS   int `toml:"retain_ms" validate:"min=1" unit:"ms" doc:"How long an answer is kept after its reader last attached or took a part of it."`
+	RetainMS   int `toml:"retain_ms" validate:"min=1" unit:"ms" doc:"How long a complete answer is kept after its reader last attached or took a part of it. Its memory is bounded by replay.total_bytes."`
+	AbandonMS  int `toml:"abandon_ms" validate:"min=1" unit:"ms" doc:"How long a request runs on without a reader before it is canceled, and how long an agent that shuts down waits for the reader of a complete answer."`
 	StallMS    int `toml:"stall_ms" validate:"min=1" unit:"ms" doc:"How long a full buffer holds the engine's stream back before the answer ends in an error."`
 }
 
@@ -81,7 +82,7 @@
 			Slots: 8, Length: 64, Bytes: 64 << 20, BodyBytes: 8 << 20, BodyMS: 10_000,
 			Floor: 0.1, PrefillGuess: 8000,
 		},
-		Replay:      ReplaySettings{Bytes: 1 << 20, TotalBytes: 32 << 20, RetainMS: 30_000, StallMS: 10_000},
+		Replay:      ReplaySettings{Bytes: 1 << 20, TotalBytes: 32 << 20, RetainMS: 300_000, AbandonMS: 30_000, StallMS: 10_000},
 		Spread:      spread.DefaultSettings(),
 		DrainMS:     60_000,
 		KeyReloadMS: 5_000,
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -285,3 +285,52 @@
 		assert.Equal(t, jayv1.Refusal_REFUSAL_NOT_FOUND, receive(t, s).GetEnd().GetRefusal(), offer.GetRequestId())
 	}
 }
+
+// Guards against 404 for a caller that no entry could serve for longer than replay.abandon_ms: a
+// complete response costs no slot, and is kept for replay.retain_ms.
+func TestCompleteResponseOutlivesAbandonedRuns(t *testing.T) {
+	const abandon = 100 * time.Millisecond
+	fix := newFixture(t, func(s *agent.Settings) { s.Replay.AbandonMS = int(abandon.Milliseconds()) })
+	offer := modelOffer("r1")
+	s := fix.accepted(offer, "{}")
+	receive(t, s)
+	s.Abort()
+	time.Sleep(5 * abandon)
+	resumed := fix.open()
+	send(t, resumed, resumeFrame(offer, 1))
+	got := readResponse(t, resumed)
+	assert.Equal(t, []string{"two", "three"}, got.chunks)
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
+}
+
+// Guards against runs that take a slot for a reader that does not come back, and against a caller
+// that comes back after the cancel and is told that its stream is not known.
+func TestRunWithoutReaderIsCanceled(t *testing.T) {
+	fix := newFixture(t, func(s *agent.Settings) { s.Replay.AbandonMS = 100 })
+	gate := make(chan struct{}, 1)
+	fix.engine.set(func(f *fakeEngine) { f.gate = gate })
+	offer := modelOffer("r1")
+	s := fix.accepted(offer, "{}")
+	gate <- struct{}{}
+	receive(t, s)
+	s.Abort()
+	require.Eventually(t, func() bool { return len(fix.engine.cancels()) == 1 }, 5*time.Second, time.Millisecond)
+	resumed := fix.open()
+	send(t, resumed, resumeFrame(offer, 0))
+	got := readResponse(t, resumed)
+	assert.Equal(t, []string{"one"}, got.chunks)
+	assert.Equal(t, jayv1.Outcome_OUTCOME_UNKNOWN, got.end.GetOutcome())
+	assert.Equal(t, jayv1.Refusal_REFUSAL_UNSPECIFIED, got.end.GetRefusal())
+}
+
+// Guards against a shutdown that waits for replay.retain_ms until a reader takes a complete response.
+func TestShutdownDoesNotWaitForAbsentReaders(t *testing.T) {
+	fix := newFixture(t, func(s *agent.Settings) { s.Replay.AbandonMS = 200 })
+	s := fix.accepted(modelOffer("r1"), "{}")
+	receive(t, s)
+	s.Abort()
+	require.Eventually(t, func() bool { return fix.probe().GetRunning() == 0 }, 5*time.Second, time.Millisecond)
+	began := time.Now()
+	require.NoError(t, fix.agent.Shutdown(t.Context()))
+	assert.Less(t, time.Since(began), 5*time.Second)
+}
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -229,8 +229,10 @@
 	}
 }
 
-// linkLost keeps an attempt for resume within replay.retain_ms. An attempt
-// whose body is incomplete has not run, and ends.
+// linkLost keeps an attempt for resume. One that still runs is canceled if no reader
+// resumes it within replay.abandon_ms, since it takes a slot; a complete response takes
+// only memory and is kept for longer, see discardUnread. An attempt whose body is
+// incomplete has not run, and ends.
 func (a *Agent) linkLost(att *attempt, link int) {
 	if !att.response.isCurrent(link) {
 		return
@@ -242,11 +244,10 @@
 	}
 	klog.V(1).InfoS("link lost, response kept for resume", "request", att.offer.GetRequestId(),
 		"workspace", att.offer.GetWorkspace(), "backendServer", a.settings.Name, "link", link)
-	att.setResumeTimer(time.AfterFunc(millis(a.settings.Replay.RetainMS), func() {
+	att.setResumeTimer(time.AfterFunc(millis(a.settings.Replay.AbandonMS), func() {
 		if !att.response.isCurrent(link) {
 			return // Resumed while this timer was being set.
 		}
-		a.end(att, eventCancel, &jayv1.End{Error: "response was not resumed within the agent's replay.retain_ms"})
-		a.attempts.forget(att.id)
+		a.end(att, eventCancel, &jayv1.End{Error: "response was not resumed within the agent's replay.abandon_ms"})
 	}))
 }
--- a/test/history/retention_test.go
+++ b/test/history/retention_test.go
@@ -56,6 +56,10 @@
 		time.Sleep(pause)
 		require.NoError(t, c.RestartEntries(t.Context()))
 		response = send(http.MethodGet, "/v1/streams/"+token, last)
+		for response.StatusCode == http.StatusServiceUnavailable { // Not reached yet: come back.
+			require.NoError(t, response.Body.Close())
+			response = send(http.MethodGet, "/v1/streams/"+token, last)
+		}
 	}
 	require.GreaterOrEqual(t, events, answerTokens)
 	require.Greater(t, time.Since(began), minTotal, "the caller was not slow enough to test the retention")
