Agent: the test of kept responses loses its link before the End was sent

The first form passed with the discard of the lost link's timer put back: three short chunks and the End were sent before the abort, so no link was lost. It has now 12 chunks of 64 KB, more than a stream's window. With that discard put back 3 of 3 failed; on this code 3 of 3 pass.

--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -289,8 +289,13 @@
 // Guards against 404 for a caller that no entry could serve for longer than replay.abandon_ms: a
 // complete response costs no slot, and is kept for replay.retain_ms.
 func TestCompleteResponseOutlivesAbandonedRuns(t *testing.T) {
-	const abandon = 100 * time.Millisecond
+	const chunks, chunkBytes, abandon = 12, 64 << 10, 100 * time.Millisecond // Far more than the window of a stream.
 	fix := newFixture(t, func(s *agent.Settings) { s.Replay.AbandonMS = int(abandon.Milliseconds()) })
+	list := make([]string, chunks)
+	for i := range list {
+		list[i] = strings.Repeat("x", chunkBytes)
+	}
+	fix.engine.set(func(f *fakeEngine) { f.script = wordEvents(list...) })
 	offer := modelOffer("r1")
 	s := fix.accepted(offer, "{}")
 	receive(t, s)
@@ -299,7 +304,7 @@
 	resumed := fix.open()
 	send(t, resumed, resumeFrame(offer, 1))
 	got := readResponse(t, resumed)
-	assert.Equal(t, []string{"two", "three"}, got.chunks)
+	assert.Len(t, got.chunks, chunks-1)
 	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
 }
 
