--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -80,6 +80,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// SlowdownPercent is how long work takes on the server's machine at the moment,
+	// where 100 is as usual; 0: not reported. It may change several times a second.
+	SlowdownPercent int
 }
 
 // ResponseHead holds the status and headers of a backend server's response.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -297,6 +297,7 @@
 	options := j.forwardOptions(choice)
 	j.outbound.Header = g.ports.Dialect.RequestHeader(j.inbound.Header, options)
 	j.sentAt, j.firstEventAt = time.Now(), time.Time{}
+	j.load, j.hasLoad = call.Load{}, false
 	klog.InfoS("Placed", "request", j.head.ID, "server", server.ID, "send", j.sends, "owner", j.ownerName(), "expectedMS", int(choice.ExpectedMS),
 		"queueMS", int(choice.Terms.QueueMS), "readMS", int(choice.Terms.PrefillMS), "rereadMS", int(choice.Terms.RecomputeMS), "memoryMS", int(choice.Terms.MemoryMS),
 		"version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "prefix", strconv.FormatUint(uint64(choice.Prefix), 36), "source", choice.Source.String(), "fetch", choice.FetchFrom, "save", choice.SaveTo, "priority", options.Priority, "tokens", j.head.InputTokens, "output", j.head.OutputTokens, "candidates", choice.Candidates)
@@ -375,7 +376,9 @@
 // sendFinished reports how the send ended to this entry's router and to the
 // owner of the server's shard.
 func (j *job) sendFinished(choice *routing.DirectChoice, outcome sendOutcome) {
-	j.notifyOwner(j.evidence.endedProgress(outcome == delivered))
+	ended := j.evidence.endedProgress(outcome == delivered)
+	ended.SlowdownPercent = uint32(j.load.SlowdownPercent) //nolint:gosec // positive
+	j.notifyOwner(ended)
 	j.offer, j.evidence = nil, evidence{}
 	j.mayHaveStarted = j.mayHaveStarted || (outcome != notSent && outcome != notRun)
 	s := j.gateway.state
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -163,7 +163,7 @@
 	// Evidence about the server is left out: this entry has recorded it already.
 	g.state.applyProgress(time.Now(), &jayv1.PlacementProgress{
 		Key: progress.GetKey(), First: progress.GetFirst(), Ended: progress.GetEnded(), Elsewhere: progress.GetElsewhere(),
-		HasLoad: progress.GetHasLoad(), Running: progress.GetRunning(), Waiting: progress.GetWaiting(),
+		HasLoad: progress.GetHasLoad(), Running: progress.GetRunning(), Waiting: progress.GetWaiting(), SlowdownPercent: progress.GetSlowdownPercent(),
 	})
 }
 
--- a/internal/gateway/shardowner.go
+++ b/internal/gateway/shardowner.go
@@ -183,6 +183,7 @@
 		// owner.
 		s.shardRouter.UpdateLoad(now, server, call.Load{Running: int(p.GetRunning()), Waiting: int(p.GetWaiting())})
 	}
+	s.shardRouter.UpdateSlowdown(now, server, int(p.GetSlowdownPercent()))
 	if held := p.GetElsewhere(); held != nil {
 		s.shardRouter.PlacedElsewhere(now, request, s.holdingLocked(s.serviceOf(server), held))
 		return
--- a/internal/gateway/size_test.go
+++ b/internal/gateway/size_test.go
@@ -20,7 +20,7 @@
 		"offer": {Body: &jayv1.Datagram_Offer{Offer: &jayv1.PlacementOffer{
 			Key: 1 << 63, Outcome: 1, Server: 1, Version: 4, FetchFrom: "10.2.64.33:8289", SaveTo: "172.20.0.8:8289", Source: 2, QueueMs: 120, ReadMs: 210, TotalMs: 400,
 		}}},
-		"first": progressDatagram(&jayv1.PlacementProgress{Key: 1 << 63, First: true, HasLoad: true, Running: 12, Waiting: 3}),
+		"first": progressDatagram(&jayv1.PlacementProgress{Key: 1 << 63, First: true, HasLoad: true, Running: 12, Waiting: 3, SlowdownPercent: 250}),
 		"ended": progressDatagram(&jayv1.PlacementProgress{Key: 1 << 63, Ended: true, Ran: true}),
 	}
 	total := 0
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -133,6 +133,7 @@
 	s.mu.Unlock()
 	j.notifyOwner(&jayv1.PlacementProgress{
 		First: true, HasLoad: j.hasLoad, Running: uint32(max(0, j.load.Running)), Waiting: uint32(max(0, j.load.Waiting)), //nolint:gosec // positive
+		SlowdownPercent: uint32(j.load.SlowdownPercent), //nolint:gosec // positive
 	})
 	j.stream.firstAfter = now.Sub(j.arrived)
 	j.gateway.metrics.Time("first_token", j.routeLabel(), j.stream.firstAfter)
--- a/internal/routing/direct_load.go
+++ b/internal/routing/direct_load.go
@@ -23,6 +23,10 @@
 	receivedMemory map[uint32]receivedTokens
 	// serviceMS is the mean time of a response to a request without a prompt.
 	serviceMS float64
+	// slowdown is how much longer than usual work took at slowdownAt, as a factor;
+	// 0: not reported.
+	slowdown   float64
+	slowdownAt time.Time
 }
 
 // pendingRun is a placed request that has not finished.
@@ -144,6 +148,33 @@
 	l := d.load(server)
 	l.otherRequests = float64(max(0, load.Running+load.Waiting-l.running))
 	l.otherRequestsAt = now
+	d.UpdateSlowdown(now, server, load.SlowdownPercent)
+}
+
+// UpdateSlowdown records how long work takes at a server, in percent of the usual
+// time; 0, not reported, changes nothing.
+func (d *Direct) UpdateSlowdown(now time.Time, server string, reported int) {
+	if reported > 0 {
+		l := d.load(server)
+		l.slowdown, l.slowdownAt = float64(reported)/percent, now
+	}
+}
+
+const percent = 100
+
+// slowdownLifetime is how long a reported slowdown counts, with linearly falling
+// weight: it changes within a second.
+const slowdownLifetime = 600 * time.Millisecond
+
+// slowdownMS returns by how much a server's reported slowdown extends work that
+// usually takes the given time; negative if the server is faster than usual.
+func (d *Direct) slowdownMS(now time.Time, server string, usualMS float64) float64 {
+	l := d.load(server)
+	if l.slowdown == 0 {
+		return 0
+	}
+	weight := max(0, 1-float64(now.Sub(l.slowdownAt))/float64(slowdownLifetime))
+	return usualMS * (l.slowdown - 1) * weight
 }
 
 // RemoveServer drops everything recorded of a server that is gone.
--- a/internal/routing/direct_types.go
+++ b/internal/routing/direct_types.go
@@ -101,9 +101,11 @@
 	DistanceMS  float64
 	PenaltyMS   float64
 	MemoryMS    float64
+	// SlowdownMS is what the server's reported slowdown adds.
+	SlowdownMS float64
 }
 
 // Total is the score; the server with the lowest is chosen.
 func (t DirectTerms) Total() float64 {
-	return t.QueueMS + t.PrefillMS + t.RecomputeMS + t.VersionMS + t.DistanceMS + t.PenaltyMS + t.MemoryMS
+	return t.QueueMS + t.PrefillMS + t.RecomputeMS + t.VersionMS + t.DistanceMS + t.PenaltyMS + t.MemoryMS + t.SlowdownMS
 }
