Start: read tables through relays, write the entry's row only when it is missing

Cause: a process that started read every table from the store and wrote its row, whatever was there: 6.6 calls a start at 357 entries. It took its own row, which the store accepts at 300 a second, for the condition to use relays. At 810 entries and 7,000 servers 17 pages each: after all are killed the fleet asks for 13,800 pages at once, a store that accepts 2,000 a second refuses most, and every refused table was read again from its first page.

An entry reads the rows of the others first, then the other tables from relays, from the store at once if these have no data.

--- /dev/null
+++ b/internal/gateway/entries.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/call"
+	"github.com/jayproxy/jayproxy/internal/mirror"
+	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/roster"
+	"github.com/jayproxy/jayproxy/internal/shard"
+)
+
+const (
+	// entryPrefix is the key prefix of the rows in which entries write their addresses.
+	entryPrefix = "entries/"
+	// registerRetryPause is the least pause after a row was not accepted, the longest is
+	// twice that.
+	registerRetryPause = time.Second
+	// rosterTimeout is how long a process that starts waits for the rows of the entries
+	// before it reads other tables, or registers, without knowing them.
+	rosterTimeout = 250 * time.Millisecond
+	// crowdedTimeout is the same while all entries start: the store accepts their rows one
+	// after the other, and so many calls a second.
+	crowdedTimeout = 10 * time.Second
+)
+
+// entryRow returns the row of the entry with these settings.
+func entryRow(settings Settings) roster.Row {
+	return roster.Row{Address: settings.ControlAddress, DataCentre: settings.DataCentre, Cores: settings.Cores}
+}
+
+// keepRegistered writes this entry's row unless the store has it already, and again when
+// the row is removed while the entry runs. When the whole system starts no row exists yet,
+// so it is written before the rows of others are read, which then include more entries.
+func (g *Gateway) keepRegistered(ctx context.Context) {
+	if !g.settings.Bootstrap {
+		g.awaitUntil(ctx, time.Now().Add(rosterTimeout), g.entriesRead)
+	}
+	pause := time.Duration((1 + hashFraction(g.settings.Node)) * float64(registerRetryPause))
+	for ctx.Err() == nil && !g.stopping.Load() {
+		if g.peers.registered() {
+			klog.InfoS("Entry registered", "node", g.settings.Node, "address", g.settings.ControlAddress, "entries", g.peers.count())
+			select {
+			case <-ctx.Done():
+			case <-g.unregistered:
+			}
+			continue
+		}
+		if err := g.register(ctx); err != nil {
+			g.storeAway.Store(!errors.Is(err, call.ErrBusy))
+			klog.InfoS("Entry not registered yet, will retry", "err", err)
+			sleep(ctx, pause)
+		}
+	}
+}
+
+// register writes this entry's row.
+func (g *Gateway) register(ctx context.Context) error {
+	value, err := json.Marshal(entryRow(g.settings))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	txn := platform.Txn{Puts: []platform.Put{{Key: entryPrefix + g.settings.Node, Value: value}}}
+	if _, err := g.ports.Table.Commit(ctx, txn); err != nil {
+		return err
+	}
+	g.peers.confirmRegistered()
+	g.applyRoster()
+	return nil
+}
+
+// unregister removes this entry's row.
+func (g *Gateway) unregister(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	txn := platform.Txn{Deletes: []string{entryPrefix + g.settings.Node}}
+	if _, err := g.ports.Table.Commit(ctx, txn); err != nil {
+		klog.InfoS("Entry's row not removed; the entry is counted until the row is removed", "err", err)
+	}
+}
+
+// entriesRead reports whether the rows of the entries were read.
+func (g *Gateway) entriesRead() bool { return g.entries.version() > 0 }
+
+func (g *Gateway) applyEntries(_ time.Time, rows []mirror.Row, source string) {
+	for _, row := range rows {
+		if row.Removed {
+			g.peers.remove(row.Key)
+			continue
+		}
+		var value roster.Row
+		if err := json.Unmarshal(row.Value, &value); err != nil {
+			klog.ErrorS(err, "Entry's row not understood", "row", row.Key, "source", source)
+			continue
+		}
+		g.peers.put(row.Key, value)
+	}
+	if !g.peers.registered() {
+		select {
+		case g.unregistered <- struct{}{}:
+		default:
+		}
+	}
+	g.applyRoster()
+}
+
+// applyRoster passes the entries on to all that depend on them.
+func (g *Gateway) applyRoster() {
+	entries := g.peers.shardEntries()
+	g.state.setEntryCount(g.peers.count())
+	g.state.setOwners(entries)
+	g.usage.setEntries(entries)
+	g.hints.setTargets(g.peers.addresses())
+}
+
+func (p *peers) put(node string, row roster.Row) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.Put(node, row)
+}
+
+func (p *peers) remove(node string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.Remove(node)
+}
+
+// registered reports whether the store has this entry's row.
+func (p *peers) registered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Registered()
+}
+
+// confirmRegistered records that the store has accepted this entry's row.
+func (p *peers) confirmRegistered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.Confirm()
+}
+
+// addresses returns the control addresses of all other entries, each once.
+func (p *peers) addresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Addresses()
+}
+
+func (p *peers) setSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.SetSeeds(seeds)
+}
+
+// count returns the number of entries with a row, at least 1.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Count()
+}
+
+// markUnresponsive keeps an entry that did not answer from being used as a relay for a while.
+func (p *peers) markUnresponsive(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.MarkUnresponsive(now, address)
+}
+
+// relays returns the entries from which this one reads the store's tables; see roster.Relays.
+func (p *peers) relays(now time.Time) (relays []string, hops int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Relays(now)
+}
+
+// rank returns this entry's rank among all entries; -1 if it has no row.
+func (p *peers) rank() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Rank()
+}
+
+// nextHolders returns the addresses of the entries that contend first for the rollout
+// lease, without this one.
+func (p *peers) nextHolders() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.First(ordinaryContenders + 1)
+}
+
+// shardEntries returns all entries as candidates for owning shards.
+func (p *peers) shardEntries() []shard.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.ShardEntries()
+}
+
+// strongCount returns the number of entries that do work for others, at least 1.
+func (p *peers) strongCount() int { return max(1, len(shard.Eligible(p.shardEntries()))) }
+
+// isStrong reports whether the entry with this name does work for others.
+func (p *peers) isStrong(node string) bool {
+	return slices.ContainsFunc(shard.Eligible(p.shardEntries()), func(e shard.Entry) bool { return e.Name == node })
+}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -5,10 +5,13 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/call"
+	"github.com/jayproxy/jayproxy/internal/feedsource"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 )
 
@@ -31,19 +34,12 @@
 	// start at once, every row written ends all blocking reads: 103 entries made more than
 	// a thousand calls to the store in their first second.
 	entriesPause = 500 * time.Millisecond
-	// ownRowTimeout is how long after its start an entry waits to see its own row, which
-	// determines its relays, before it reads from the store directly.
-	ownRowTimeout = 2 * time.Second
 	// retryPause follows a failed read. Only the list of servers is retried that often.
 	// The other tables use otherTablesRetryPause, as they recover together with the list.
 	retryPause            = 250 * time.Millisecond
 	otherTablesRetryPause = time.Second
-	// staleRelayPausePerPeer and maxStaleRelayPause limit how often an entry reads from
-	// the store itself while its relays answer with stale data. Relays detect an outage
-	// first; without the limit 103 entries called an unreachable store 7,000 times in
-	// eight seconds.
-	staleRelayPausePerPeer = 100 * time.Millisecond
-	maxStaleRelayPause     = 3 * time.Second
+	// startPause is the pause between two attempts to read a table for the first time.
+	startPause = 50 * time.Millisecond
 	// minOutage is the time without a successful read of the list that counts as an
 	// outage.
 	minOutage = 1500 * time.Millisecond
@@ -62,6 +58,9 @@
 	relayPause time.Duration
 	apply      func(now time.Time, rows []mirror.Row, source string)
 
+	// source is used by the goroutine that runs the feed only.
+	source feedsource.Source
+
 	mu   sync.Mutex
 	copy mirror.Copy
 
@@ -69,6 +68,8 @@
 	// nanoseconds.
 	lastResponse atomic.Int64
 	failing      atomic.Bool
+	// refused: the store refused the last call because it had too many.
+	refused atomic.Bool
 	// interrupt cancels the current blocking read. interrupted is set when that was done;
 	// the next read then does not block.
 	interrupt   atomic.Pointer[context.CancelFunc]
@@ -144,26 +145,18 @@
 	f.apply(time.Now(), changed, source)
 }
 
-// runFeed keeps a feed's copy up to date. After its first read it waits until this entry
-// has seen its own row, at most until ownRowDeadline.
-func (g *Gateway) runFeed(ctx context.Context, f *feed, ownRowDeadline time.Time) {
-	var storeReadAt time.Time
+// runFeed keeps a feed's copy up to date.
+func (g *Gateway) runFeed(ctx context.Context, f *feed) {
 	for ctx.Err() == nil {
-		for f.version() > 0 && !g.peers.ownRowSeen() && time.Now().Before(ownRowDeadline) && ctx.Err() == nil {
-			sleep(ctx, conditionPollInterval)
-		}
-		from := g.readThroughRelay(ctx, f)
-		if from == relayFresh {
-			sleep(ctx, f.relayPause)
-			continue
-		}
-		if from == relayStale && time.Since(storeReadAt) < g.staleRelayPause() {
-			g.feedFailed(f, errStaleRelays)
-			sleep(ctx, retryPause)
+		relayed := g.readThroughRelay(ctx, f)
+		hasData := f.version() > 0
+		if !f.source.MayCallStore(time.Now(), relayed, hasData, g.peers.count()) {
+			sleep(ctx, g.pauseWithoutCall(f, relayed, hasData))
 			continue
 		}
-		storeReadAt = time.Now()
 		err := g.readFromStore(ctx, f)
+		f.refused.Store(errors.Is(err, call.ErrBusy))
+		f.source.Called(time.Now(), f.refused.Load())
 		if f.interrupted.Load() {
 			continue
 		}
@@ -176,10 +169,17 @@
 	}
 }
 
-// staleRelayPause returns the least pause between two reads from the store while the
-// relays' data is stale.
-func (g *Gateway) staleRelayPause() time.Duration {
-	return min(time.Duration(g.peers.count())*staleRelayPausePerPeer, maxStaleRelayPause)
+// pauseWithoutCall returns the pause until the relays are tried again.
+func (g *Gateway) pauseWithoutCall(f *feed, relayed feedsource.Outcome, hasData bool) time.Duration {
+	switch {
+	case relayed == feedsource.Fresh:
+		return f.relayPause
+	case !hasData:
+		return startPause
+	case relayed == feedsource.Stale:
+		g.feedFailed(f, errStaleRelays)
+	}
+	return retryPause
 }
 
 func (g *Gateway) pauseAfterFailure(f *feed) time.Duration {
@@ -189,41 +189,33 @@
 	return otherTablesRetryPause
 }
 
-// relayOutcome is the result of a read through relays.
-type relayOutcome int
-
-const (
-	// relayUnavailable: this entry reads from the store itself, or no relay answered.
-	relayUnavailable relayOutcome = iota
-	// relayFresh: a relay returned recent data.
-	relayFresh
-	// relayStale: a relay answered, but its data is too old.
-	relayStale
-)
-
 // errStaleRelays is the error of a read through relays that have no recent data.
 var errStaleRelays = errors.New("no relay has recent data from the store")
 
-// readThroughRelay reads a table from an entry that is closer to the store. If every entry
-// read from the store, the number of calls would grow with the fleet.
-func (g *Gateway) readThroughRelay(ctx context.Context, f *feed) relayOutcome {
-	outcome := relayUnavailable
+// readThroughRelay reads a table from an entry that is closer to the store.
+func (g *Gateway) readThroughRelay(ctx context.Context, f *feed) feedsource.Outcome {
 	relays, hops := g.peers.relays(time.Now())
+	if len(relays) == 0 {
+		return feedsource.NoRelay
+	}
+	outcome := feedsource.Unavailable
 	for _, relay := range relays {
 		batch, err := g.peers.table(ctx, relay, f.table, f.version())
-		if err != nil && ctx.Err() == nil {
+		// While an entry starts, its relays may start as well.
+		starting := f.version() == 0 && errors.Is(err, syscall.ECONNREFUSED)
+		if err != nil && ctx.Err() == nil && !starting {
 			g.peers.markUnresponsive(time.Now(), relay)
 		}
 		if err != nil || batch.AgeMS > g.maxRelayAge(hops).Milliseconds() || batch.Version == 0 {
 			g.metrics.Count("relay_failed", f.table, 1)
 			if err == nil && batch.Version > 0 {
-				outcome = relayStale
+				outcome = feedsource.Stale
 			}
 			continue
 		}
 		g.feedSucceeded(f, time.Duration(batch.AgeMS)*time.Millisecond)
 		f.applyBatch(batch.Batch, relay)
-		return relayFresh
+		return feedsource.Fresh
 	}
 	return outcome
 }
@@ -232,14 +224,14 @@
 // does not reach back far enough.
 func (g *Gateway) readFromStore(ctx context.Context, f *feed) error {
 	wait := f.pollTimeout()
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.interrupt.Store(&cancel)
 	after := f.version()
 	var batch mirror.Batch
 	err := g.ports.HistoryGone
 	if after > 0 {
-		batch, err = g.ports.Tables.Changes(ctx, f.table, after, wait)
+		batch, err = g.readChanges(ctx, f.table, after, wait)
 	}
 	if errors.Is(err, g.ports.HistoryGone) {
 		batch, err = g.ports.Tables.Snapshot(ctx, f.table)
@@ -252,6 +244,12 @@
 	return nil
 }
 
+func (g *Gateway) readChanges(ctx context.Context, table string, after uint64, wait time.Duration) (mirror.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return g.ports.Tables.Changes(ctx, table, after, wait)
+}
+
 func (g *Gateway) feedFailed(f *feed, err error) {
 	g.metrics.Count("store_errors", f.table, 1)
 	if !f.failing.Swap(true) {
--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/jayproxy/jayproxy/internal/metrics"
 	"github.com/jayproxy/jayproxy/internal/mirror"
+	"github.com/jayproxy/jayproxy/internal/roster"
 )
 
 // unavailableStore fails every call and counts the calls.
@@ -43,7 +44,7 @@
 	store := &unavailableStore{}
 	p := newPeers(Settings{Node: "gw0", DataCentre: "a"})
 	for i := range entries {
-		p.rows[fmt.Sprint("gw", i)] = entryRow{Address: strings.TrimPrefix(relay.URL, "http://"), DataCentre: "a", Cores: float64(i)}
+		p.put(fmt.Sprint("gw", i), roster.Row{Address: strings.TrimPrefix(relay.URL, "http://"), DataCentre: "a", Cores: float64(i)})
 	}
 	g := &Gateway{peers: p, metrics: metrics.New(8), state: newState(Settings{Node: "gw0"}, func(string) {})}
 	g.ports.Tables, g.ports.HistoryGone = store, errors.New("history gone")
@@ -57,7 +58,7 @@
 	defer cancel()
 	f := &feed{table: "servers", pause: time.Second, relayPause: relayPause, apply: func(time.Time, []mirror.Row, string) {}}
 	g.feeds = []*feed{f}
-	g.runFeed(ctx, f, time.Time{})
+	g.runFeed(ctx, f)
 }
 
 // Guards against every entry calling an unreachable store at the full rate while all
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,7 +64,13 @@
 	placements *placementClient
 	usage      *usageCaps
 	feeds      []*feed
-	keeper     *lease.Keeper
+	// entries is the feed of the entries' rows. unregistered signals that this entry's own
+	// row is missing in it.
+	entries      *feed
+	unregistered chan struct{}
+	// storeAway: the store could not be asked to accept this entry's row.
+	storeAway atomic.Bool
+	keeper    *lease.Keeper
 
 	callerServer    *http.Server
 	internalServers []*http.Server
@@ -86,6 +92,7 @@
 	g := &Gateway{
 		settings: settings, ports: ports, pool: pool,
 		state: newState(settings, pool.CloseIdle), metrics: metrics.New(maxMetricLabels),
+		unregistered: make(chan struct{}, 1),
 	}
 	g.peers = newPeers(settings)
 	g.placements = newPlacementClient(g)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,16 +17,20 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/mirror"
-	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/roster"
 	"github.com/jayproxy/jayproxy/internal/upstream"
 	"github.com/jayproxy/jayproxy/internal/weights"
 )
 
 const (
-	// entryPrefix is the key prefix of the rows in which entries write their addresses.
-	entryPrefix = "entries/"
-	// peerTimeout bounds a call to another entry.
+	// peerTimeout is how long a call to another entry may take without progress, and
+	// maxPeerTime how long in all: a table of thousands of servers takes a VM with a link of
+	// 10 Mbit/s seconds to receive.
 	peerTimeout = 700 * time.Millisecond
+	maxPeerTime = 15 * time.Second
+	// firstReadTimeout replaces peerTimeout while an entry has no copy of the table: until
+	// then it can't serve.
+	firstReadTimeout = 250 * time.Millisecond
 	// maxPullAttempts bounds the entries tried by one pull.
 	maxPullAttempts      = 2
 	maxPeerResponseBytes = 8 << 20
@@ -34,31 +38,14 @@
 	// entry, weightHistoryPause precedes each.
 	weightHistoryAttempts = 10
 	weightHistoryPause    = 150 * time.Millisecond
-	registerRetryPause    = time.Second
 )
 
-// entryRow is the value of an entry's row.
-type entryRow struct {
-	Address    string `json:"address"`
-	DataCentre string `json:"data_centre"`
-	// Cores is the number of CPU cores that the VM gives the entry.
-	Cores float64 `json:"cores,omitempty"`
-}
-
-// peers are the other entries, known from their rows and from the configured seeds.
+// peers are the other entries: what is known of them, and calls to them.
 type peers struct {
-	// self is this entry's control address.
-	self string
 	http *http.Client
 
-	mu    sync.Mutex
-	seeds []string
-	rows  map[string]entryRow
-	// node and dataCentre are those of this entry.
-	node, dataCentre string
-	// skipUntil is the time until which an entry that did not answer is not used as a
-	// relay, by address.
-	skipUntil map[string]time.Time
+	mu     sync.Mutex
+	roster *roster.Roster
 }
 
 func newPeers(settings Settings) *peers {
@@ -69,58 +56,11 @@
 		DisableCompression:  true,
 	}
 	return &peers{
-		self: settings.ControlAddress, seeds: settings.Seeds, rows: map[string]entryRow{},
-		node: settings.Node, dataCentre: settings.DataCentre, skipUntil: map[string]time.Time{},
-		http: &http.Client{Transport: transport},
+		roster: roster.New(settings.Node, entryRow(settings), settings.Seeds, maxUnshardedEntries),
+		http:   &http.Client{Transport: transport},
 	}
 }
 
-// addresses returns the control addresses of all other entries, each once.
-func (p *peers) addresses() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	seen := map[string]bool{p.self: true}
-	var all []string
-	for _, entry := range p.rows {
-		if !seen[entry.Address] {
-			seen[entry.Address] = true
-			all = append(all, entry.Address)
-		}
-	}
-	for _, address := range p.seeds {
-		if !seen[address] {
-			seen[address] = true
-			all = append(all, address)
-		}
-	}
-	return all
-}
-
-func (p *peers) setSeeds(seeds []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.seeds = seeds
-}
-
-// count returns the number of entries with a row, at least 1.
-func (p *peers) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return max(1, len(p.rows))
-}
-
-// unresponsiveSkipTime is how long an entry that did not answer is not used as a relay.
-// The row of an entry that crashed remains; trying it first each time would delay every
-// read of the list by a timeout.
-const unresponsiveSkipTime = 5 * time.Second
-
-// markUnresponsive excludes an entry from the relays for unresponsiveSkipTime.
-func (p *peers) markUnresponsive(now time.Time, address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.skipUntil[address] = now.Add(unresponsiveSkipTime)
-}
-
 // tableResponse is a batch with the time since the store last answered its source.
 type tableResponse struct {
 	mirror.Batch
@@ -131,7 +71,11 @@
 func (p *peers) table(ctx context.Context, address, table string, after uint64) (tableResponse, error) {
 	var batch tableResponse
 	path := "/v1/tables/" + url.PathEscape(table) + "?after=" + strconv.FormatUint(after, 10)
-	err := p.call(ctx, http.MethodGet, address, path, nil, &batch)
+	timeout := peerTimeout
+	if after == 0 {
+		timeout = firstReadTimeout
+	}
+	err := p.callWithin(ctx, timeout, http.MethodGet, address, path, nil, &batch)
 	return batch, err
 }
 
@@ -153,9 +97,17 @@
 	return mirror.Batch{}, "", err
 }
 
+// call calls another entry and decodes its JSON response, which may be nil.
 func (p *peers) call(ctx context.Context, method, address, path string, body, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	return p.callWithin(ctx, peerTimeout, method, address, path, body, into)
+}
+
+// callWithin is call with the given bound on the time without progress.
+func (p *peers) callWithin(ctx context.Context, timeout time.Duration, method, address, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, maxPeerTime)
 	defer cancel()
+	idle := time.AfterFunc(timeout, cancel)
+	defer idle.Stop()
 	var reader io.Reader
 	if body != nil {
 		data, err := json.Marshal(body)
@@ -180,7 +132,23 @@
 	if into == nil {
 		return nil
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxPeerResponseBytes)).Decode(into)
+	received := &progressReader{from: io.LimitReader(response.Body, maxPeerResponseBytes), idle: idle, timeout: timeout}
+	return json.NewDecoder(received).Decode(into)
+}
+
+// progressReader postpones a timer whenever bytes arrive.
+type progressReader struct {
+	from    io.Reader
+	idle    *time.Timer
+	timeout time.Duration
+}
+
+func (r *progressReader) Read(buffer []byte) (int, error) {
+	n, err := r.from.Read(buffer)
+	if n > 0 {
+		r.idle.Reset(r.timeout)
+	}
+	return n, err
 }
 
 // controlRoutes returns the handler for calls by other entries and by operators.
@@ -237,54 +205,3 @@
 	}
 	klog.InfoS("Ages of weights not received from any other entry")
 }
-
-// register writes this entry's row, and retries until the store has accepted it.
-func (g *Gateway) register(ctx context.Context) {
-	value, err := json.Marshal(entryRow{Address: g.settings.ControlAddress, DataCentre: g.settings.DataCentre, Cores: g.settings.Cores})
-	if err != nil {
-		klog.ErrorS(err, "Entry not registered: its row could not be encoded")
-		return
-	}
-	for ctx.Err() == nil && !g.stopping.Load() {
-		txn := platform.Txn{Puts: []platform.Put{{Key: entryPrefix + g.settings.Node, Value: value}}}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := g.ports.Table.Commit(callCtx, txn)
-		cancel()
-		if err == nil {
-			klog.InfoS("Entry registered", "node", g.settings.Node, "address", g.settings.ControlAddress)
-			return
-		}
-		klog.InfoS("Entry not registered yet, will retry", "err", err)
-		sleep(ctx, registerRetryPause)
-	}
-}
-
-func (g *Gateway) unregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	txn := platform.Txn{Deletes: []string{entryPrefix + g.settings.Node}}
-	if _, err := g.ports.Table.Commit(ctx, txn); err != nil {
-		klog.InfoS("Entry's row not removed; the entry is counted until the row is removed", "err", err)
-	}
-}
-
-func (g *Gateway) applyEntries(_ time.Time, rows []mirror.Row, source string) {
-	g.peers.mu.Lock()
-	for _, row := range rows {
-		var entry entryRow
-		if row.Removed {
-			delete(g.peers.rows, row.Key)
-			continue
-		}
-		if err := json.Unmarshal(row.Value, &entry); err != nil {
-			klog.ErrorS(err, "Entry's row not understood", "row", row.Key, "source", source)
-			continue
-		}
-		g.peers.rows[row.Key] = entry
-	}
-	g.peers.mu.Unlock()
-	g.state.setEntryCount(g.peers.count())
-	g.state.setOwners(g.peers.shardEntries())
-	g.usage.setEntries(g.peers.shardEntries())
-	g.hints.setTargets(g.peers.addresses())
-}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -46,7 +46,7 @@
 // isDeciding reports whether this entry places requests by its own view of all
 // servers.
 func (g *Gateway) isDeciding() bool {
-	return !g.sharded() || g.peers.isStrong()
+	return !g.sharded() || g.peers.isStrong(g.settings.Node)
 }
 
 // ownerOffer is a server that an owner offered. The owner counts the request
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -35,8 +35,9 @@
 
 // Tables reads the tables that operators and backend servers write.
 type Tables interface {
-	// Snapshot reads a complete table. Changes waits for changes after a version;
-	// its error is Ports.HistoryGone if that version is too old.
+	// Snapshot reads a complete table, and bounds its own time. Changes waits for changes
+	// after a version; its error is Ports.HistoryGone if that version is too old. Both fail
+	// with call.ErrBusy if the store refused the call because it had too many.
 	Snapshot(ctx context.Context, table string) (mirror.Batch, error)
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (mirror.Batch, error)
 }
@@ -104,6 +105,11 @@
 	// HintAddress is for datagrams between entries; empty: none. All entries use
 	// the same port.
 	HintAddress string
+	// Bootstrap: the whole system starts for the first time.
+	Bootstrap bool
+	// StoreReadsPerSecond is how many reads the store accepts from all entries; 0: no limit
+	// is known.
+	StoreReadsPerSecond float64
 	// Seeds are control addresses of other entries.
 	Seeds []string
 	// Cores is the number of processor cores that the VM gives the process; 0:
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -72,7 +72,7 @@
 // should not make all entries read the lease. By the age alone they did: 732 of 1,090 calls
 // to the store on a quiet day.
 func (g *Gateway) contends() bool {
-	rank, _ := g.peers.rank(everyEntry)
+	rank := g.peers.rank()
 	if rank >= 0 && rank < ordinaryContenders {
 		return true
 	}
@@ -129,7 +129,7 @@
 	if !g.sharded() {
 		return true
 	}
-	if rank, _ := g.peers.rank(everyEntry); rank >= 0 && rank <= ordinaryContenders {
+	if rank := g.peers.rank(); rank >= 0 && rank <= ordinaryContenders {
 		return true
 	}
 	return slices.ContainsFunc(g.state.owners(now), func(o shard.Entry) bool { return o.Name == g.settings.Node })
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -4,24 +4,39 @@
 	"context"
 	"time"
 
+	"github.com/jayproxy/jayproxy/internal/feedsource"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 )
 
 // startBackgroundTasks starts the feeds and all other tasks that run beside the requests.
 func (g *Gateway) startBackgroundTasks(ctx context.Context) {
-	operators := &feed{table: g.ports.Decoder.OperatorTable, wait: longPollWait, relayPause: relayPause, apply: g.applyOperator}
-	backends := &feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: relayPause, apply: g.applyBackends}
-	entries := &feed{table: g.ports.Decoder.EntryTable, wait: longPollWait, pause: entriesPause, relayPause: relayPause, apply: g.applyEntries}
-	suspected := &feed{table: g.ports.Decoder.SuspectTable, wait: longPollWait, pause: entriesPause, relayPause: suspectRelayInterval, apply: g.applySuspects}
-	g.feeds = []*feed{operators, backends, entries, suspected}
-	ownRowDeadline := time.Now().Add(ownRowTimeout)
-	g.spawn(func() { g.runFeed(ctx, operators, ownRowDeadline) })
-	g.spawn(func() { g.runFeed(ctx, backends, ownRowDeadline) })
-	g.spawn(func() { g.runFeed(ctx, entries, time.Time{}) })
-	g.spawn(func() { g.runFeed(ctx, suspected, ownRowDeadline) })
+	start := time.Now()
+	newFeed := func(f *feed) *feed {
+		f.source = feedsource.New(feedsource.Settings{
+			Bootstrap: g.settings.Bootstrap, ReadsPerSecond: g.settings.StoreReadsPerSecond, Spread: hashFraction(g.settings.Node),
+		})
+		g.feeds = append(g.feeds, f)
+		return f
+	}
+	operators := newFeed(&feed{table: g.ports.Decoder.OperatorTable, wait: longPollWait, relayPause: relayPause, apply: g.applyOperator})
+	backends := newFeed(&feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: relayPause, apply: g.applyBackends})
+	g.entries = newFeed(&feed{table: g.ports.Decoder.EntryTable, wait: longPollWait, pause: entriesPause, relayPause: relayPause, apply: g.applyEntries})
+	suspected := newFeed(&feed{table: g.ports.Decoder.SuspectTable, wait: longPollWait, pause: entriesPause, relayPause: suspectRelayInterval, apply: g.applySuspects})
+	for _, f := range []*feed{operators, backends, suspected} {
+		g.spawn(func() {
+			g.awaitRoster(ctx, start)
+			g.runFeed(ctx, f)
+		})
+	}
+	g.spawn(func() {
+		if g.settings.Bootstrap {
+			g.awaitUntil(ctx, start.Add(crowdedTimeout), func() bool { return g.peers.registered() || g.storeAway.Load() })
+		}
+		g.runFeed(ctx, g.entries)
+	})
 	g.spawn(func() { g.publishSuspects(ctx) })
 	g.spawn(func() { g.readFromPeersDuringOutage(ctx, backends) })
-	g.spawn(func() { g.register(ctx) })
+	g.spawn(func() { g.keepRegistered(ctx) })
 	g.spawn(func() { g.fetchWeightHistory(ctx) })
 	g.spawn(func() { g.every(ctx, waitQueueInterval, g.serveWaitQueue) })
 	g.spawn(func() { g.watchKVStores(ctx) })
@@ -50,6 +65,22 @@
 	g.state.suspects.tick(now, holder)
 }
 
+// awaitRoster waits until this entry knows the others, which determine from where it
+// reads. It waits longer if the store is up and only has too many calls.
+func (g *Gateway) awaitRoster(ctx context.Context, start time.Time) {
+	g.awaitUntil(ctx, start.Add(crowdedTimeout), func() bool {
+		crowded := g.entries.refused.Load() || g.settings.Bootstrap && !g.storeAway.Load()
+		return g.entriesRead() || !crowded && time.Since(start) >= rosterTimeout
+	})
+}
+
+// awaitUntil waits until the condition holds, the deadline passes or ctx ends.
+func (g *Gateway) awaitUntil(ctx context.Context, deadline time.Time, condition func() bool) {
+	for !condition() && time.Now().Before(deadline) && ctx.Err() == nil {
+		sleep(ctx, conditionPollInterval)
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,133 @@
+package roster_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jayproxy/jayproxy/internal/roster"
+)
+
+var now = time.Unix(1000, 0)
+
+const maxFlat = 26
+
+// row returns the row of the i-th entry; the entries are in two data centres by turns.
+func row(i int) roster.Row {
+	return roster.Row{Address: fmt.Sprint("10.0.0.", i, ":1"), DataCentre: []string{"a", "b"}[i%2]}
+}
+
+// newRoster returns the roster of the i-th of n entries, all registered.
+func newRoster(i, n int) *roster.Roster {
+	r := roster.New(fmt.Sprint("gw", i), row(i), nil, maxFlat)
+	for k := range n {
+		r.Put(fmt.Sprint("gw", k), row(k))
+	}
+	return r
+}
+
+func relaysOf(r *roster.Roster, at time.Time) []string {
+	relays, _ := r.Relays(at)
+	return relays
+}
+
+// Guards against a number of readers of the store that grows with the fleet, as each call has a cost. In a small fleet the
+// first entries of each data centre read from it directly, since a second hop would exceed the bound on the age of data.
+func TestFewEntriesReadFromStore(t *testing.T) {
+	for entries, want := range map[int]int{40: 3, 400: 3, 20: 4} {
+		readers, byHops := 0, map[int]int{}
+		for i := range entries {
+			relays, hops := newRoster(i, entries).Relays(now)
+			if len(relays) == 0 {
+				readers++
+				continue
+			}
+			byHops[hops]++
+		}
+		assert.Equal(t, want, readers, "%d entries", entries)
+		assert.Equal(t, entries, readers+byHops[0]+byHops[1], "every entry reads from the store or from a relay")
+		assert.Equal(t, entries > maxFlat, byHops[1] > 0)
+	}
+}
+
+// Guards against weak entries as relays: serving the list to others takes CPU time from
+// their callers.
+func TestRelaysAreStrongestEntries(t *testing.T) {
+	r := newRoster(9, 40)
+	for _, strong := range []int{3, 5, 6} {
+		stronger := row(strong)
+		stronger.Cores = 0.8
+		r.Put(fmt.Sprint("gw", strong), stronger)
+	}
+	assert.ElementsMatch(t, []string{row(3).Address, row(5).Address}, relaysOf(r, now), "the entries with the most cores in its data centre")
+}
+
+// Guards against a delay at every read, when the relay that is asked first has crashed and
+// its row remains.
+func TestUnresponsiveRelayIsSkipped(t *testing.T) {
+	for i := 0; i < 20; i += 2 {
+		r := newRoster(i, 20)
+		relays := relaysOf(r, now)
+		if relays == nil {
+			continue
+		}
+		r.MarkUnresponsive(now, relays[0])
+		assert.NotContains(t, relaysOf(r, now), relays[0])
+		assert.Equal(t, relays, relaysOf(r, now.Add(5*time.Second)), "used again later")
+	}
+}
+
+// Guards against a new entry that reads whole tables from the store because its own row is
+// not written yet.
+func TestEntryWithoutRowUsesRelays(t *testing.T) {
+	r := roster.New("new", row(9), nil, maxFlat)
+	assert.Nil(t, relaysOf(r, now), "no other entry is known")
+	for k := range 40 {
+		r.Put(fmt.Sprint("gw", k), row(k))
+	}
+	assert.Len(t, relaysOf(r, now), 2)
+	assert.Equal(t, -1, r.Rank(), "it does no work for others yet")
+	assert.False(t, r.Registered())
+	r.Confirm()
+	assert.True(t, r.Registered())
+	assert.NotEqual(t, -1, r.Rank())
+}
+
+// Guards against a row that an earlier process wrote with another address or size.
+func TestRowOfEarlierProcessIsNotOwn(t *testing.T) {
+	r := newRoster(1, 3)
+	assert.True(t, r.Registered())
+	r.Put("gw1", roster.Row{Address: "10.0.0.99:1", DataCentre: "b"})
+	assert.False(t, r.Registered())
+	r.Remove("gw1")
+	assert.False(t, r.Registered())
+}
+
+// Guards against entries that wait for each other's data while they know different rows,
+// as when all register at once.
+func TestEntriesWithDifferentRowsDoNotReadInCircles(t *testing.T) {
+	const entries = 60
+	reads := map[string][]string{}
+	for i := range entries {
+		r := roster.New(fmt.Sprint("gw", i), row(i), nil, maxFlat)
+		for k := range i {
+			r.Put(fmt.Sprint("gw", (k*7)%entries), row((k*7)%entries))
+		}
+		reads[row(i).Address] = relaysOf(r, now)
+	}
+	var visit func(address string, path []string)
+	visit = func(address string, path []string) {
+		if slices.Contains(path, address) {
+			t.Fatalf("circle: %v", append(path, address))
+		}
+		for _, relay := range reads[address] {
+			visit(relay, append(path, address))
+		}
+	}
+	for address := range reads {
+		visit(address, nil)
+	}
+}
