Logs: one line for the first list of servers, ten for rows that can't be decoded

Cause: a process logged each server of its first list, 656 lines at 625 engines and 7,000 at the size of two years, before it served; and a line for each row of another writer that it can't decode, at every change of it.

Change: the first list has one line with its count, the single servers at -v=1; of the rows of one read that can't be decoded ten are logged, and how many more.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -43,6 +43,8 @@
 	// minOutage is the time without a successful read of the list that counts as an
 	// outage.
 	minOutage = 1500 * time.Millisecond
+	// maxUnreadableLogged bounds the log lines on rows of one read that can't be decoded.
+	maxUnreadableLogged = 10
 	// sourceStore names the store in logs.
 	sourceStore = "store"
 )
@@ -332,6 +334,7 @@
 
 func (g *Gateway) applyBackends(now time.Time, rows []mirror.Row, source string) {
 	changes := make([]backendChange, 0, len(rows))
+	unreadable := 0
 	for _, row := range rows {
 		if row.Removed {
 			changes = append(changes, backendChange{removed: row.Key})
@@ -339,10 +342,17 @@
 		}
 		b, err := g.ports.Decoder.Backend(row.Key, row.Value)
 		if err != nil {
-			klog.ErrorS(err, "Backend server registration not understood; keeping the last valid one", "row", row.Key, "rowVersion", row.Version, "source", source)
+			unreadable++
+			if unreadable <= maxUnreadableLogged {
+				klog.ErrorS(err, "Backend server registration not understood; keeping the last valid one", "row", row.Key, "rowVersion", row.Version, "source", source)
+			}
 			continue
 		}
 		changes = append(changes, backendChange{backend: b})
 	}
-	g.state.changeBackends(now, changes)
+	if unreadable > maxUnreadableLogged {
+		klog.InfoS("More backend server registrations not understood", "count", unreadable-maxUnreadableLogged, "of", len(rows), "source", source)
+	}
+	g.metrics.Count("rows_not_understood", g.ports.Decoder.BackendTable, int64(unreadable))
+	g.state.changeBackends(now, changes, source)
 }
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -19,7 +19,7 @@
 
 // putBackend applies one registration of a backend server.
 func (s *state) putBackend(now time.Time, b *fleet.Backend) {
-	s.changeBackends(now, []backendChange{{backend: b}})
+	s.changeBackends(now, []backendChange{{backend: b}}, "report")
 }
 
 // backendChange is a registration that was added or changed, or the name of a server whose
@@ -32,7 +32,8 @@
 // changeBackends applies changes of the list. It updates the members once for all changes:
 // an update for each of 3,000 servers took seven seconds of a core at the start, in which
 // the entry served no requests.
-func (s *state) changeBackends(now time.Time, changes []backendChange) {
+// The servers of the first list have one log line in all, for the same reason.
+func (s *state) changeBackends(now time.Time, changes []backendChange, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, change := range changes {
@@ -45,6 +46,9 @@
 		}
 	}
 	s.refreshMembersLocked(now)
+	if !s.listReady {
+		klog.InfoS("Backend servers listed", "count", s.list.Len(), "source", source)
+	}
 	s.listReady = true
 }
 
@@ -60,11 +64,19 @@
 	}
 	s.initListedLocked(b)
 	if change != fleet.Updated || old.Draining != b.Draining || old.Service != b.Service {
-		klog.InfoS("Backend server listed", "server", b.ID, "service", b.Service, "address", b.Address, "draining", b.Draining, "versions", b.Versions)
+		klog.V(s.listedLevel()).InfoS("Backend server listed", "server", b.ID, "service", b.Service, "address", b.Address, "draining", b.Draining, "versions", b.Versions)
 		s.membersStale = true
 	}
 }
 
+// listedLevel is the log level of a server that is listed.
+func (s *state) listedLevel() klog.Level {
+	if s.listReady {
+		return 0
+	}
+	return 1
+}
+
 // initListedLocked sets the hash of a registration that the list has accepted, and records
 // its weight versions.
 func (s *state) initListedLocked(b *fleet.Backend) {
--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -22,9 +22,9 @@
 		}})
 	}
 	start := time.Now()
-	s.changeBackends(start, changes)
+	s.changeBackends(start, changes, "test")
 	assert.Less(t, time.Since(start), time.Second)
 	assert.True(t, s.members.Usable("e7@1"), "the members were updated")
-	s.changeBackends(start, []backendChange{{removed: "e7"}})
+	s.changeBackends(start, []backendChange{{removed: "e7"}}, "test")
 	assert.Nil(t, s.list.Get("e7@1"))
 }
