Control load: each process logs what it spends on the store and on other entries

Cause: nothing that the processes logged or measured told control apart from requests, or a role from another, so the capacity page could not be compared.

--- a/internal/gateway/datagrams.go
+++ b/internal/gateway/datagrams.go
@@ -105,6 +105,7 @@
 	if to == nil {
 		return errNoDatagramPort
 	}
+	d.gateway.load.datagramsOut.add(len(data) + datagramOverheadBytes)
 	_, err = d.conn.WriteToUDP(data, to)
 	return err
 }
@@ -124,6 +125,7 @@
 		return
 	}
 	for _, target := range targets {
+		d.gateway.load.datagramsOut.add(len(data) + datagramOverheadBytes)
 		if _, err := d.conn.WriteToUDP(data, target); err != nil {
 			d.gateway.metrics.Count("datagrams", "not_sent", 1)
 		}
@@ -138,6 +140,7 @@
 			klog.V(1).InfoS("Datagram receiver stopped", "err", err)
 			return
 		}
+		d.gateway.load.datagramsIn.add(n + datagramOverheadBytes)
 		message := &jayv1.Datagram{}
 		if err := proto.Unmarshal(buffer[:n], message); err != nil {
 			d.gateway.metrics.Count("datagrams", "malformed", 1)
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -188,6 +188,13 @@
 	return p.roster.Rank()
 }
 
+// isRelay reports whether other entries read the store's tables from this one.
+func (p *peers) isRelay() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.IsRelay()
+}
+
 // nextHolders returns the addresses of the entries that contend first for the rollout
 // lease, without this one.
 func (p *peers) nextHolders() []string {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -215,6 +215,7 @@
 			}
 			continue
 		}
+		g.load.tablesRead.add(batch.Size())
 		g.feedSucceeded(f, time.Duration(batch.AgeMS)*time.Millisecond)
 		f.applyBatch(batch.Batch, relay)
 		return feedsource.Fresh
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,7 @@
 	datagrams  *datagrams
 	placements *placementClient
 	usage      *usageCaps
+	load       controlLoad
 	feeds      []*feed
 	// entries is the feed of the entries' rows. unregistered signals that this entry's own
 	// row is missing in it.
@@ -88,12 +89,15 @@
 
 // Start opens the process's addresses and begins to follow the store's tables.
 func Start(ctx context.Context, settings Settings, ports Ports) (*Gateway, error) {
+	started := time.Now()
 	pool := upstream.NewPool(connectTimeout, ackTimeout)
 	g := &Gateway{
 		settings: settings, ports: ports, pool: pool,
 		state: newState(settings, pool.CloseIdle), metrics: metrics.New(maxMetricLabels),
 		unregistered: make(chan struct{}, 1),
 	}
+	g.ports.Tables = countedTables{ports.Tables, &g.load}
+	g.ports.Table = countedTable{ports.Table, &g.load}
 	g.peers = newPeers(settings)
 	g.placements = newPlacementClient(g)
 	g.usage = newUsageCaps(g)
@@ -108,7 +112,7 @@
 	if err := g.listenCallers(); err != nil {
 		return nil, err
 	}
-	klog.InfoS("Started", "node", settings.Node, "dataCentre", settings.DataCentre, "callers", settings.CallerAddress, "ready", g.state.ready())
+	klog.InfoS("Started", "node", settings.Node, "dataCentre", settings.DataCentre, "callers", settings.CallerAddress, "ready", g.state.ready(), "tookMS", time.Since(started).Milliseconds())
 	return g, nil
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -171,7 +171,9 @@
 	}
 	for _, f := range g.feeds {
 		if f.table == c.Param("table") {
-			return c.JSON(http.StatusOK, tableResponse{Batch: f.since(after), AgeMS: g.tableAge(time.Now(), f).Milliseconds()})
+			err := c.JSON(http.StatusOK, tableResponse{Batch: f.since(after), AgeMS: g.tableAge(time.Now(), f).Milliseconds()})
+			g.load.tablesServed.add(int(c.Response().Size))
+			return err
 		}
 	}
 	return c.NoContent(http.StatusNotFound)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -102,6 +102,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	j := &job{gateway: g, writer: w, inbound: r, arrived: time.Now()}
+	g.load.requests.Add(1)
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	if g.stopping.Load() {
--- a/internal/gateway/shardowner.go
+++ b/internal/gateway/shardowner.go
@@ -59,6 +59,24 @@
 	return owners
 }
 
+// ownsShards reports whether this entry owns shards of engines, and of plain services.
+func (s *state) ownsShards(now time.Time) (engines, plain bool) {
+	table := s.table.Load()
+	if table == nil {
+		return false, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, service := range table.Services {
+		if len(s.assignmentLocked(now, name).ServersOf(s.settings.Node)) == 0 {
+			continue
+		}
+		engines = engines || service.Engine != nil
+		plain = plain || service.Engine == nil
+	}
+	return engines, plain
+}
+
 // offer chooses a server in this entry's shards for a request of any entry, and counts the
 // request there.
 func (s *state) offer(now time.Time, ask *jayv1.PlacementAsk) *jayv1.PlacementOffer {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -26,6 +26,15 @@
 	Snapshot bool   `json:"whole"`
 }
 
+// Size returns the bytes of the batch's keys and values.
+func (b *Batch) Size() int {
+	size := 0
+	for _, row := range b.Rows {
+		size += len(row.Key) + len(row.Value)
+	}
+	return size
+}
+
 // maxTombstones bounds the removed rows whose versions are kept for Since.
 const maxTombstones = 2048
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -203,6 +203,18 @@
 	return relays, 0
 }
 
+// IsRelay reports whether other entries read the store's tables from this one.
+func (r *Roster) IsRelay() bool {
+	nearby := func(row Row) bool { return row.DataCentre == r.self.DataCentre }
+	if _, behind := r.before(relaysPerDataCentre, nearby); !behind {
+		return len(r.rows) > relaysPerDataCentre
+	}
+	_, behind := r.before(storeReaders, everyEntry)
+	return !behind && len(r.rows) > r.maxFlat
+}
+
+func everyEntry(Row) bool { return true }
+
 // ShardEntries returns all entries as candidates for owning shards.
 func (r *Roster) ShardEntries() []shard.Entry {
 	entries := make([]shard.Entry, 0, len(r.rows))
