Relays: encode a complete table once for all that ask at about the same time

At 7,000 servers a list is 2 MB, encoded with its rows some 6 MB a reader, and 18 readers at once would exceed 64 MB.

Change: the encoded list is kept for 250 ms; its age is told as it is then.

TestReadersAtOnceShareOneEncodedTable fails without it.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -63,6 +63,8 @@
 	// source is used by the goroutine that runs the feed only.
 	source feedsource.Source
 
+	snapshots snapshotCache
+
 	mu   sync.Mutex
 	copy mirror.Copy
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -171,7 +171,7 @@
 	}
 	for _, f := range g.feeds {
 		if f.table == c.Param("table") {
-			err := c.JSON(http.StatusOK, tableResponse{Batch: f.since(after), AgeMS: g.tableAge(time.Now(), f).Milliseconds()})
+			err := g.respondTable(c, f, after)
 			g.load.tablesServed.add(int(c.Response().Size))
 			return err
 		}
@@ -179,6 +179,25 @@
 	return c.NoContent(http.StatusNotFound)
 }
 
+// respondTable sends the changes of a table after a version, or the complete table.
+func (g *Gateway) respondTable(c echo.Context, f *feed, after uint64) error {
+	now := time.Now()
+	if after > 0 || f.version() == 0 {
+		return c.JSON(http.StatusOK, tableResponse{Batch: f.since(after), AgeMS: g.tableAge(now, f).Milliseconds()})
+	}
+	prefix, rest, err := f.snapshots.get(now, func() (any, time.Duration) { return f.since(0), g.tableAge(now, f) })
+	if err != nil {
+		return err
+	}
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	c.Response().WriteHeader(http.StatusOK)
+	if _, err := io.WriteString(c.Response(), prefix); err != nil {
+		return err
+	}
+	_, err = c.Response().Write(rest)
+	return err
+}
+
 func (g *Gateway) handleWeights(c echo.Context) error {
 	s := g.state
 	s.mu.Lock()
