Owners: a new prefix costs the same at each of their servers

Cause: a prompt whose prefix is known nowhere was charged 0.2 ms a token, about a second, at every server but the preferred one, as another entry may have sent the prefix there just now. The owner of a shard places all requests at its servers, so it knows that none has.

Change: the charge applies only where other routers choose the same servers. The test replays a burst of new prefixes.

--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -247,7 +247,8 @@
 	}
 	t.PrefillMS += float64(from.missing) / prefillTokensPerMS
 	t.RecomputeMS = float64(from.fetched) * copyMSPerToken
-	if from.kind == SourceNone {
+	if from.kind == SourceNone && !d.options.ExclusiveServers {
+		// Another entry may have sent the prefix to the preferred server just now.
 		from.duplicated = from.missing
 	}
 	t.RecomputeMS += float64(from.duplicated) * recomputeMSPerToken
--- /dev/null
+++ b/internal/routing/owner_test.go
@@ -0,0 +1,42 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jayproxy/jayproxy/internal/routing"
+)
+
+func newOwner() *routing.Direct {
+	return routing.NewDirect(routing.DirectOptions{DataCentre: "a", MaxVersionAge: 8 * time.Second, ExclusiveServers: true})
+}
+
+// Guards against prompts that queue at the preferred server of a new prefix while other
+// servers are idle, in a burst of prompts with prefixes that nobody holds yet: the owner
+// of all servers knows that none is being prefilled elsewhere.
+func TestBurstOfNewPrefixesSpreadsOverAnOwnersServers(t *testing.T) {
+	owner, servers := newOwner(), directServers(8)
+	placed := map[string]int{}
+	for i := range 32 {
+		choice := choose(t, owner, time.Duration(i)*time.Millisecond, prompt(fmt.Sprint("r", i), fmt.Sprint("document", i)), servers)
+		placed[choice.Server.ID]++
+	}
+	for _, server := range servers {
+		assert.InDelta(t, 4, placed[server.ID], 2, server.ID)
+	}
+}
+
+// Guards against two prefills of one prefix: where it is being prefilled already, a
+// request waits rather than prefilling it elsewhere, and elsewhere only if the wait is
+// longer.
+func TestOwnerDoesNotPrefillAPendingPrefixTwice(t *testing.T) {
+	owner, servers := newOwner(), directServers(8)
+	first := choose(t, owner, 0, prompt("r0", "contract"), servers)
+	for i := range 3 {
+		choice := choose(t, owner, time.Duration(i)*time.Millisecond, prompt(fmt.Sprint("s", i), "contract"), servers)
+		assert.Equal(t, first.Server.ID, choice.Server.ID)
+	}
+}
