Entries: remove the rows of entries that are gone for good

Cause: the row of an entry that is lost stays in the store.

Change: the holder of the rollout lease probes one entry a second. A row is removed, if it has not changed, after three unanswered probes over a minute, and only while at most a tenth of the entries is silent. An entry that is up writes its row again.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -188,6 +188,13 @@
 	return p.roster.Rank()
 }
 
+// others returns the rows of the other entries, by node.
+func (p *peers) others() map[string]roster.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Others()
+}
+
 // isRelay reports whether other entries read the store's tables from this one.
 func (p *peers) isRelay() bool {
 	p.mu.Lock()
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -110,6 +110,13 @@
 	return f.copy.Since(after)
 }
 
+// rowVersion returns the version of a row; 0: there is none.
+func (f *feed) rowVersion(key string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.RowVersion(key)
+}
+
 // age returns the time since the store last answered.
 func (f *feed) age(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, f.lastResponse.Load()))
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -43,6 +43,7 @@
 	g.spawn(func() { g.usage.run(ctx) })
 	g.startRollouts(ctx)
 	g.spawn(func() { g.logControlLoad(ctx) })
+	g.spawn(func() { g.removeLostEntries(ctx) })
 	g.spawn(func() { g.every(ctx, stateTickInterval, g.tick) })
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -59,6 +59,9 @@
 // Version returns the newest version that the copy covers; 0: none yet.
 func (c *Copy) Version() uint64 { return c.version }
 
+// RowVersion returns the version of a row; 0: there is none.
+func (c *Copy) RowVersion(key string) uint64 { return c.rows[key].Version }
+
 // Rows returns the rows, sorted by key.
 func (c *Copy) Rows() []Row {
 	rows := make([]Row, 0, len(c.rows))
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -104,6 +105,13 @@
 	return all
 }
 
+// Others returns the rows of the other entries, by node.
+func (r *Roster) Others() map[string]Row {
+	others := maps.Clone(r.rows)
+	delete(others, r.node)
+	return others
+}
+
 // MarkUnresponsive excludes an entry from the relays for unresponsiveSkipTime.
 func (r *Roster) MarkUnresponsive(now time.Time, address string) {
 	r.skipUntil[address] = now.Add(unresponsiveSkipTime)
