Relays: the pause between two reads follows the bounds on age

Cause: each entry reads three tables from a relay each 0.35 s, whatever the bounds: 10 calls a second of an entry, 745 at a relay of the whole fleet (14 to 15% of a core), growing with the entries of a data centre.

Change: 0.175 of the shorter of the bounds on draining and configurations, 0.35 s at least. At 2 s nothing changes; at 5 s the pause is 0.875 s. The test checks that data through two relays stays younger than the bound.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -25,11 +25,14 @@
 	// callTimeout bounds a call to the store, in addition to the time that the call blocks
 	// for changes.
 	callTimeout = 1200 * time.Millisecond
-	// relayPause is the pause between two reads from a relay, relayMargin an allowance for
-	// processes that wait for CPU time. With the pause between two reads of the list they
-	// determine the maximum age of data from a relay.
-	relayPause  = 350 * time.Millisecond
-	relayMargin = 300 * time.Millisecond
+	// relayPauseShare is the pause between two reads from a relay, as a share of the
+	// shorter of Settings.DrainBound and Settings.ConfigBound; minRelayPause is the least.
+	// Reads from relays are most of the messages between entries. relayMargin is an
+	// allowance for processes that wait for CPU time. With the pause between two reads of
+	// the list they determine the maximum age of data from a relay.
+	relayPauseShare = 0.175
+	minRelayPause   = 350 * time.Millisecond
+	relayMargin     = 300 * time.Millisecond
 	// entriesPause is the pause between two reads of the entries' rows. When all entries
 	// start at once, every row written ends all blocking reads: 103 entries made more than
 	// a thousand calls to the store in their first second.
@@ -140,7 +143,16 @@
 // number of entries between themselves and the store. It is short so that another source
 // is tried soon: a configuration must be in force within its bound.
 func (g *Gateway) maxRelayAge(hops int) time.Duration {
-	return g.backendPause() + time.Duration(hops)*relayPause + relayMargin
+	return g.backendPause() + time.Duration(hops)*g.relayPause() + relayMargin
+}
+
+// relayPause returns the pause between two reads from a relay.
+func (g *Gateway) relayPause() time.Duration {
+	bound := g.settings.DrainBound
+	if g.settings.ConfigBound > 0 {
+		bound = min(bound, g.settings.ConfigBound)
+	}
+	return max(minRelayPause, time.Duration(float64(bound)*relayPauseShare).Round(time.Millisecond))
 }
 
 // backendPause returns the pause between two reads of the list from the store.
--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -56,7 +56,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
-	f := &feed{table: "servers", pause: time.Second, relayPause: relayPause, apply: func(time.Time, []mirror.Row, string) {}}
+	f := &feed{table: "servers", pause: time.Second, relayPause: minRelayPause, apply: func(time.Time, []mirror.Row, string) {}}
 	g.feeds = []*feed{f}
 	g.runFeed(ctx, f)
 }
@@ -71,6 +71,23 @@
 	assert.True(t, g.feeds[0].failing.Load(), "a failing feed makes the entry read from other entries")
 }
 
+// Guards against reads from relays that are more frequent than the bounds on the age of
+// their data require: they are most of the messages between entries.
+func TestPauseBetweenRelayReadsFollowsTheBounds(t *testing.T) {
+	for _, c := range []struct{ drain, config, want time.Duration }{
+		{2 * time.Second, 2 * time.Second, minRelayPause},
+		{5 * time.Second, 5 * time.Second, 875 * time.Millisecond},
+		{5 * time.Second, 3 * time.Second, 525 * time.Millisecond},
+		{5 * time.Second, 0, 875 * time.Millisecond},
+		{0, 0, minRelayPause},
+	} {
+		g := &Gateway{settings: Settings{DrainBound: c.drain, ConfigBound: c.config}}
+		assert.Equal(t, c.want, g.relayPause())
+		oldest := g.backendPause() + 2*g.relayPause() + relayMargin
+		assert.True(t, c.drain == 0 || oldest < c.drain, "%v old through two relays, bound %v", oldest, c.drain)
+	}
+}
+
 func TestFreshRelayReplacesStoreReads(t *testing.T) {
 	g, store := newRelayedEntry(t, 100, 100*time.Millisecond)
 	g.runFor(t, 600*time.Millisecond)
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -121,6 +121,9 @@
 	// DrainBound: a draining server gets no request later than this after it
 	// announced its end.
 	DrainBound time.Duration
+	// ConfigBound: a new configuration is in force everywhere within this time; 0: not
+	// known.
+	ConfigBound time.Duration
 	// LeaseTime is the time within which two holders of a lease must not both act.
 	LeaseTime time.Duration
 	// VersionBound: a request must not start on weights that were replaced longer
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -18,9 +18,9 @@
 		g.feeds = append(g.feeds, f)
 		return f
 	}
-	operators := newFeed(&feed{table: g.ports.Decoder.OperatorTable, wait: longPollWait, relayPause: relayPause, apply: g.applyOperator})
-	backends := newFeed(&feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: relayPause, apply: g.applyBackends})
-	g.entries = newFeed(&feed{table: g.ports.Decoder.EntryTable, wait: longPollWait, pause: entriesPause, relayPause: relayPause, apply: g.applyEntries})
+	operators := newFeed(&feed{table: g.ports.Decoder.OperatorTable, wait: longPollWait, relayPause: g.relayPause(), apply: g.applyOperator})
+	backends := newFeed(&feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: g.relayPause(), apply: g.applyBackends})
+	g.entries = newFeed(&feed{table: g.ports.Decoder.EntryTable, wait: longPollWait, pause: entriesPause, relayPause: g.relayPause(), apply: g.applyEntries})
 	suspected := newFeed(&feed{table: g.ports.Decoder.SuspectTable, wait: longPollWait, pause: entriesPause, relayPause: suspectRelayInterval, apply: g.applySuspects})
 	for _, f := range []*feed{operators, backends, suspected} {
 		g.spawn(func() {
