Relays: each is the first of about half of its readers

Cause: all entries of a data centre ask the same relay first.

Change: each entry begins with the relay that its own name selects.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -202,13 +202,23 @@
 		if large {
 			hops = 1
 		}
-		return relays, hops
+		return r.rotated(relays), hops
 	}
 	if !large {
 		return nil, 0
 	}
 	relays, _ = r.before(storeReaders, responsive)
-	return relays, 0
+	return r.rotated(relays), 0
+}
+
+// rotated returns the relays in an order that differs between entries, so that each relay
+// is the first of about as many entries.
+func (r *Roster) rotated(relays []string) []string {
+	if len(relays) == 0 {
+		return nil
+	}
+	first := int(xxh3.HashString(r.node) % uint64(len(relays)))
+	return slices.Concat(relays[first:], relays[:first])
 }
 
 // IsRelay reports whether other entries read the store's tables from this one.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -65,6 +65,21 @@
 	assert.ElementsMatch(t, []string{row(3).Address, row(5).Address}, relaysOf(r, now), "the entries with the most cores in its data centre")
 }
 
+// Guards against one relay that carries the reads of its whole data centre while the other
+// one is idle.
+func TestRelaysShareTheirReaders(t *testing.T) {
+	first := map[string]int{}
+	for i := range 400 {
+		if relays, hops := newRoster(i, 400).Relays(now); hops > 0 {
+			first[relays[0]]++
+		}
+	}
+	assert.Len(t, first, 4, "two in each of two data centres")
+	for relay, readers := range first {
+		assert.InDelta(t, 99, readers, 30, relay)
+	}
+}
+
 // Guards against a delay at every read, when the relay that is asked first has crashed and
 // its row remains.
 func TestUnresponsiveRelayIsSkipped(t *testing.T) {
