Owners: long prompts avoid servers with running streams

Cause: while an engine reads a prompt of 50,000 tokens, a second or more, the streams that run there get no event.

Change: a prefill costs each running stream its square over 2 s, so that a pause of 0.2 s hardly counts and one of 1 s as half. Only where an owner knows all that runs.

The test replays a long prompt beside three streams.

--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -287,6 +287,9 @@
 		d.scorePrefix(now, req, s, p, &t)
 		t.MemoryMS = d.memoryMS(now, s, req)
 	}
+	if p != nil && d.options.ExclusiveServers {
+		t.InterruptMS = d.interruptMS(s.ID, t.PrefillMS)
+	}
 	t.SlowdownMS = d.slowdownMS(now, s.ID, t.QueueMS+t.PrefillMS)
 	if s.DataCentre != d.originDataCentre(req) {
 		t.DistanceMS = otherDataCentreMS
--- a/internal/routing/direct_load.go
+++ b/internal/routing/direct_load.go
@@ -166,6 +166,15 @@
 // weight: it changes within a second.
 const slowdownLifetime = 600 * time.Millisecond
 
+// interruptScaleMS is the prefill time whose cost for each running stream equals it.
+const interruptScaleMS = 2000
+
+// interruptMS is the cost of a prefill for the streams that run at a server: it delays
+// their next event. The square of its time, as short pauses make no stream late.
+func (d *Direct) interruptMS(server string, prefillMS float64) float64 {
+	return float64(d.load(server).running) * prefillMS * prefillMS / interruptScaleMS
+}
+
 // slowdownMS returns by how much a server's reported slowdown extends work that
 // usually takes the given time; negative if the server is faster than usual.
 func (d *Direct) slowdownMS(now time.Time, server string, usualMS float64) float64 {
--- a/internal/routing/direct_types.go
+++ b/internal/routing/direct_types.go
@@ -103,9 +103,11 @@
 	MemoryMS    float64
 	// SlowdownMS is what the server's reported slowdown adds.
 	SlowdownMS float64
+	// InterruptMS stands for the pause of the streams that run at the server.
+	InterruptMS float64
 }
 
 // Total is the score; the server with the lowest is chosen.
 func (t DirectTerms) Total() float64 {
-	return t.QueueMS + t.PrefillMS + t.RecomputeMS + t.VersionMS + t.DistanceMS + t.PenaltyMS + t.MemoryMS + t.SlowdownMS
+	return t.QueueMS + t.PrefillMS + t.RecomputeMS + t.VersionMS + t.DistanceMS + t.PenaltyMS + t.MemoryMS + t.SlowdownMS + t.InterruptMS
 }
--- a/internal/routing/owner_test.go
+++ b/internal/routing/owner_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/jayproxy/jayproxy/internal/routing"
 )
@@ -40,3 +41,23 @@
 		assert.Equal(t, first.Server.ID, choice.Server.ID)
 	}
 }
+
+// Guards against a prompt of 50,000 tokens at a server with running streams, which get no
+// event while it is read, when another server is idle.
+func TestLongPromptAvoidsRunningStreams(t *testing.T) {
+	owner, servers := newOwner(), directServers(2)
+	for i := range 3 {
+		id := fmt.Sprint("r", i)
+		choice, err := owner.Choose(directStart, prompt(id, "contract"), servers[:1], nil)
+		require.NoError(t, err)
+		require.Equal(t, "s0", choice.Server.ID)
+		owner.FirstToken(directStart.Add(300*time.Millisecond), id)
+	}
+	long := prompt("long", "contract")
+	long.Tokens = 50000
+	choice := choose(t, owner, time.Second, long, servers)
+	assert.Equal(t, "s1", choice.Server.ID)
+	assert.Equal(t, routing.SourceHolder, choice.Source, "the prefix is fetched")
+	short := choose(t, owner, 1100*time.Millisecond, prompt("short", "contract"), servers)
+	assert.Equal(t, "s0", short.Server.ID, "a prompt of usual length goes where its prefix is")
+}
