--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,7 +12,6 @@
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/roster"
-	"github.com/jayproxy/jayproxy/internal/shard"
 )
 
 const (
@@ -120,107 +118,3 @@
 	g.usage.setEntries(entries)
 	g.hints.setTargets(g.peers.addresses())
 }
-
-func (p *peers) put(node string, row roster.Row) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.roster.Put(node, row)
-}
-
-func (p *peers) remove(node string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.roster.Remove(node)
-}
-
-// registered reports whether the store has this entry's row.
-func (p *peers) registered() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Registered()
-}
-
-// confirmRegistered records that the store has accepted this entry's row.
-func (p *peers) confirmRegistered() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.roster.Confirm()
-}
-
-// addresses returns the control addresses of all other entries, each once.
-func (p *peers) addresses() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Addresses()
-}
-
-func (p *peers) setSeeds(seeds []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.roster.SetSeeds(seeds)
-}
-
-// count returns the number of entries with a row, at least 1.
-func (p *peers) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Count()
-}
-
-// markUnresponsive keeps an entry that did not answer from being used as a relay for a while.
-func (p *peers) markUnresponsive(now time.Time, address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.roster.MarkUnresponsive(now, address)
-}
-
-// relays returns the entries from which this one reads the store's tables; see roster.Relays.
-func (p *peers) relays(now time.Time) (relays []string, hops int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Relays(now)
-}
-
-// rank returns this entry's rank among all entries; -1 if it has no row.
-func (p *peers) rank() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Rank()
-}
-
-// others returns the rows of the other entries, by node.
-func (p *peers) others() map[string]roster.Row {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Others()
-}
-
-// isRelay reports whether other entries read the store's tables from this one.
-func (p *peers) isRelay() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.IsRelay()
-}
-
-// nextHolders returns the addresses of the entries that contend first for the rollout
-// lease, without this one.
-func (p *peers) nextHolders() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.First(ordinaryContenders + 1)
-}
-
-// shardEntries returns all entries as candidates for owning shards.
-func (p *peers) shardEntries() []shard.Entry {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.ShardEntries()
-}
-
-// strongCount returns the number of entries that do work for others, at least 1.
-func (p *peers) strongCount() int { return max(1, len(shard.Eligible(p.shardEntries()))) }
-
-// isStrong reports whether the entry with this name does work for others.
-func (p *peers) isStrong(node string) bool {
-	return slices.ContainsFunc(shard.Eligible(p.shardEntries()), func(e shard.Entry) bool { return e.Name == node })
-}
