Mirror: a copy that began with a complete table cannot list earlier removals

Cause: an entry asks its relay for the changes after the version that it has. A relay that has just started knows the table as it was read, without the rows that were removed before, and answered that nothing was removed. The entry kept such a row until its next complete read: requests went to a server that had left.

Change: the versions up to a complete table count as not covered, so those who have an older one get the complete table. The test fails without it.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -113,6 +113,13 @@
 	return f.copy.Since(after)
 }
 
+// covers reports whether the changes after a version can be listed.
+func (f *feed) covers(after uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Covers(after)
+}
+
 // rowVersion returns the version of a row; 0: there is none.
 func (f *feed) rowVersion(key string) uint64 {
 	f.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -182,7 +182,7 @@
 // respondTable sends the changes of a table after a version, or the complete table.
 func (g *Gateway) respondTable(c echo.Context, f *feed, after uint64) error {
 	now := time.Now()
-	if after > 0 || f.version() == 0 {
+	if f.version() == 0 || f.covers(after) {
 		return c.JSON(http.StatusOK, tableResponse{Batch: f.since(after), AgeMS: g.tableAge(now, f).Milliseconds()})
 	}
 	prefix, rest, err := f.snapshots.get(now, func() (any, time.Duration) { return f.since(0), g.tableAge(now, f) })
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -43,8 +43,9 @@
 	rows       map[string]Row
 	tombstones map[string]uint64
 	version    uint64
-	// prunedAt is the version at which tombstones were last pruned: Since cannot
-	// list the changes after an older version and returns a snapshot.
+	// prunedAt is the version up to which removals are not known, as tombstones were
+	// pruned or a snapshot was applied, which lists no removals. Since cannot list the
+	// changes after an older version and returns a snapshot.
 	prunedAt uint64
 	// equivalent reports whether two values of a row mean the same; nil: none do.
 	equivalent func(old, new []byte) bool
@@ -92,6 +93,7 @@
 	}
 	if batch.Snapshot {
 		changed = append(changed, c.removeUnlisted(listed, batch.Version)...)
+		c.prunedAt = max(c.prunedAt, batch.Version)
 	}
 	c.version = max(c.version, batch.Version)
 	c.pruneTombstones()
@@ -143,10 +145,13 @@
 	c.tombstones = map[string]uint64{}
 }
 
-// Since returns the rows that changed after a version, or a snapshot if after is
-// 0 or too old.
+// Covers reports whether Since can list the changes after a version.
+func (c *Copy) Covers(after uint64) bool { return after > 0 && after >= c.prunedAt }
+
+// Since returns the rows that changed after a version, or a snapshot if the copy does
+// not cover the changes after it.
 func (c *Copy) Since(after uint64) Batch {
-	batch := Batch{Version: c.version, Snapshot: after == 0 || after < c.prunedAt}
+	batch := Batch{Version: c.version, Snapshot: !c.Covers(after)}
 	for _, row := range c.Rows() {
 		if batch.Snapshot || row.changed > after {
 			batch.Rows = append(batch.Rows, row)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/jayproxy/jayproxy/internal/mirror"
@@ -43,6 +44,20 @@
 
 // Guards against traffic between entries for heartbeats, which change a row but
 // not its meaning.
+// Guards against a server that stays listed at some entries after it has left: its row was
+// removed before their relay started, whose complete table does not list removals.
+func TestARemovalBeforeTheSnapshotOfARelayIsPassedOn(t *testing.T) {
+	var entry, relay mirror.Copy
+	entry.Apply(mirror.Batch{Version: 5, Snapshot: true, Rows: []mirror.Row{{Key: "a", Version: 1}, {Key: "left", Version: 2}}})
+	relay.Apply(mirror.Batch{Version: 9, Snapshot: true, Rows: []mirror.Row{{Key: "a", Version: 1}}})
+	assert.False(t, relay.Covers(entry.Version()))
+	changed := entry.Apply(relay.Since(entry.Version()))
+	require.Len(t, changed, 1)
+	assert.Equal(t, "left", changed[0].Key)
+	assert.True(t, changed[0].Removed)
+	assert.True(t, relay.Covers(entry.Version()), "from now on changes are enough")
+}
+
 func TestAHeartbeatIsNotPassedOn(t *testing.T) {
 	c := mirror.NewCopy(func(old, new []byte) bool { return old[0] == new[0] })
 	c.Apply(mirror.Batch{Rows: []mirror.Row{{Key: "a", Value: []byte{1, 1}, Version: 1}}, Version: 1, Snapshot: true})
