Relays: the pause leaves time for a relay that does not answer

Cause: 0.175 of a bound of 3 s for each of two relays, a call of 0.7 s without an answer and the allowance add up to 3.1 s.

Change: a third of what the bound leaves beside the pause of the readers, one such call and the allowance: 0.35 s at 3 s as before, 0.75 s at 5 s.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -25,14 +25,15 @@
 	// callTimeout bounds a call to the store, in addition to the time that the call blocks
 	// for changes.
 	callTimeout = 1200 * time.Millisecond
-	// relayPauseShare is the pause between two reads from a relay, as a share of the
-	// shorter of Settings.DrainBound and Settings.ConfigBound; minRelayPause is the least.
-	// Reads from relays are most of the messages between entries. relayMargin is an
-	// allowance for processes that wait for CPU time. With the pause between two reads of
-	// the list they determine the maximum age of data from a relay.
-	relayPauseShare = 0.175
-	minRelayPause   = 350 * time.Millisecond
-	relayMargin     = 300 * time.Millisecond
+	// minRelayPause is the least pause between two reads from a relay. Reads from relays
+	// are most of the messages between entries. relayMargin is an allowance for processes
+	// that wait for CPU time. With the pause between two reads of the list they determine
+	// the maximum age of data from a relay.
+	minRelayPause = 350 * time.Millisecond
+	relayMargin   = 300 * time.Millisecond
+	// relayPauses of what a bound on the age of data leaves are reserved: one for each of
+	// two relays, and one that is missed.
+	relayPauses = 3
 	// entriesPause is the pause between two reads of the entries' rows. When all entries
 	// start at once, every row written ends all blocking reads: 103 entries made more than
 	// a thousand calls to the store in their first second.
@@ -153,13 +154,14 @@
 	return g.backendPause() + time.Duration(hops)*g.relayPause() + relayMargin
 }
 
-// relayPause returns the pause between two reads from a relay.
+// relayPause returns the pause between two reads from a relay. Within the bounds there is
+// time for the pauses, and for one call to a relay that does not answer.
 func (g *Gateway) relayPause() time.Duration {
 	bound := g.settings.DrainBound
 	if g.settings.ConfigBound > 0 {
 		bound = min(bound, g.settings.ConfigBound)
 	}
-	return max(minRelayPause, time.Duration(float64(bound)*relayPauseShare).Round(time.Millisecond))
+	return max(minRelayPause, (bound-g.backendPause()-peerTimeout-relayMargin)/relayPauses)
 }
 
 // backendPause returns the pause between two reads of the list from the store.
