Start: a relay of a crowded start has as long to answer as any other

Cause: an entry gives a relay 0.25 s for its first answer, as the store can be read instead, and passes it over for 5 s then. When all entries start and must leave the store to relays, a relay that has a list of 3,000 servers to encode for 37 readers takes longer, and weaker entries became relays.

Change: 0.25 s until the answer begins only where the store may be read; then, and while bytes arrive, 0.7 s. TestTableWithoutProgressIsGivenUp allows for both.

--- a/internal/feedsource/feedsource.go
+++ b/internal/feedsource/feedsource.go
@@ -86,13 +86,19 @@
 
 // patientUntil is until when a table that was never read is read from relays only.
 func (s *Source) patientUntil(entries int) time.Time {
-	crowded := s.settings.ReadsPerSecond > 0 && float64(entries*startCalls) > s.settings.ReadsPerSecond*maxStartTime.Seconds()
-	if !crowded && !s.settings.Bootstrap {
+	if !s.Crowded(entries) {
 		return s.triedAt
 	}
 	return s.triedAt.Add(time.Duration((1 + s.settings.Spread) * float64(startPatience)))
 }
 
+// Crowded reports whether a first read should leave the store to the relays: all entries
+// start, or would ask the store for more than it soon accepts if they did.
+func (s *Source) Crowded(entries int) bool {
+	limit := s.settings.ReadsPerSecond
+	return s.settings.Bootstrap || limit > 0 && float64(entries*startCalls) > limit*maxStartTime.Seconds()
+}
+
 // Called records a call of the store. busy: the store refused it because it had too many.
 func (s *Source) Called(now time.Time, busy bool) { s.calledAt, s.busy = now, busy }
 
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -230,9 +230,12 @@
 	if len(relays) == 0 {
 		return feedsource.NoRelay
 	}
-	outcome := feedsource.Unavailable
+	outcome, begin := feedsource.Unavailable, peerTimeout
+	if f.version() == 0 && !f.source.Crowded(g.peers.count()) {
+		begin = firstReadTimeout
+	}
 	for _, relay := range relays {
-		batch, err := g.peers.table(ctx, relay, f.table, f.version())
+		batch, err := g.peers.table(ctx, begin, relay, f.table, f.version())
 		// While an entry starts, its relays may start as well.
 		starting := f.version() == 0 && errors.Is(err, syscall.ECONNREFUSED)
 		if err != nil && ctx.Err() == nil && !starting {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,8 +28,8 @@
 	// 10 Mbit/s seconds to receive.
 	peerTimeout = 700 * time.Millisecond
 	maxPeerTime = 15 * time.Second
-	// firstReadTimeout replaces peerTimeout while an entry has no copy of the table: until
-	// then it can't serve.
+	// firstReadTimeout is how long the response to the first read of a table may take to
+	// begin, where the store can be read instead: until then the entry can't serve.
 	firstReadTimeout = 250 * time.Millisecond
 	// maxPullAttempts bounds the entries tried by one pull.
 	maxPullAttempts      = 2
@@ -67,15 +67,12 @@
 	AgeMS int64 `json:"age_ms"`
 }
 
-// table reads the changes of a table from one entry.
-func (p *peers) table(ctx context.Context, address, table string, after uint64) (tableResponse, error) {
+// table reads the changes of a table from one entry, whose response must begin within the
+// given time.
+func (p *peers) table(ctx context.Context, begin time.Duration, address, table string, after uint64) (tableResponse, error) {
 	var batch tableResponse
 	path := "/v1/tables/" + url.PathEscape(table) + "?after=" + strconv.FormatUint(after, 10)
-	timeout := peerTimeout
-	if after == 0 {
-		timeout = firstReadTimeout
-	}
-	err := p.callWithin(ctx, timeout, http.MethodGet, address, path, nil, &batch)
+	err := p.callWithin(ctx, begin, http.MethodGet, address, path, nil, &batch)
 	return batch, err
 }
 
@@ -90,7 +87,7 @@
 			break
 		}
 		var batch tableResponse
-		if batch, err = p.table(ctx, address, table, after); err == nil {
+		if batch, err = p.table(ctx, peerTimeout, address, table, after); err == nil {
 			return batch.Batch, address, nil
 		}
 	}
@@ -102,11 +99,11 @@
 	return p.callWithin(ctx, peerTimeout, method, address, path, body, into)
 }
 
-// callWithin is call with the given bound on the time without progress.
-func (p *peers) callWithin(ctx context.Context, timeout time.Duration, method, address, path string, body, into any) error {
+// callWithin is call with the given bound on the time until the response begins.
+func (p *peers) callWithin(ctx context.Context, begin time.Duration, method, address, path string, body, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, maxPeerTime)
 	defer cancel()
-	idle := time.AfterFunc(timeout, cancel)
+	idle := time.AfterFunc(begin, cancel)
 	defer idle.Stop()
 	var reader io.Reader
 	if body != nil {
@@ -132,21 +129,21 @@
 	if into == nil {
 		return nil
 	}
-	received := &progressReader{from: io.LimitReader(response.Body, maxPeerResponseBytes), idle: idle, timeout: timeout}
+	idle.Reset(peerTimeout)
+	received := &progressReader{from: io.LimitReader(response.Body, maxPeerResponseBytes), idle: idle}
 	return json.NewDecoder(received).Decode(into)
 }
 
-// progressReader postpones a timer whenever bytes arrive.
+// progressReader postpones a timer by peerTimeout whenever bytes arrive.
 type progressReader struct {
-	from    io.Reader
-	idle    *time.Timer
-	timeout time.Duration
+	from io.Reader
+	idle *time.Timer
 }
 
 func (r *progressReader) Read(buffer []byte) (int, error) {
 	n, err := r.from.Read(buffer)
 	if n > 0 {
-		r.idle.Reset(r.timeout)
+		r.idle.Reset(peerTimeout)
 	}
 	return n, err
 }
