Gateway: one loop that waits for a condition, one way to spread pauses

awaitUntil stood beside three loops of the start and the shutdown that did the same, and three places lengthened a pause by a hash. No behaviour changes."

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,6 +64,12 @@
 	return float64(xxh3.HashString(id)%hashFractionSteps) / hashFractionSteps
 }
 
+// spread lengthens a pause by up to its own length, as a hash of the key says, so that
+// those who pause do not come back at the same moment.
+func spread(pause time.Duration, key string) time.Duration {
+	return pause + time.Duration(hashFraction(key)*float64(pause))
+}
+
 // run sends the request, to several servers if needed, until the caller has a
 // response.
 func (j *job) run() {
@@ -185,16 +191,14 @@
 		return
 	}
 	j.gateway.metrics.Count("turned_away", j.routeLabel(), 1)
-	// Spreads retries between one and two delays, so that callers do not return at
-	// the same moment.
-	j.respondUnavailable(err.Error(), j.retryAfter+time.Duration(hashFraction(j.head.ID)*float64(j.retryAfter)))
+	j.respondUnavailable(err.Error(), spread(j.retryAfter, j.head.ID))
 }
 
 // retryDelay is the time after which a refused request may be retried, spread
 // by request ID.
 func (j *job) retryDelay() time.Duration {
-	base := 250 * time.Millisecond
-	return base + time.Duration(hashFraction(j.head.ID)*float64(base))
+	const base = 250 * time.Millisecond
+	return spread(base, j.head.ID)
 }
 
 // chooseServer asks the router for the next server, and waits while none has
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -38,9 +38,8 @@
 // so it is written before the rows of others are read, which then include more entries.
 func (g *Gateway) keepRegistered(ctx context.Context) {
 	if !g.settings.Bootstrap {
-		g.awaitUntil(ctx, time.Now().Add(rosterTimeout), g.entriesRead)
+		awaitUntil(ctx, time.Now().Add(rosterTimeout), g.entriesRead)
 	}
-	pause := time.Duration((1 + hashFraction(g.settings.Node)) * float64(registerRetryPause))
 	for ctx.Err() == nil && !g.stopping.Load() {
 		if g.peers.registered() {
 			klog.InfoS("Entry registered", "node", g.settings.Node, "address", g.settings.ControlAddress, "entries", g.peers.count())
@@ -53,7 +52,7 @@
 		if err := g.register(ctx); err != nil {
 			g.storeAway.Store(!errors.Is(err, call.ErrBusy))
 			klog.InfoS("Entry not registered yet, will retry", "err", err)
-			sleep(ctx, pause)
+			sleep(ctx, spread(registerRetryPause, g.settings.Node))
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,10 +128,7 @@
 // awaitConfig waits up to firstConfigTimeout for the first configuration, which
 // sets the limits of callers' connections.
 func (g *Gateway) awaitConfig(ctx context.Context) {
-	deadline := time.Now().Add(firstConfigTimeout)
-	for !g.state.ready() && time.Now().Before(deadline) && ctx.Err() == nil {
-		time.Sleep(conditionPollInterval)
-	}
+	awaitUntil(ctx, time.Now().Add(firstConfigTimeout), g.state.ready)
 }
 
 func (g *Gateway) listenCallers() error {
@@ -261,18 +258,14 @@
 	}
 	g.unregister(ctx)
 	g.callerServer.SetKeepAlivesEnabled(false)
-	for time.Since(started) < maxProbeWait && ctx.Err() == nil && g.notReadyResponses.Load() < minNotReadyProbes {
-		time.Sleep(conditionPollInterval)
-	}
+	awaitUntil(ctx, started.Add(maxProbeWait), func() bool { return g.notReadyResponses.Load() >= minNotReadyProbes })
 	sleep(ctx, drainArrivalTime)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	err := g.callerServer.Shutdown(ctx)
 	// http.Server.Shutdown does not wait for connections whose Close a callerConn
 	// ignored.
-	for g.active.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, conditionPollInterval)
-	}
+	awaitUntil(ctx, end, func() bool { return g.active.Load() == 0 })
 	klog.InfoS("Stopped", "active", g.active.Load(), "tookMS", time.Since(started).Milliseconds(), "err", err)
 	g.cancel()
 	for _, server := range g.internalServers {
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -30,7 +30,7 @@
 	}
 	g.spawn(func() {
 		if g.settings.Bootstrap {
-			g.awaitUntil(ctx, start.Add(crowdedTimeout), func() bool { return g.peers.registered() || g.storeAway.Load() })
+			awaitUntil(ctx, start.Add(crowdedTimeout), func() bool { return g.peers.registered() || g.storeAway.Load() })
 		}
 		g.runFeed(ctx, g.entries)
 	})
@@ -70,14 +70,14 @@
 // awaitRoster waits until this entry knows the others, which determine from where it
 // reads. It waits longer if the store is up and only has too many calls.
 func (g *Gateway) awaitRoster(ctx context.Context, start time.Time) {
-	g.awaitUntil(ctx, start.Add(crowdedTimeout), func() bool {
+	awaitUntil(ctx, start.Add(crowdedTimeout), func() bool {
 		crowded := g.entries.refused.Load() || g.settings.Bootstrap && !g.storeAway.Load()
 		return g.entriesRead() || !crowded && time.Since(start) >= rosterTimeout
 	})
 }
 
 // awaitUntil waits until the condition holds, the deadline passes or ctx ends.
-func (g *Gateway) awaitUntil(ctx context.Context, deadline time.Time, condition func() bool) {
+func awaitUntil(ctx context.Context, deadline time.Time, condition func() bool) {
 	for !condition() && time.Now().Before(deadline) && ctx.Err() == nil {
 		sleep(ctx, conditionPollInterval)
 	}
