Router: look a server's load up once for each score

Since the terms for slowdown and running streams, a score read the same map three times. The terms are methods of the load now. No behaviour changes.

--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -282,15 +282,16 @@
 
 func (d *Direct) score(now time.Time, req *DirectRequest, s *DirectServer, p *prefixPlan) DirectTerms {
 	var t DirectTerms
-	t.QueueMS = d.queueMS(now, s, p == nil)
+	l := d.load(s.ID)
+	t.QueueMS = d.queueMS(now, l, s, p == nil)
 	if p != nil {
 		d.scorePrefix(now, req, s, p, &t)
 		t.MemoryMS = d.memoryMS(now, s, req)
 	}
 	if p != nil && d.options.ExclusiveServers {
-		t.InterruptMS = d.interruptMS(s.ID, t.PrefillMS)
+		t.InterruptMS = l.interruptMS(t.PrefillMS)
 	}
-	t.SlowdownMS = d.slowdownMS(now, s.ID, t.QueueMS+t.PrefillMS)
+	t.SlowdownMS = l.slowdownMS(now, t.QueueMS+t.PrefillMS)
 	if s.DataCentre != d.originDataCentre(req) {
 		t.DistanceMS = otherDataCentreMS
 	}
--- a/internal/routing/direct_load.go
+++ b/internal/routing/direct_load.go
@@ -55,8 +55,7 @@
 	return l
 }
 
-func (d *Direct) queueMS(now time.Time, s *DirectServer, withoutPrompt bool) float64 {
-	l := d.load(s.ID)
+func (d *Direct) queueMS(now time.Time, l *directLoad, s *DirectServer, withoutPrompt bool) float64 {
 	others := l.otherRequests * max(0, 1-float64(now.Sub(l.otherRequestsAt))/float64(reportLifetime))
 	if !withoutPrompt {
 		return l.prefillMS + d.othersPrefillMS(now, l) + runningRequestMS*float64(l.running) + otherEntryRequestMS*others
@@ -171,14 +170,13 @@
 
 // interruptMS is the cost of a prefill for the streams that run at a server: it delays
 // their next event. The square of its time, as short pauses make no stream late.
-func (d *Direct) interruptMS(server string, prefillMS float64) float64 {
-	return float64(d.load(server).running) * prefillMS * prefillMS / interruptScaleMS
+func (l *directLoad) interruptMS(prefillMS float64) float64 {
+	return float64(l.running) * prefillMS * prefillMS / interruptScaleMS
 }
 
 // slowdownMS returns by how much a server's reported slowdown extends work that
 // usually takes the given time; negative if the server is faster than usual.
-func (d *Direct) slowdownMS(now time.Time, server string, usualMS float64) float64 {
-	l := d.load(server)
+func (l *directLoad) slowdownMS(now time.Time, usualMS float64) float64 {
 	if l.slowdown == 0 {
 		return 0
 	}
