--- a/tools/controltable/main.go
+++ b/tools/controltable/main.go
@@ -9,7 +9,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 )
 
@@ -40,5 +39,5 @@
 		return err
 	}
 	defer file.Close()
-	return report.read(io.Reader(file))
+	return report.read(file)
 }
--- a/tools/controltable/report.go
+++ b/tools/controltable/report.go
@@ -33,13 +33,13 @@
 	// lives are the processes, by node; a node may have had several.
 	lives map[string][]*lifetime
 	// inForce holds the times at which entries put a configuration in force, by version.
-	inForce map[string][]time.Duration
+	inForce map[string][]time.Time
 	// starts holds the times from the start of a process until it served, in ms.
 	starts []float64
 }
 
 func newReport() *report {
-	return &report{lives: map[string][]*lifetime{}, inForce: map[string][]time.Duration{}}
+	return &report{lives: map[string][]*lifetime{}, inForce: map[string][]time.Time{}}
 }
 
 func (r *report) read(from io.Reader) error {
@@ -63,8 +63,7 @@
 		r.addLoad(texts["node"], texts["roles"], numbers)
 	case "Configuration in force":
 		if at, err := time.Parse("15:04:05.000000", parts[1]); err == nil {
-			midnight := time.Date(at.Year(), at.Month(), at.Day(), 0, 0, 0, 0, time.UTC)
-			r.inForce[texts["version"]] = append(r.inForce[texts["version"]], at.Sub(midnight))
+			r.inForce[texts["version"]] = append(r.inForce[texts["version"]], at)
 		}
 	case "Started":
 		if took, ok := numbers["tookMS"]; ok {
@@ -189,6 +188,6 @@
 	}
 	for _, version := range slices.Sorted(maps.Keys(r.inForce)) {
 		times := r.inForce[version]
-		fmt.Fprintf(text, "Configuration %s: in force at %d processes within %v of the first.\n", version, len(times), slices.Max(times)-slices.Min(times))
+		fmt.Fprintf(text, "Configuration %s: in force at %d processes within %v of the first.\n", version, len(times), slices.MaxFunc(times, time.Time.Compare).Sub(slices.MinFunc(times, time.Time.Compare)))
 	}
 }
