--- a/internal/feedsource/start_sim_test.go
+++ b/internal/feedsource/start_sim_test.go
@@ -1,7 +1,6 @@
 package feedsource_test
 
 import (
-	"container/heap"
 	"fmt"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 
 	"github.com/jayproxy/jayproxy/internal/feedsource"
 	"github.com/jayproxy/jayproxy/internal/roster"
+	"github.com/jayproxy/jayproxy/internal/virtualtime"
 )
 
 // The simulation starts all entries of a fleet at once, in virtual time, in front of a
@@ -52,31 +52,10 @@
 	dead int
 }
 
-type simEvent struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, k int) bool {
-	return q[i].at.Before(q[k].at) || q[i].at.Equal(q[k].at) && q[i].seq < q[k].seq
-}
-func (q simQueue) Swap(i, k int) { q[i], q[k] = q[k], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 type startSim struct {
 	startFleet
 	now     time.Time
-	queue   simQueue
-	seq     int
+	queue   virtualtime.Queue
 	all     map[string]*simEntry
 	rows    map[string]roster.Row
 	calls   int
@@ -101,8 +80,7 @@
 }
 
 func (s *startSim) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, simEvent{at: s.now.Add(d), seq: s.seq, do: do})
+	s.queue.Add(s.now.Add(d), do)
 }
 
 // play runs the start and returns when the last entry could serve.
@@ -123,10 +101,9 @@
 			s.after(startSpread*time.Duration(i*7919%f.entries)/time.Duration(f.entries), func() { s.begin(e) })
 		}
 	}
-	for len(s.queue) > 0 && s.now.Before(start.Add(time.Minute)) {
-		event := heap.Pop(&s.queue).(simEvent)
-		s.now = event.at
-		event.do()
+	for s.queue.Len() > 0 && s.now.Before(start.Add(time.Minute)) {
+		s.now = s.queue.NextAt()
+		s.queue.Pop()()
 	}
 	slowest := time.Duration(0)
 	for _, e := range s.all {
@@ -140,7 +117,7 @@
 func (s *startSim) begin(e *simEntry) {
 	e.startedAt = s.now
 	for table := range tables {
-		e.sources[table] = feedsource.New(feedsource.Settings{Bootstrap: s.bootstrap, ReadsPerSecond: float64(s.readsPerS), Spread: float64(len(s.queue)%100) / 100})
+		e.sources[table] = feedsource.New(feedsource.Settings{Bootstrap: s.bootstrap, ReadsPerSecond: float64(s.readsPerS), Spread: float64(s.queue.Len()%100) / 100})
 	}
 	if s.bootstrap {
 		s.write(e, func() { s.read(e, entriesTable) })
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -1,7 +1,6 @@
 package quota_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 
 	"github.com/jayproxy/jayproxy/internal/quota"
 	"github.com/jayproxy/jayproxy/internal/shard"
+	"github.com/jayproxy/jayproxy/internal/virtualtime"
 )
 
 // simulation plays entries, callers and the network in virtual time. All that the
@@ -18,8 +18,7 @@
 	random  *rand.Rand
 	now     time.Time
 	start   time.Time
-	events  eventQueue
-	order   int
+	events  virtualtime.Queue
 	bounds  quota.Bounds
 	entries []*simEntry
 	names   map[string]*simEntry
@@ -94,30 +93,6 @@
 	returned bool
 }
 
-type event struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 func newSimulation(seed uint64, entries int, policy simPolicy) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), listed: entries, policy: policy,
@@ -155,16 +130,14 @@
 }
 
 func (s *simulation) after(d time.Duration, run func()) {
-	s.order++
-	heap.Push(&s.events, event{at: s.now.Add(d), order: s.order, run: run})
+	s.events.Add(s.now.Add(d), run)
 }
 
 func (s *simulation) runFor(d time.Duration) {
 	until := s.now.Add(d)
-	for len(s.events) > 0 && !s.events[0].at.After(until) {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.run()
+	for s.events.Len() > 0 && !s.events.NextAt().After(until) {
+		s.now = s.events.NextAt()
+		s.events.Pop()()
 	}
 	s.now = until
 }
--- a/internal/spread/sim_test.go
+++ b/internal/spread/sim_test.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -10,6 +9,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/virtualtime"
 )
 
 // fakeNet runs cores in virtual time, with an event queue, fixed one-way delays, seeded
@@ -17,8 +17,7 @@
 type fakeNet struct {
 	now      time.Time
 	random   *rand.Rand
-	queue    eventQueue
-	seq      int
+	queue    virtualtime.Queue
 	nodes    map[keys.Identity]*fakeProcess
 	order    []*fakeProcess
 	listed   []Peer
@@ -42,30 +41,6 @@
 	reachableRole keys.Role // when set, the process reaches only this role
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // newFakeNet distributes entries and agents evenly over data centres and regions.
 func newFakeNet(seed uint64, centres, regions, entries, agents int) *fakeNet {
 	n := &fakeNet{
@@ -96,8 +71,7 @@
 }
 
 func (n *fakeNet) after(d time.Duration, do func()) {
-	n.seq++
-	heap.Push(&n.queue, event{at: n.now.Add(d), seq: n.seq, do: do})
+	n.queue.Add(n.now.Add(d), do)
 }
 
 func (n *fakeNet) run(d time.Duration) { n.runUntil(d, func() bool { return false }) }
@@ -107,10 +81,9 @@
 func (n *fakeNet) runUntil(d time.Duration, done func() bool) time.Duration {
 	began := n.now
 	end := n.now.Add(d)
-	for len(n.queue) > 0 && n.queue[0].at.Before(end) {
-		e := heap.Pop(&n.queue).(event)
-		n.now = e.at
-		e.do()
+	for n.queue.Len() > 0 && n.queue.NextAt().Before(end) {
+		n.now = n.queue.NextAt()
+		n.queue.Pop()()
 		if done() {
 			return n.now.Sub(began)
 		}
