--- a/internal/feedsource/start_sim_test.go
+++ b/internal/feedsource/start_sim_test.go
@@ -248,9 +248,8 @@
 	}
 }
 
-// Guards against store calls of a start that grow faster than the fleet: at the first start
-// of the whole system an entry writes its row and reads those of the others, and makes one
-// more call at most in the mean.
+// Guards against store calls of a first start that grow faster than the fleet: beside its own
+// row and those of the others an entry makes one call at most in the mean.
 func TestCallsOfAFirstStart(t *testing.T) {
 	for _, n := range []int{100, 357, 810, 1620} {
 		s, slowest := startFleet{entries: n, servers: 9 * n, readsPerS: 16000, bootstrap: true}.play()
--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -71,9 +71,8 @@
 	assert.True(t, g.feeds[0].failing.Load(), "a failing feed makes the entry read from other entries")
 }
 
-// Guards against reads from relays that are more frequent than the bounds require, as they
-// are most of the messages between entries, and against data that is older than a bound
-// when a relay does not answer.
+// Guards against reads from relays that are more frequent than the bounds require, and data
+// that is older than a bound when a relay does not answer.
 func TestPauseBetweenRelayReadsFollowsTheBounds(t *testing.T) {
 	for _, c := range []struct{ drain, config, want time.Duration }{
 		{2 * time.Second, 2 * time.Second, minRelayPause},
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -44,8 +44,8 @@
 
 // Guards against traffic between entries for heartbeats, which change a row but
 // not its meaning.
-// Guards against a server that stays listed at some entries after it has left: its row was
-// removed before their relay started, whose complete table does not list removals.
+// Guards against a server that stays listed after it has left: a relay that started later
+// has a complete table, which lists no removals.
 func TestARemovalBeforeTheSnapshotOfARelayIsPassedOn(t *testing.T) {
 	var entry, relay mirror.Copy
 	entry.Apply(mirror.Batch{Version: 5, Snapshot: true, Rows: []mirror.Row{{Key: "a", Version: 1}, {Key: "left", Version: 2}}})
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -63,6 +63,13 @@
 		r.Put(fmt.Sprint("gw", strong), stronger)
 	}
 	assert.ElementsMatch(t, []string{row(3).Address, row(5).Address}, relaysOf(r, now), "the entries with the most cores in its data centre")
+	strongest := row(6)
+	strongest.Cores = 0.8
+	r = roster.New("gw6", strongest, nil, maxFlat)
+	for k := range 40 {
+		r.Put(fmt.Sprint("gw", k), row(k))
+	}
+	assert.Nil(t, relaysOf(r, now), "the strongest entry reads from the store")
 }
 
 // Guards against one relay that carries the reads of its whole data centre while the other
--- a/internal/routing/owner_test.go
+++ b/internal/routing/owner_test.go
@@ -16,8 +16,7 @@
 }
 
 // Guards against prompts that queue at the preferred server of a new prefix while other
-// servers are idle, in a burst of prompts with prefixes that nobody holds yet: the owner
-// of all servers knows that none is being prefilled elsewhere.
+// servers are idle, in a burst of prompts with prefixes that nobody holds yet.
 func TestBurstOfNewPrefixesSpreadsOverAnOwnersServers(t *testing.T) {
 	owner, servers := newOwner(), directServers(8)
 	placed := map[string]int{}
@@ -42,9 +41,7 @@
 	}
 }
 
-// Guards against two prefills of one prefix: where it is being prefilled already, a
-// request waits rather than prefilling it elsewhere, and elsewhere only if the wait is
-// longer.
+// Guards against two prefills of one prefix while it is being prefilled.
 func TestOwnerDoesNotPrefillAPendingPrefixTwice(t *testing.T) {
 	owner, servers := newOwner(), directServers(8)
 	first := choose(t, owner, 0, prompt("r0", "contract"), servers)
