Agent, entry: records of why a stream is not found

Cause: 404 stream_not_found has six causes at the agent and one at the entry, and the line 'resume refused' told none of the first apart: a response that was delivered, canceled, not read, pushed out by replay.total_bytes or whose body was incomplete all read 'no response is kept'.

Change: the registry keeps with each accepted id why and when its response was discarded, and 'resume refused' carries it; 'response discarded' (-v=1); at the entry 'stream not found' with the generations of token and catalog, and failed resumes count in refusals_CODE, which they did not once the agent was asked.

--- /dev/null
+++ b/internal/agent/discard.go
@@ -0,0 +1,35 @@
+package agent
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// discardReason tells why a response is no longer kept.
+type discardReason string
+
+const (
+	discardDelivered  discardReason = "delivered"
+	discardCanceled   discardReason = "canceled"
+	discardUnread     discardReason = "not read for replay.retain_ms"
+	discardSpace      discardReason = "replay.total_bytes exceeded"
+	discardIncomplete discardReason = "body incomplete"
+)
+
+// discarded records when and why a response was discarded; its reason is empty while the
+// response is kept.
+type discarded struct {
+	reason discardReason
+	at     time.Time
+}
+
+// forget discards the attempt and its response.
+func (a *Agent) forget(att *attempt, reason discardReason) {
+	now := time.Now()
+	if !a.attempts.forget(att.id, discarded{reason, now}) {
+		return
+	}
+	klog.V(1).InfoS("response discarded", "request", att.id, "workspace", att.offer.GetWorkspace(), "reason", reason,
+		"chunks", att.response.count(), "age", now.Sub(att.offered), "sinceLastContact", att.idle(now))
+}
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -291,7 +291,7 @@
 	end.State = a.state()
 	a.observeEnd(att, end)
 	att.response.finish(end)
-	a.attempts.keep(att.id, att.keptBytes())
+	a.attempts.keep(att.id, att.keptBytes(), time.Now())
 	klog.V(1).InfoS("attempt ended", "request", att.offer.GetRequestId(), "attempt", att.offer.GetAttempt(),
 		"workspace", att.offer.GetWorkspace(), "backendServer", a.settings.Name, "outcome", state,
 		"refusal", end.GetRefusal().String(), "error", end.GetError())
@@ -325,6 +325,6 @@
 			a.discardUnread(id, left)
 			return
 		}
-		a.attempts.forget(id)
+		a.forget(att, discardUnread)
 	})
 }
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"context"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -23,7 +24,7 @@
 	mu          sync.Mutex
 	closed      bool
 	attempts    map[string]*attempt
-	acceptedIDs *simplelru.LRU[string, struct{}]
+	acceptedIDs *simplelru.LRU[string, discarded]
 	changed     chan struct{}
 	// kept lists the attempts that have ended, oldest first, as keptAttempt; keptByID
 	// has their elements, totalBytes is the sum of their sizes.
@@ -39,7 +40,7 @@
 }
 
 func newAttemptRegistry(maxKeptBytes int) *attemptRegistry {
-	acceptedIDs, err := simplelru.NewLRU[string, struct{}](maxAcceptedIDs, nil)
+	acceptedIDs, err := simplelru.NewLRU[string, discarded](maxAcceptedIDs, nil)
 	if err != nil {
 		panic(err) // NewLRU fails only for a size below 1.
 	}
@@ -73,7 +74,7 @@
 	if r.closed {
 		return jayv1.Refusal_REFUSAL_LEAVING
 	}
-	r.acceptedIDs.Add(att.id, struct{}{})
+	r.acceptedIDs.Add(att.id, discarded{})
 	r.attempts[att.id] = att
 	return 0
 }
@@ -87,17 +88,27 @@
 	r.drop(id)
 }
 
-// forget discards an attempt and its response. Its id is still refused as a
-// duplicate.
-func (r *attemptRegistry) forget(id string) {
+// forget discards an attempt and its response, and reports whether it was kept until
+// then. Its id is still refused as a duplicate.
+func (r *attemptRegistry) forget(id string, why discarded) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.drop(id)
+	return r.discard(id, why)
+}
+
+func (r *attemptRegistry) discard(id string, why discarded) bool {
+	if !r.drop(id) {
+		return false
+	}
+	if r.acceptedIDs.Contains(id) {
+		r.acceptedIDs.Add(id, why)
+	}
+	return true
 }
 
 // keep records that an attempt has ended and the memory that it takes until it is
 // dropped. When the total exceeds maxKeptBytes, the oldest ones are discarded.
-func (r *attemptRegistry) keep(id string, bytes int) {
+func (r *attemptRegistry) keep(id string, bytes int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.attempts[id] == nil {
@@ -106,14 +117,15 @@
 	r.keptByID[id] = r.kept.PushBack(keptAttempt{id, bytes})
 	r.totalBytes += bytes
 	for r.totalBytes > r.maxKeptBytes {
-		r.drop(r.kept.Front().Value.(keptAttempt).id)
+		r.discard(r.kept.Front().Value.(keptAttempt).id, discarded{discardSpace, now})
 	}
 }
 
-func (r *attemptRegistry) drop(id string) {
+// drop removes an attempt and reports whether it was registered.
+func (r *attemptRegistry) drop(id string) bool {
 	att, ok := r.attempts[id]
 	if !ok {
-		return
+		return false
 	}
 	if element, ok := r.keptByID[id]; ok {
 		r.totalBytes -= r.kept.Remove(element).(keptAttempt).bytes
@@ -123,6 +135,7 @@
 	delete(r.attempts, id)
 	close(r.changed)
 	r.changed = make(chan struct{})
+	return true
 }
 
 func (r *attemptRegistry) get(id string) *attempt {
@@ -131,11 +144,12 @@
 	return r.attempts[id]
 }
 
-// accepted reports whether the id is among those accepted recently.
-func (r *attemptRegistry) accepted(id string) bool {
+// accepted reports whether the id is among those accepted recently, and why its response
+// is no longer kept.
+func (r *attemptRegistry) accepted(id string) (why discarded, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.acceptedIDs.Contains(id)
+	return r.acceptedIDs.Peek(id)
 }
 
 func (r *attemptRegistry) all() []*attempt {
--- a/internal/agent/responsebuffer.go
+++ b/internal/agent/responsebuffer.go
@@ -98,6 +98,13 @@
 	return r.link, nil
 }
 
+// count returns the number of chunks so far.
+func (r *responseBuffer) count() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.buffer.Count()
+}
+
 // bytes returns the size of the buffered chunks.
 func (r *responseBuffer) bytes() int {
 	r.mu.Lock()
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -95,12 +95,16 @@
 	id := attemptID(req.GetRequestId(), req.GetAttempt())
 	a.metrics.Count(metricResumeRefused, req.GetWorkspace(), 1)
 	level := klog.Level(1)
-	accepted := a.attempts.accepted(id)
+	why, accepted := a.attempts.accepted(id)
 	if accepted {
 		level = 0
 	}
+	ago := time.Duration(0)
+	if why.reason != "" {
+		ago = time.Since(why.at)
+	}
 	klog.V(level).InfoS("resume refused", "request", id, "workspace", req.GetWorkspace(), "nextSeq", req.GetNextSeq(), "reason", reason,
-		"otherClaim", att != nil && !att.claim.Matches(claimOf(req)), "acceptedBefore", accepted)
+		"otherClaim", att != nil && !att.claim.Matches(claimOf(req)), "acceptedBefore", accepted, "discarded", why.reason, "discardedAgo", ago)
 }
 
 func (a *Agent) sendEnd(s *transport.Stream, end *jayv1.End) {
@@ -133,7 +137,7 @@
 		_ = s.SetReadDeadline(time.Now().Add(lingerTimeout))
 		<-readerDone
 		if stopAbort() && errors.Is(readerErr, io.EOF) {
-			a.attempts.forget(att.id)
+			a.forget(att, discardDelivered)
 		}
 	case sendReplaced:
 		s.Abort()
@@ -225,7 +229,7 @@
 // and nobody will resume it.
 func (a *Agent) discardCanceled(att *attempt, link int) {
 	if att.response.isCurrent(link) {
-		a.attempts.forget(att.id)
+		a.forget(att, discardCanceled)
 	}
 }
 
@@ -239,7 +243,7 @@
 	}
 	if _, changed := att.fire(eventLinkLost); changed {
 		a.finishAttempt(att, &jayv1.End{Error: "link lost before the body was complete"})
-		a.attempts.forget(att.id)
+		a.forget(att, discardIncomplete)
 		return
 	}
 	klog.V(1).InfoS("link lost, response kept for resume", "request", att.offer.GetRequestId(),
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -8,6 +8,7 @@
 
 	"github.com/labstack/echo/v4"
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/relay"
@@ -70,6 +71,7 @@
 		return streamNotReached("the backend server that keeps the stream is not known to this entry yet")
 	}
 	if !ok {
+		logStreamNotFound(token, call, "the backend server is not in the catalog")
 		return notFound
 	}
 	next, ok := nextAfter(c.Request().Header.Get("Last-Event-ID"))
@@ -93,10 +95,23 @@
 	to := &sseSink{caller: client, newToken: e.resumeToken}
 	to.Begin(a)
 	a.follow(c.Request().Context(), to)
-	to.finish(resumeResult(a, to.Started(), notFound))
+	r := resumeResult(a, to.Started(), notFound)
+	if r.err != nil {
+		e.countRefusal(call.workspace, r.err)
+	}
+	if r.err == notFound {
+		logStreamNotFound(token, call, a.end.GetError())
+	}
+	to.finish(r)
 	return nil
 }
 
+// logStreamNotFound records why a caller is told that its stream does not exist.
+func logStreamNotFound(token *jayv1.ResumeToken, call *call, reason string) {
+	klog.InfoS("stream not found", "request", token.GetRequestId(), "attempt", token.GetAttempt(), "workspace", call.workspace.GetName(),
+		"server", token.GetBackendServer(), "reason", reason, "tokenGeneration", token.GetGeneration(), "generation", call.table.Generation())
+}
+
 // nextAfter returns the sequence number of the chunk after the last received
 // event, false when the event id is not valid.
 func nextAfter(lastEventID string) (uint64, bool) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -187,7 +187,8 @@
 		"attempts", r.attempts, "outcome", OutcomeName(r.outcome))
 }
 
-// countRefusal counts a request that was refused before its first attempt.
+// countRefusal counts a request that was refused before its first attempt, or a resume
+// that failed.
 func (e *Entry) countRefusal(workspace *jayv1.Workspace, refusal *Error) {
 	label := "none"
 	if workspace != nil {
