Agent: only the close of the newest link discards a response

Callers that resumed at another entry were cut off and then got 404, when the entry that they had left read the response to its end and closed its stream.

Cause: relay took the close after the last frame for proof of delivery without asking whether its link was still the current one.

Evidence: TestResponseIsKeptForItsNewestReader, on 0 of 10 ('stream canceled by remote' at the second reader), with this change 20 of 20 (-race).

Not the cause of the listed 404s of TestStreamsComeWholeThroughDyingEntries: its callers ask to keep the response, and entries abort such streams.

--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -95,6 +95,31 @@
 	}
 }
 
+// Guards against 404 for a caller that resumes at another entry: the entry that it left closes its
+// stream after the last frame, while the response is still read on a newer one.
+func TestResponseIsKeptForItsNewestReader(t *testing.T) {
+	const chunks, chunkBytes, first = 12, 64 << 10, 2 // Far more than the window of a stream.
+	fix := newFixture(t, nil)
+	list := make([]string, chunks)
+	for i := range list {
+		list[i] = strings.Repeat("x", chunkBytes)
+	}
+	fix.engine.set(func(f *fakeEngine) { f.script = wordEvents(list...) })
+	offer := modelOffer("r1")
+	left := fix.accepted(offer, "{}")
+	for receive(t, left).GetEnd() == nil { //nolint:revive // reads to the last frame, without a close
+	}
+	resumed := fix.open()
+	send(t, resumed, resumeFrame(offer, first))
+	require.EqualValues(t, first, receive(t, resumed).GetChunk().GetSeq())
+	require.NoError(t, left.CloseSend())
+	require.ErrorIs(t, left.Receive(&jayv1.ServerFrame{}), io.EOF)
+	time.Sleep(50 * time.Millisecond) // Until the agent has read the close.
+	got := readResponse(t, resumed)
+	assert.Len(t, got.chunks, chunks-first-1)
+	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
+}
+
 // Guards against running a request whose body was not completely received; the
 // entry reports it as not run.
 func TestIncompleteBodyNeverRuns(t *testing.T) {
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -137,7 +137,7 @@
 		_ = s.SetReadDeadline(time.Now().Add(lingerTimeout))
 		<-readerDone
 		if stopAbort() && errors.Is(readerErr, io.EOF) {
-			a.forget(att, discardDelivered)
+			a.forgetRead(att, link, discardDelivered)
 		}
 	case sendReplaced:
 		s.Abort()
@@ -148,7 +148,7 @@
 		<-readerDone
 		s.Abort()
 		if errors.Is(readerErr, io.EOF) && att.ended() {
-			a.discardCanceled(att, link)
+			a.forgetRead(att, link, discardCanceled)
 		} else {
 			a.linkLost(att, link)
 		}
@@ -224,12 +224,13 @@
 	return nil
 }
 
-// discardCanceled discards the response of an attempt that its entry canceled and
-// closed without reading the rest. Kept responses of others would be evicted for it,
-// and nobody will resume it.
-func (a *Agent) discardCanceled(att *attempt, link int) {
+// forgetRead discards the response of an attempt whose entry closed the link: it has
+// read all of it, or canceled the request and will not read the rest. Kept responses of
+// others would be evicted for it. A newer link may have another reader, which still
+// needs the response.
+func (a *Agent) forgetRead(att *attempt, link int, reason discardReason) {
 	if att.response.isCurrent(link) {
-		a.forget(att, discardCanceled)
+		a.forget(att, reason)
 	}
 }
 
