Entry: what is held back for a resume is bounded in bytes

Cause: an entry acknowledged a stream's chunks 4,096 chunks late, and the agent keeps what is not acknowledged in a buffer of 1 MB: it waited for an acknowledgement that never came, until replay.stall_ms.

Change: relay.Acks (pure) decides; attempts.resume_bytes (512 KB) bounds what is held back, attempts.ack_bytes (64 KB) the distance of two acknowledgements.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -63,16 +63,11 @@
 	limits     AttemptSettings
 	timeouts   TimeoutSettings
 
-	chart  *statechart.Chart
-	state  string
-	stream *transport.Stream
-	chunks relay.Receiver
-	// acked is the sequence number up to which the agent may discard chunks. It
-	// stays at least ackLag chunks behind the last one passed on: chunks written
-	// to a caller's connection may never have reached the caller, who then resumes
-	// through another entry.
-	acked        uint64
-	ackLag       uint64
+	chart        *statechart.Chart
+	state        string
+	stream       *transport.Stream
+	chunks       relay.Receiver
+	acks         relay.Acks
 	reply        *jayv1.OfferReply
 	end          *jayv1.End
 	headReceived bool
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -11,6 +11,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/catalog"
+	"github.com/jayproxy/jayproxy/internal/relay"
 	"github.com/jayproxy/jayproxy/internal/routing"
 )
 
@@ -120,9 +121,7 @@
 	a.workspace, a.dial = d.request.workspace.GetName(), d.entry.node
 	a.limits, a.timeouts = d.entry.settings.Attempts, d.entry.settings.Timeouts
 	a.deadline, a.resumable = d.request.deadline, d.request.resumable
-	if d.request.stream {
-		a.ackLag = uint64(a.limits.ResumeChunks) //nolint:gosec // not negative by the setting's rule
-	}
+	a.acks = relay.NewAcks(a.limits.acks(d.request.stream), 0)
 	a.onReply = func(reply *jayv1.OfferReply) { d.entry.picker.replied(time.Now(), d.request, a.server, reply) }
 	a.nonce = make([]byte, nonceBytes)
 	_, _ = rand.Read(a.nonce)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -90,13 +90,10 @@
 		return err
 	}
 	a.resumesSinceChunk = 0
-	next := a.chunks.Next()
-	if next < a.acked+uint64(a.limits.AckChunks)+a.ackLag { //nolint:gosec // a positive setting
+	if !a.acks.Passed(len(chunk.GetData())) {
 		return nil
 	}
-	next -= a.ackLag
-	a.acked = next
-	return a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: next}}})
+	return a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: a.acks.Acked()}}})
 }
 
 // firstTokenMS returns the milliseconds from the acceptance to the first chunk, 0
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -89,7 +89,7 @@
 	a.generation = max(token.GetGeneration(), call.table.Generation())
 	a.chunks = relay.ReceiverAt(next)
 	a.dial, a.limits, a.timeouts = e.node, e.settings.Attempts, e.settings.Timeouts
-	a.ackLag = uint64(a.limits.ResumeChunks) //nolint:gosec // not negative by the setting's rule
+	a.acks = relay.NewAcks(a.limits.acks(true), next)
 	a.resumable = c.Request().Header.Get(HeaderResume) == resumeKeep
 	client := newCaller(c.Response(), token.GetRequestId(), ms(e.settings.Timeouts.CallerWriteMS))
 	to := &sseSink{caller: client, newToken: e.resumeToken}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -7,6 +7,7 @@
 	"github.com/jayproxy/jayproxy/internal/catalog"
 	"github.com/jayproxy/jayproxy/internal/control"
 	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/relay"
 	"github.com/jayproxy/jayproxy/internal/spread"
 )
 
@@ -83,7 +84,19 @@
 	ResumeWaitMS   int     `toml:"resume_wait_ms" validate:"gt=0" unit:"ms" doc:"Wait before the second try to resume; doubles with each."`
 	ResumeWindowMS int     `toml:"resume_window_ms" validate:"gt=0" unit:"ms" doc:"Time after a lost link in which a stream is resumed."`
 	AckChunks      int     `toml:"ack_chunks" validate:"gt=0" unit:"chunks" doc:"Chunks passed on between two acknowledgements to the agent."`
+	AckBytes       int     `toml:"ack_bytes" validate:"gt=0" unit:"bytes" doc:"Bytes passed on between two acknowledgements to the agent, if they come before ack_chunks."`
 	ResumeChunks   int     `toml:"resume_chunks" validate:"gte=0" unit:"chunks" doc:"Chunks of a stream that stay unacknowledged behind the last one passed on, for a caller that lost its connection and resumes."`
+	ResumeBytes    int     `toml:"resume_bytes" validate:"gte=0" unit:"bytes" doc:"Bytes of a stream that stay unacknowledged, if they come before resume_chunks. With ack_bytes it must be well below the agents' replay.bytes: chunks that are not acknowledged fill that buffer, and a full one holds the engine back."`
+}
+
+// acks returns the limits of the acknowledgements of a response. Only streams can be resumed by
+// their callers.
+func (s AttemptSettings) acks(stream bool) relay.AckLimits {
+	limits := relay.AckLimits{EveryChunks: s.AckChunks, EveryBytes: s.AckBytes}
+	if stream {
+		limits.HeldChunks, limits.HeldBytes = s.ResumeChunks, s.ResumeBytes
+	}
+	return limits
 }
 
 // LedgerSettings configure the claims of calls that may run at most once.
@@ -112,7 +125,8 @@
 		},
 		Attempts: AttemptSettings{
 			Max: 8, MaxDeclines: 3, RetryShare: 0.1, RetryBurst: 20,
-			ResumeTries: 6, ResumeWaitMS: 50, ResumeWindowMS: 15000, AckChunks: 32, ResumeChunks: 4096,
+			ResumeTries: 6, ResumeWaitMS: 50, ResumeWindowMS: 15000, AckChunks: 32, AckBytes: 64 << 10,
+			ResumeChunks: 4096, ResumeBytes: 512 << 10,
 		},
 		Spread: spread.DefaultSettings(), Control: control.DefaultSettings(),
 		Ledger: LedgerSettings{WindowMS: 3, InFlight: 4, SettleMS: 3000, KeepDays: 30, TrimMS: 2000},
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -170,3 +170,48 @@
 		}
 	})
 }
+
+// Guards against a stream that stands still: what is held back for a resume must leave space in the
+// sender's buffer, whatever the size of the chunks.
+func TestHeldBackChunksDoNotFillTheBuffer(t *testing.T) {
+	limits := relay.AckLimits{EveryChunks: 32, EveryBytes: 64 << 10, HeldChunks: 4096, HeldBytes: 512 << 10}
+	const bufferBytes, responseBytes = 1 << 20, 4 << 20
+	for _, size := range []int{1, 250, 4 << 10, 64 << 10, 200 << 10} {
+		b, acks := relay.NewBuffer(bufferBytes), relay.NewAcks(limits, 0)
+		for n := range min(responseBytes/size, 20_000) {
+			require.NoError(t, b.Append(make([]byte, size)), "chunk %d of %d bytes", n, size)
+			seq, data, ok := b.Next()
+			require.True(t, ok)
+			if acks.Passed(len(data)) {
+				b.Ack(acks.Acked())
+			}
+			require.LessOrEqual(t, seq+1-acks.Acked(), uint64(limits.HeldChunks+limits.EveryChunks))
+		}
+	}
+}
+
+// Guards against an acknowledgement of chunks that are held back for a caller that resumes.
+func TestAcknowledgementsStayBehind(t *testing.T) {
+	tests := map[string]struct {
+		limits relay.AckLimits
+		sizes  []int
+		want   []uint64
+	}{
+		"chunks":                {relay.AckLimits{EveryChunks: 2, EveryBytes: 1 << 20, HeldChunks: 3, HeldBytes: 1 << 20}, []int{1, 1, 1, 1, 1, 1, 1}, []uint64{2, 4}},
+		"bytes":                 {relay.AckLimits{EveryChunks: 100, EveryBytes: 1000, HeldChunks: 100, HeldBytes: 2000}, []int{1000, 1000, 1000, 1000}, []uint64{1, 2}},
+		"nothing is held back":  {relay.AckLimits{EveryChunks: 2, EveryBytes: 1 << 20}, []int{1, 1, 1, 1, 1}, []uint64{2, 4}},
+		"too few for any limit": {relay.AckLimits{EveryChunks: 10, EveryBytes: 1000}, []int{1, 1}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			acks := relay.NewAcks(tt.limits, 0)
+			var got []uint64
+			for _, size := range tt.sizes {
+				if acks.Passed(size) {
+					got = append(got, acks.Acked())
+				}
+			}
+			assert.Equal(t, tt.want, got)
+		})
+	}
+}
--- a/test/history/retention_test.go
+++ b/test/history/retention_test.go
@@ -20,13 +20,15 @@
 	t           *testing.T
 	cluster     *cluster.Cluster
 	client      *http.Client
+	tokens      int // Of the answer.
 	lastEventID string
 	events      int
+	bytes       int
 }
 
 func (s *slowCaller) send(method, path string) *http.Response {
 	s.t.Helper()
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"Review."}]}`, cluster.Model, answerTokens)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"Review."}]}`, cluster.Model, s.tokens)
 	request, err := http.NewRequestWithContext(s.t.Context(), method, s.cluster.Entries()[0].CallersURL()+path, strings.NewReader(body))
 	require.NoError(s.t, err)
 	request.Header.Set("Authorization", "Bearer "+cluster.Key(s.cluster.Options.Workspaces[0]))
@@ -60,6 +62,7 @@
 			s.events++
 			n++
 		}
+		s.bytes += len(scanner.Bytes())
 		if scanner.Text() == "data: [DONE]" {
 			return true
 		}
@@ -80,7 +83,7 @@
 		Agent: func(s *agent.Settings) { s.Replay.RetainMS = int(retain.Milliseconds()) }})
 	require.NoError(t, err)
 	defer c.Close()
-	s := &slowCaller{t: t, cluster: c, client: &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &slowCaller{t: t, cluster: c, client: &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}, tokens: answerTokens}
 	began := time.Now()
 	response := s.send(http.MethodPost, "/v1/chat/completions")
 	token := response.Header.Get(entry.HeaderResumeToken)
@@ -92,3 +95,19 @@
 	require.GreaterOrEqual(t, s.events, answerTokens)
 	require.Greater(t, time.Since(began), retain+retain/2, "the caller was not slow enough to test the retention")
 }
+
+// Guards against a long stream that is cut off although its caller reads it: entries must acknowledge
+// enough of it for the agent's replay buffer, at the default settings of both.
+func TestStreamLongerThanTheReplayBufferIsComplete(t *testing.T) {
+	const tokens, timeout = 4096, time.Minute // The most that the engine generates.
+	options := cluster.Options{Entries: 1, Engines: 1}
+	options.Engine.DecodeStep = 100 * time.Microsecond
+	c, err := cluster.Start(t.Context(), options)
+	require.NoError(t, err)
+	defer c.Close()
+	s := &slowCaller{t: t, cluster: c, client: &http.Client{Timeout: timeout}, tokens: tokens}
+	response := s.send(http.MethodPost, "/v1/chat/completions")
+	require.True(t, s.read(response, tokens*2))
+	require.GreaterOrEqual(t, s.events, tokens)
+	require.Greater(t, s.bytes, agent.Default().Replay.Bytes, "the stream is too short for this test")
+}
