Agent: a resume acknowledges nothing

Cause: the agent took the first chunk that a reconnecting entry lacks for an acknowledgement of all before it, also of those that the entry holds back for its caller, and obeyed acknowledgements of replaced links. Both let it evict them in a response larger than replay.bytes.

Change: a resume only moves the cursor; the entry sends its last acknowledgement after it, for a caller that comes back the event that it named.

--- a/internal/agent/responsebuffer.go
+++ b/internal/agent/responsebuffer.go
@@ -119,9 +119,14 @@
 	return r.link == link
 }
 
-func (r *responseBuffer) ack(next uint64) {
+// ack records an acknowledgement that was received on the link. Those of replaced links
+// are ignored: the reader of the current link may lack the chunks.
+func (r *responseBuffer) ack(link int, next uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.link != link {
+		return
+	}
 	r.buffer.Ack(next)
 	r.notify()
 }
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -120,6 +121,35 @@
 	assert.Equal(t, jayv1.Outcome_OUTCOME_DONE, got.end.GetOutcome())
 }
 
+// Guards against 404 for a caller that comes back for events that its entry had read and passed on:
+// a reconnect of the entry must not free them.
+func TestChunksThatTheCallerMayLackAreKept(t *testing.T) {
+	const chunks, chunkBytes, kept, read, lacks = 12, 1000, 6, 4, 1
+	fix := newFixture(t, func(s *agent.Settings) { s.Replay.Bytes = kept * chunkBytes })
+	list := slices.Repeat([]string{strings.Repeat("x", chunkBytes)}, chunks)
+	gate := make(chan struct{}, chunks)
+	fix.engine.set(func(f *fakeEngine) { f.script, f.gate = wordEvents(list...), gate })
+	offer := modelOffer("r1")
+	s := fix.accepted(offer, "{}")
+	for range read {
+		gate <- struct{}{}
+		receive(t, s)
+	}
+	s.Abort()
+	reconnected := fix.open()
+	send(t, reconnected, resumeFrame(offer, read))
+	for range kept - 1 {
+		gate <- struct{}{}
+	}
+	receive(t, reconnected)
+	time.Sleep(50 * time.Millisecond) // Until the buffer is full.
+	resumed := fix.open()
+	send(t, resumed, resumeFrame(offer, lacks))
+	frame := receive(t, resumed)
+	require.NotNil(t, frame.GetChunk(), "%v", frame.GetEnd().GetError())
+	assert.EqualValues(t, lacks, frame.GetChunk().GetSeq())
+}
+
 // Guards against running a request whose body was not completely received; the
 // entry reports it as not run.
 func TestIncompleteBodyNeverRuns(t *testing.T) {
--- a/internal/agent/streams.go
+++ b/internal/agent/streams.go
@@ -126,7 +126,7 @@
 	var readerErr error
 	go func() {
 		defer close(readerDone)
-		readerErr = a.readFrames(att, s)
+		readerErr = a.readFrames(att, link, s)
 		if !errors.Is(readerErr, io.EOF) {
 			cancel()
 		}
@@ -191,7 +191,7 @@
 // readFrames handles body, acknowledgement and cancel frames of the entry. It
 // returns io.EOF when the entry has closed its side, else the error that ended
 // the link.
-func (a *Agent) readFrames(att *attempt, s *transport.Stream) error {
+func (a *Agent) readFrames(att *attempt, link int, s *transport.Stream) error {
 	for {
 		var frame jayv1.ClientFrame
 		if err := s.Receive(&frame); err != nil {
@@ -201,7 +201,7 @@
 			}
 			return err
 		}
-		if err := a.handleFrame(att, &frame, s); err != nil {
+		if err := a.handleFrame(att, link, &frame, s); err != nil {
 			return err
 		}
 	}
@@ -209,12 +209,12 @@
 
 var errUnexpectedFrame = errors.New("frame type not allowed on this stream")
 
-func (a *Agent) handleFrame(att *attempt, frame *jayv1.ClientFrame, s *transport.Stream) error {
+func (a *Agent) handleFrame(att *attempt, link int, frame *jayv1.ClientFrame, s *transport.Stream) error {
 	switch f := frame.GetFrame().(type) {
 	case *jayv1.ClientFrame_Body:
 		return a.receiveBody(att, f.Body, s)
 	case *jayv1.ClientFrame_Ack:
-		att.response.ack(f.Ack.GetNextSeq())
+		att.response.ack(link, f.Ack.GetNextSeq())
 	case *jayv1.ClientFrame_Cancel:
 		klog.V(2).InfoS("canceled by the entry", "request", att.offer.GetRequestId(), "reason", f.Cancel.GetReason())
 		a.end(att, eventCancel, &jayv1.End{Error: "canceled: " + f.Cancel.GetReason()})
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,6 +9,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/keys"
+	"github.com/jayproxy/jayproxy/internal/transport"
 )
 
 // relay passes chunks on until the stream ends, the link is lost or the caller
@@ -93,7 +94,12 @@
 	if !a.acks.Passed(len(chunk.GetData())) {
 		return nil
 	}
-	return a.stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: a.acks.Acked()}}})
+	return a.acknowledge(a.stream)
+}
+
+// acknowledge tells the agent which chunks the caller has.
+func (a *attempt) acknowledge(stream *transport.Stream) error {
+	return stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: a.acks.Acked()}}})
 }
 
 // firstTokenMS returns the milliseconds from the acceptance to the first chunk, 0
@@ -205,6 +211,12 @@
 		stream.Abort()
 		return false
 	}
+	// The resume itself acknowledges nothing, and the last acknowledgement may be lost
+	// with its link.
+	if a.acks.Acked() > 0 && a.acknowledge(stream) != nil {
+		stream.Abort()
+		return false
+	}
 	a.stream = stream
 	return true
 }
--- a/internal/relay/buffer.go
+++ b/internal/relay/buffer.go
@@ -29,7 +29,7 @@
 	chunks [][]byte
 	// cursor is the number of the next chunk to send on the current link.
 	cursor uint64
-	// acked: all chunks below it were acknowledged.
+	// acked: all chunks below it were acknowledged. It is never above cursor.
 	acked uint64
 }
 
@@ -71,8 +71,11 @@
 	}
 }
 
-// Resume moves the cursor to next, the first chunk that the receiver lacks, and acknowledges all
-// chunks before it. It returns ErrEvicted or ErrAhead if the buffer can't continue there.
+// Resume moves the cursor to next, the first chunk that the receiver lacks. It acknowledges
+// nothing: a receiver that reconnects has passed on the chunks before next, but its caller may
+// lack them and resume through another receiver. Chunks from next on are needed again, even if
+// they were acknowledged before. It returns ErrEvicted or ErrAhead if the buffer can't continue
+// there.
 func (b *Buffer) Resume(next uint64) error {
 	if next < b.first {
 		return ErrEvicted
@@ -81,7 +84,7 @@
 		return ErrAhead
 	}
 	b.cursor = next
-	b.acked = max(b.acked, next)
+	b.acked = min(b.acked, next)
 	return nil
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -110,6 +110,34 @@
 	require.NoError(t, b.Resume(2))
 }
 
+// Guards against an evicted chunk that a caller lacks: a resume acknowledges nothing, and makes the
+// chunks from there on needed again.
+func TestResumeAcknowledgesNothing(t *testing.T) {
+	const chunks = 4
+	chunk := make([]byte, 10)
+	full := func() *relay.Buffer {
+		b := relay.NewBuffer(chunks * (len(chunk) + 48))
+		for range chunks {
+			require.NoError(t, b.Append(chunk))
+			b.Next()
+		}
+		return b
+	}
+	reconnected := full()
+	require.NoError(t, reconnected.Resume(chunks))
+	require.ErrorIs(t, reconnected.Append(chunk), relay.ErrFull)
+	require.NoError(t, reconnected.Resume(1), "the caller comes back")
+
+	back := full()
+	back.Ack(3)
+	require.NoError(t, back.Resume(1))
+	require.NoError(t, back.Append(chunk), "chunk 0 is acknowledged")
+	require.ErrorIs(t, back.Append(chunk), relay.ErrFull, "chunk 1 is needed again")
+	seq, _, ok := back.Next()
+	require.True(t, ok)
+	require.EqualValues(t, 1, seq)
+}
+
 // A truncated response must not be taken for a complete one when the last chunks are lost and the
 // end still arrives.
 func TestReceiverDetectsMissingChunks(t *testing.T) {
--- a/test/history/retention_test.go
+++ b/test/history/retention_test.go
@@ -96,18 +96,27 @@
 	require.Greater(t, time.Since(began), retain+retain/2, "the caller was not slow enough to test the retention")
 }
 
-// Guards against a long stream that is cut off although its caller reads it: entries must acknowledge
-// enough of it for the agent's replay buffer, at the default settings of both.
+// Guards against a long stream that is cut off although its caller reads it, also when the caller
+// resumes it at new entries: entries must acknowledge enough of it for the agent's replay buffer, at the
+// default settings of both.
 func TestStreamLongerThanTheReplayBufferIsComplete(t *testing.T) {
-	const tokens, timeout = 4096, time.Minute // The most that the engine generates.
-	options := cluster.Options{Entries: 1, Engines: 1}
-	options.Engine.DecodeStep = 100 * time.Microsecond
-	c, err := cluster.Start(t.Context(), options)
-	require.NoError(t, err)
-	defer c.Close()
-	s := &slowCaller{t: t, cluster: c, client: &http.Client{Timeout: timeout}, tokens: tokens}
-	response := s.send(http.MethodPost, "/v1/chat/completions")
-	require.True(t, s.read(response, tokens*2))
-	require.GreaterOrEqual(t, s.events, tokens)
-	require.Greater(t, s.bytes, agent.Default().Replay.Bytes, "the stream is too short for this test")
+	const tokens, timeout = 4096, time.Minute // The most tokens that the engine generates.
+	for name, eventsAtOnce := range map[string]int{"at once": 2 * tokens, "resumed": tokens / 5} {
+		t.Run(name, func(t *testing.T) {
+			options := cluster.Options{Entries: 1, Engines: 1}
+			options.Engine.DecodeStep = 100 * time.Microsecond
+			c, err := cluster.Start(t.Context(), options)
+			require.NoError(t, err)
+			defer c.Close()
+			s := &slowCaller{t: t, cluster: c, client: &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}, tokens: tokens}
+			response := s.send(http.MethodPost, "/v1/chat/completions")
+			token := response.Header.Get(entry.HeaderResumeToken)
+			for !s.read(response, eventsAtOnce) {
+				require.NoError(t, c.RestartEntries(t.Context()))
+				response = s.resume(token)
+			}
+			require.GreaterOrEqual(t, s.events, tokens)
+			require.Greater(t, s.bytes, agent.Default().Replay.Bytes, "the stream is too short for this test")
+		})
+	}
 }
