--- a/internal/agent/discard.go
+++ b/internal/agent/discard.go
@@ -17,9 +17,9 @@
 	discardIncomplete discardReason = "body incomplete"
 )
 
-// discarded records when and why a response was discarded; its reason is empty while the
+// discardRecord is when and why a response was discarded; the reason is empty while the
 // response is kept.
-type discarded struct {
+type discardRecord struct {
 	reason discardReason
 	at     time.Time
 }
@@ -27,7 +27,7 @@
 // forget discards the attempt and its response.
 func (a *Agent) forget(att *attempt, reason discardReason) {
 	now := time.Now()
-	if !a.attempts.forget(att.id, discarded{reason, now}) {
+	if !a.attempts.forget(att.id, discardRecord{reason, now}) {
 		return
 	}
 	klog.V(1).InfoS("response discarded", "request", att.id, "workspace", att.offer.GetWorkspace(), "reason", reason,
--- a/internal/agent/registry.go
+++ b/internal/agent/registry.go
@@ -24,7 +24,7 @@
 	mu          sync.Mutex
 	closed      bool
 	attempts    map[string]*attempt
-	acceptedIDs *simplelru.LRU[string, discarded]
+	acceptedIDs *simplelru.LRU[string, discardRecord]
 	changed     chan struct{}
 	// kept lists the attempts that have ended, oldest first, as keptAttempt; keptByID
 	// has their elements, totalBytes is the sum of their sizes.
@@ -40,7 +40,7 @@
 }
 
 func newAttemptRegistry(maxKeptBytes int) *attemptRegistry {
-	acceptedIDs, err := simplelru.NewLRU[string, discarded](maxAcceptedIDs, nil)
+	acceptedIDs, err := simplelru.NewLRU[string, discardRecord](maxAcceptedIDs, nil)
 	if err != nil {
 		panic(err) // NewLRU fails only for a size below 1.
 	}
@@ -74,7 +74,7 @@
 	if r.closed {
 		return jayv1.Refusal_REFUSAL_LEAVING
 	}
-	r.acceptedIDs.Add(att.id, discarded{})
+	r.acceptedIDs.Add(att.id, discardRecord{})
 	r.attempts[att.id] = att
 	return 0
 }
@@ -90,13 +90,13 @@
 
 // forget discards an attempt and its response, and reports whether it was kept until
 // then. Its id is still refused as a duplicate.
-func (r *attemptRegistry) forget(id string, why discarded) bool {
+func (r *attemptRegistry) forget(id string, why discardRecord) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.discard(id, why)
 }
 
-func (r *attemptRegistry) discard(id string, why discarded) bool {
+func (r *attemptRegistry) discard(id string, why discardRecord) bool {
 	if !r.drop(id) {
 		return false
 	}
@@ -117,7 +117,7 @@
 	r.keptByID[id] = r.kept.PushBack(keptAttempt{id, bytes})
 	r.totalBytes += bytes
 	for r.totalBytes > r.maxKeptBytes {
-		r.discard(r.kept.Front().Value.(keptAttempt).id, discarded{discardSpace, now})
+		r.discard(r.kept.Front().Value.(keptAttempt).id, discardRecord{discardSpace, now})
 	}
 }
 
@@ -146,7 +146,7 @@
 
 // accepted reports whether the id is among those accepted recently, and why its response
 // is no longer kept.
-func (r *attemptRegistry) accepted(id string) (why discarded, ok bool) {
+func (r *attemptRegistry) accepted(id string) (why discardRecord, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.acceptedIDs.Peek(id)
--- a/internal/agent/registry_test.go
+++ b/internal/agent/registry_test.go
@@ -31,10 +31,10 @@
 		require.Zero(t, r.add(newAttempt(t.Context(), &jayv1.Offer{RequestId: id, Attempt: 1}, 1024, now)))
 		r.keep(attemptID(id, 1), bytes, now)
 		if id == "delivered" {
-			require.True(t, r.forget(attemptID(id, 1), discarded{discardDelivered, now}))
+			require.True(t, r.forget(attemptID(id, 1), discardRecord{discardDelivered, now}))
 		}
 	}
-	require.False(t, r.forget(attemptID("pushed out", 1), discarded{discardUnread, now}))
+	require.False(t, r.forget(attemptID("pushed out", 1), discardRecord{discardUnread, now}))
 	for id, want := range map[string]discardReason{"pushed out": discardSpace, "delivered": discardDelivered, "kept": ""} {
 		why, ok := r.accepted(attemptID(id, 1))
 		require.True(t, ok, id)
--- a/internal/agent/stream_test.go
+++ b/internal/agent/stream_test.go
@@ -108,7 +108,7 @@
 	fix.engine.set(func(f *fakeEngine) { f.script = wordEvents(list...) })
 	offer := modelOffer("r1")
 	left := fix.accepted(offer, "{}")
-	for receive(t, left).GetEnd() == nil { //nolint:revive // reads to the last frame, without a close
+	for receive(t, left).GetEnd() == nil { // To the last frame, without a close.
 	}
 	resumed := fix.open()
 	send(t, resumed, resumeFrame(offer, first))
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -97,7 +97,7 @@
 	return a.acknowledge(a.stream)
 }
 
-// acknowledge tells the agent which chunks the caller has.
+// acknowledge tells the agent which chunks it need not keep any more.
 func (a *attempt) acknowledge(stream *transport.Stream) error {
 	return stream.Send(&jayv1.ClientFrame{Frame: &jayv1.ClientFrame_Ack{Ack: &jayv1.Ack{NextSeq: a.acks.Acked()}}})
 }
