--- a/test/history/retention_test.go
+++ b/test/history/retention_test.go
@@ -96,9 +96,8 @@
 	require.Greater(t, time.Since(began), retain+retain/2, "the caller was not slow enough to test the retention")
 }
 
-// Guards against a long stream that is cut off although its caller reads it, also when the caller
-// resumes it at new entries: entries must acknowledge enough of it for the agent's replay buffer, at the
-// default settings of both.
+// Guards against a long stream that is cut off although its caller reads it or resumes it at new entries:
+// at the default settings, entries must acknowledge enough of it for the agent's replay buffer.
 func TestStreamLongerThanTheReplayBufferIsComplete(t *testing.T) {
 	const tokens, timeout = 4096, time.Minute // The most tokens that the engine generates.
 	for name, eventsAtOnce := range map[string]int{"at once": 2 * tokens, "resumed": tokens / 5} {
