--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -36,6 +36,9 @@
 	Parts     []Part
 	// LastEventID is the last event that the caller has of a stream that it resumes.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of that stream; empty:
+	// not given.
+	Resumes string
 }
 
 // Shared returns the parts that other requests may have in common: all but the
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,7 +51,13 @@
 	Service    string
 	Address    string
 	DataCentre string
-	Slots      int
+	// Software is the version of the server's software, unless that is unknown: a server
+	// that was seen to have started again may have changed it. SoftwareHash identifies it
+	// among those of the service; 0: unknown.
+	Software        string
+	SoftwareUnknown bool
+	SoftwareHash    uint32
+	Slots           int
 	// Draining backends get no new requests.
 	Draining bool
 	// Cold is how much longer the server stays slow after its start.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,6 +77,9 @@
 		j.respondQuarantined(retryAfter)
 		return
 	}
+	if !j.findOrigin() {
+		return
+	}
 	for {
 		choice, err := j.chooseServer()
 		if errors.Is(err, errRejected) {
@@ -84,7 +87,7 @@
 			return
 		}
 		if err != nil {
-			j.giveUp("no backend server available: " + err.Error())
+			j.giveUp(j.unavailability(err))
 			return
 		}
 		// The request may have been quarantined while it waited for a server.
@@ -154,7 +157,7 @@
 
 // mayRepeat decides whether to send a request again that may have run.
 func (j *job) mayRepeat() bool {
-	allowed := j.route.Repeatable() && j.indeterminateSends < j.route.MaxAttempts && j.ctx.Err() == nil && j.crashesAllowRepeat()
+	allowed := j.route.Repeatable() && j.indeterminateSends < j.route.MaxAttempts && j.ctx.Err() == nil && j.mayGoOn() && j.crashesAllowRepeat()
 	if allowed && j.sends < maxSends && j.gateway.state.takeRetry(time.Now(), j.service.Name, j.deadline) {
 		j.chargeRepeat()
 		return true
@@ -241,7 +244,7 @@
 // routingRequest returns the request as the router needs it. The state must be
 // locked.
 func (j *job) routingRequest(s *state) routing.DirectRequest {
-	request := routing.DirectRequest{ID: j.head.ID, SuspectKey: j.suspectKey}
+	request := routing.DirectRequest{ID: j.head.ID, SuspectKey: j.suspectKey, Software: uint32(j.origin)}
 	if j.modelName() == "" {
 		return request
 	}
--- a/internal/gateway/datagrams.go
+++ b/internal/gateway/datagrams.go
@@ -170,6 +170,12 @@
 		g.quotaOf(body.QuotaReport.GetKind()).receiveReport(body.QuotaReport, from)
 	case *jayv1.Datagram_QuotaGrant:
 		g.quotaOf(body.QuotaGrant.GetKind()).receiveGrant(body.QuotaGrant)
+	case *jayv1.Datagram_StreamOrigin:
+		g.origins.receive(body.StreamOrigin)
+	case *jayv1.Datagram_StreamOriginAsk:
+		g.origins.answer(body.StreamOriginAsk, from)
+	case *jayv1.Datagram_StreamOriginAnswer:
+		g.origins.receiveAnswer(body.StreamOriginAnswer)
 	default:
 		g.metrics.Count("datagrams", "unknown", 1)
 	}
--- a/internal/gateway/datagrams_test.go
+++ b/internal/gateway/datagrams_test.go
@@ -24,6 +24,9 @@
 		{Body: &jayv1.Datagram_QuotaReport{QuotaReport: &jayv1.QuotaReport{Entry: "gw2", Key: 1, Items: []*jayv1.QuotaPosition{{Account: 1, Used: 2, Need: 3}}}}},
 		{Body: &jayv1.Datagram_QuotaGrant{QuotaGrant: &jayv1.QuotaGrant{Key: 1, Number: 1, Items: []*jayv1.QuotaLoan{{Account: 1, Line: 2}}}}},
 		{Body: &jayv1.Datagram_QuotaReport{QuotaReport: &jayv1.QuotaReport{Kind: jayv1.QuotaKind_QUOTA_KIND_SERVERS, Limits: []*jayv1.ServerLimit{{Server: 1, MilliPerSecond: 1500}, {Server: 2, Ended: true}}}}},
+		{Body: &jayv1.Datagram_StreamOrigin{StreamOrigin: &jayv1.StreamOrigin{Stream: 1, Version: 2}}},
+		{Body: &jayv1.Datagram_StreamOriginAsk{StreamOriginAsk: &jayv1.StreamOriginAsk{Key: 1, Stream: 1}}},
+		{Body: &jayv1.Datagram_StreamOriginAnswer{StreamOriginAnswer: &jayv1.StreamOriginAnswer{Key: 1, Version: 2}}},
 		{},
 	} {
 		data, err := proto.Marshal(message)
@@ -39,7 +42,7 @@
 		}
 		g := &Gateway{settings: Settings{Node: "gw1"}, state: newOwner("gw1"), metrics: metrics.New(8), peers: newPeers(Settings{Node: "gw1"})}
 		g.placements, g.hints, g.datagrams, g.usage = newPlacementClient(g), &hints{gateway: g}, &datagrams{gateway: g}, newSharedQuota(g, usageSource(g))
-		g.limits = newSharedQuota(g, serverLimitSource(g))
+		g.limits, g.origins = newSharedQuota(g, serverLimitSource(g)), newStreamOrigins(g)
 		g.datagrams.handle(message, nil)
 		g.datagrams.handle(message, nil)
 	})
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -119,5 +119,6 @@
 	g.state.setOwners(entries)
 	g.usage.setEntries(entries)
 	g.limits.setEntries(entries)
+	g.origins.setEntries(entries)
 	g.hints.setTargets(g.peers.addresses())
 }
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -39,7 +39,7 @@
 	g := &Gateway{settings: settings, state: newState(settings, func(string) {}), peers: newPeers(settings), metrics: metrics.New(8), unregistered: make(chan struct{}, 1)}
 	g.ports.Table = store
 	g.usage, g.datagrams, g.hints = newSharedQuota(g, usageSource(g)), &datagrams{gateway: g}, &hints{gateway: g}
-	g.limits = newSharedQuota(g, serverLimitSource(g))
+	g.limits, g.origins = newSharedQuota(g, serverLimitSource(g)), newStreamOrigins(g)
 	g.entries = &feed{table: "entries", apply: g.applyEntries}
 	g.feeds = []*feed{g.entries}
 	return g, store
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	placements *placementClient
 	// usage enforces the usage caps of workspaces, limits those that servers name.
 	usage, limits *sharedQuota
+	origins       *streamOrigins
 	load          controlLoad
 	feeds         []*feed
 	// entries is the feed of the entries' rows. unregistered signals that this entry's own
@@ -101,6 +102,7 @@
 	g.ports.Table = countedTable{ports.Table, &g.load}
 	g.peers = newPeers(settings)
 	g.placements = newPlacementClient(g)
+	g.origins = newStreamOrigins(g)
 	g.usage, g.limits = newSharedQuota(g, usageSource(g)), newSharedQuota(g, serverLimitSource(g))
 	ctx, g.cancel = context.WithCancel(ctx)
 	if err := g.listenInternal(); err != nil {
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -11,6 +11,7 @@
 	"github.com/jayproxy/jayproxy/internal/fleet"
 	"github.com/jayproxy/jayproxy/internal/membership"
 	"github.com/jayproxy/jayproxy/internal/routing"
+	"github.com/jayproxy/jayproxy/internal/streamorigin"
 	"github.com/jayproxy/jayproxy/internal/upstream"
 )
 
@@ -63,8 +64,8 @@
 	case fleet.Added, fleet.Updated:
 	}
 	s.initListedLocked(b)
-	if change != fleet.Updated || old.Draining != b.Draining || old.Service != b.Service {
-		klog.V(s.listedLevel()).InfoS("Backend server listed", "server", b.ID, "service", b.Service, "address", b.Address, "draining", b.Draining, "versions", b.Versions)
+	if change != fleet.Updated || old.Draining != b.Draining || old.Service != b.Service || old.Software != b.Software {
+		klog.V(s.listedLevel()).InfoS("Backend server listed", "server", b.ID, "service", b.Service, "address", b.Address, "draining", b.Draining, "software", b.Software, "versions", b.Versions)
 		s.membersStale = true
 	}
 }
@@ -81,6 +82,10 @@
 // its weight versions.
 func (s *state) initListedLocked(b *fleet.Backend) {
 	b.Hash = routing.ServerHash(b.ID)
+	b.SoftwareHash = 0
+	if !b.SoftwareUnknown {
+		b.SoftwareHash = uint32(streamorigin.VersionOf(b.Service, b.Software))
+	}
 	for model, version := range b.Versions {
 		s.observeVersionLocked(b.ID, model, version, "list")
 	}
@@ -131,7 +136,7 @@
 // registration follows with its next heartbeat.
 func (s *state) recordRestart(now time.Time, listed *fleet.Backend, report *call.Report) {
 	next := *listed
-	next.StartedMS, next.Versions = report.StartedMS, report.Versions
+	next.StartedMS, next.Versions, next.SoftwareUnknown = report.StartedMS, report.Versions, true
 	s.putBackend(now, &next)
 }
 
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -248,7 +248,7 @@
 	now := time.Now()
 	request := j.routingRequest(s)
 	ask := &jayv1.PlacementAsk{
-		Service: j.service.Name, Model: j.modelName(), MayWait: mayWait, DataCentre: s.settings.DataCentre,
+		Service: j.service.Name, Model: j.modelName(), Software: uint32(j.origin), MayWait: mayWait, DataCentre: s.settings.DataCentre,
 		LeftMs: uint32(max(0, j.deadline.Sub(now)).Milliseconds()), //nolint:gosec // positive
 	}
 	for _, id := range j.excluded() {
@@ -284,7 +284,7 @@
 func (j *job) acceptOfferLocked(now time.Time, offer *ownerOffer) (routing.DirectChoice, bool) {
 	s := j.gateway.state
 	b := s.list.ByHash(nameHash)[offer.GetServer()]
-	if b == nil || b.Service != j.service.Name || !s.mayServe(now, b) || !s.members.Usable(b.ID) {
+	if b == nil || b.Service != j.service.Name || !s.mayServe(now, b) || !s.members.Usable(b.ID) || !j.continuesAt(b) {
 		return routing.DirectChoice{}, false
 	}
 	model := j.modelName()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -13,6 +13,7 @@
 	"github.com/jayproxy/jayproxy/internal/call"
 	"github.com/jayproxy/jayproxy/internal/quarantine"
 	"github.com/jayproxy/jayproxy/internal/routetable"
+	"github.com/jayproxy/jayproxy/internal/streamorigin"
 	"github.com/jayproxy/jayproxy/internal/upstream"
 )
 
@@ -82,6 +83,9 @@
 	// indeterminateSends counts the sends after which a server may have run the
 	// request.
 	indeterminateSends int
+	// origin is the software version that began the stream and must go on with it; 0: any
+	// may begin.
+	origin streamorigin.Version
 	// stream is how much of a streamed response the caller has received.
 	stream streamState
 	// offer is the owner's offer that the current send uses; nil: this entry chose
--- a/internal/gateway/shardowner.go
+++ b/internal/gateway/shardowner.go
@@ -113,7 +113,7 @@
 // routingRequestLocked converts an ask to a request for the router.
 func (s *state) routingRequestLocked(now time.Time, table *routetable.Table, service *routetable.Service, ask *jayv1.PlacementAsk) routing.DirectRequest {
 	request := routing.DirectRequest{
-		ID: placementID(ask.GetKey()), DataCentre: ask.GetDataCentre(), MayWait: ask.GetMayWait(),
+		ID: placementID(ask.GetKey()), DataCentre: ask.GetDataCentre(), MayWait: ask.GetMayWait(), Software: ask.GetSoftware(),
 		ExpiresAt: now.Add(time.Duration(ask.GetLeftMs()) * time.Millisecond),
 	}
 	if ask.GetModel() == "" {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -287,7 +287,7 @@
 func (s *state) serverLocked(now time.Time, service *routetable.Service, model string, b *fleet.Backend) routing.DirectServer {
 	_, changing := s.switches[b.ID]
 	server := routing.DirectServer{
-		ID: b.ID, Instance: b.Instance, Hash: b.Hash, Address: b.Address, DataCentre: b.DataCentre, Slots: b.Slots, Switching: changing,
+		ID: b.ID, Instance: b.Instance, Hash: b.Hash, Address: b.Address, DataCentre: b.DataCentre, Slots: b.Slots, Switching: changing, Software: b.SoftwareHash,
 		Usable: s.members.Usable(b.ID), Weight: s.members.Weight(b.ID),
 	}
 	if model == "" {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -107,6 +107,7 @@
 		if j.isDuplicate(ev) {
 			continue
 		}
+		j.recordOrigin(choice)
 		if err := j.writeEvent(response, ev); err != nil {
 			j.outcome = "event not written: " + err.Error()
 			return delivered
--- a/internal/routing/direct.go
+++ b/internal/routing/direct.go
@@ -133,11 +133,11 @@
 func (d *Direct) SetSavers(n int) { d.savers = n }
 
 // Choose decides where to send a request, and counts it at that server until
-// Finished. Servers in tried are excluded. It returns ErrNoServer when no
+// Finished. Servers in tried and those of another software version are excluded. It returns ErrNoServer when no
 // server may take the request and ErrNoFreeMemory when the request should wait.
 // The servers are neither changed nor retained.
 func (d *Direct) Choose(now time.Time, req *DirectRequest, servers []DirectServer, tried []string) (DirectChoice, error) {
-	usable := d.filter(servers, tried)
+	usable := d.filter(servers, req.Software, tried)
 	if len(usable) == 0 {
 		return DirectChoice{}, ErrNoServer
 	}
@@ -196,12 +196,12 @@
 
 // filter returns the indexes of the servers that may serve. Servers that load
 // weights or are not usable are returned only when there are no others.
-func (d *Direct) filter(servers []DirectServer, tried []string) []int32 {
+func (d *Direct) filter(servers []DirectServer, software uint32, tried []string) []int32 {
 	d.eligible, d.lastResort = d.eligible[:0], d.lastResort[:0]
 	for i := range servers {
 		s := &servers[i]
 		switch {
-		case s.Full, contains(tried, s.ID):
+		case s.Full, software != 0 && s.Software != software, contains(tried, s.ID):
 		case d.options.MaxVersionAge > 0 && s.VersionAge > d.options.MaxVersionAge:
 		case s.Switching || !s.Usable:
 			d.lastResort = append(d.lastResort, int32(i)) //nolint:gosec // an index of a short list
--- a/internal/routing/direct_types.go
+++ b/internal/routing/direct_types.go
@@ -18,6 +18,8 @@
 	Address    string
 	DataCentre string
 	Slots      int
+	// Software identifies the version of the server's software; 0: unknown.
+	Software uint32
 	// KVTokens is the size of the engine's KV cache memory in tokens; 0:
 	// unknown.
 	KVTokens int
@@ -62,6 +64,8 @@
 	// different servers this way, so that the next crash shows which of them
 	// causes crashes.
 	SuspectKey uint64
+	// Software is the only version of the servers' software that may serve; 0: any.
+	Software uint32
 	// DataCentre that the request is sent from; empty: the router's own.
 	DataCentre string
 	// ExpiresAt is when the request is dropped from its server's load if
