--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -12,6 +12,7 @@
 	"github.com/jayproxy/jayproxy/internal/fleet"
 	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/routing"
+	"github.com/jayproxy/jayproxy/internal/streamorigin"
 	"github.com/jayproxy/jayproxy/internal/weights"
 )
 
@@ -131,3 +132,20 @@
 	assert.Empty(t, fixture.rollingModels(now.Add(time.Second))[0].servers)
 	assert.Len(t, fixture.rollingModels(now.Add(4 * time.Second))[0].servers, 1)
 }
+
+// Guards against a server that started again under its name, perhaps at another version of its
+// software, and goes on with a stream as the one before.
+func TestARestartedServerHasAnUnknownSoftwareVersion(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	s := newState(Settings{Node: "gw1"}, func(string) {})
+	row := &fleet.Backend{Incarnation: fleet.Incarnation{Instance: "i-1", StartedMS: 1000}, Service: "s", Address: "10.0.0.1:80", Software: "v1"}
+	s.putBackend(now, row)
+	version, _ := s.onlyVersion("s")
+	assert.Equal(t, streamorigin.VersionOf("s", "v1"), version)
+	s.reportIsCurrent(now, s.list.OfService("s")[0].ID, &call.Report{StartedMS: 2000})
+	version, source := s.onlyVersion("s")
+	assert.Zero(t, version, source)
+	s.putBackend(now, &fleet.Backend{Incarnation: fleet.Incarnation{Instance: "i-1", StartedMS: 2000}, Service: "s", Address: "10.0.0.1:80", Software: "v2"})
+	version, _ = s.onlyVersion("s")
+	assert.Equal(t, streamorigin.VersionOf("s", "v2"), version, "it has registered again")
+}
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -155,7 +155,7 @@
 	started := time.Now()
 	source := ""
 	if j.head.Resumes == "" {
-		j.origin, source = g.state.onlyVersion(j.service.Name), "the only version listed"
+		j.origin, source = g.state.onlyVersion(j.service.Name)
 	} else {
 		j.origin, source = g.origins.find(j.ctx, streamorigin.StreamOf(j.head.Resumes))
 	}
@@ -170,19 +170,19 @@
 	return false
 }
 
-// onlyVersion returns the software version of a service's servers if all have the same;
-// 0: they don't.
-func (s *state) onlyVersion(service string) streamorigin.Version {
+// onlyVersion returns the software version of a service's servers if all have the same, for
+// callers that do not name a first attempt; 0: they don't.
+func (s *state) onlyVersion(service string) (streamorigin.Version, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	only := uint32(0)
 	for _, b := range s.list.OfService(service) {
 		if b.SoftwareHash == 0 || only != 0 && b.SoftwareHash != only {
-			return 0
+			return 0, "servers of several versions, and no first attempt named"
 		}
 		only = b.SoftwareHash
 	}
-	return streamorigin.Version(only)
+	return streamorigin.Version(only), "the only version listed"
 }
 
 // recordOrigin records, before the caller gets the first event of a response, which
