--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,10 +28,6 @@
 	defaultKeepAlive = 400 * time.Millisecond
 	// keepAliveShare is the part of an announced keep-alive time that is used.
 	keepAliveShare = 0.7
-	// connectionShare of a server's connection limit is divided among all entries;
-	// each may use at least minConnections.
-	connectionShare = 0.9
-	minConnections  = 4
 	// serverResponseMargin is the part of a request's time kept for a server's
 	// final response to arrive: a few round trips and scheduling delays.
 	serverResponseMargin = 30 * time.Millisecond
@@ -209,72 +205,6 @@
 	return spread(max(base, j.gateway.state.limitDelay(time.Now(), j.service)), j.head.ID)
 }
 
-// chooseServer asks the router for the next server, and waits while none has
-// free memory. A stream that has begun does not wait, since its caller would
-// see the pause.
-func (j *job) chooseServer() (routing.DirectChoice, error) {
-	if j.suspectKey = j.computeSuspectKey(); j.suspectKey != 0 {
-		return j.place(false)
-	}
-	choice, err := j.placeByOwners(j.stream.delivered == 0)
-	if errors.Is(err, routing.ErrNoFreeMemory) {
-		return j.waitForMemory(routing.PrefillTime(j.head.InputTokens))
-	}
-	return choice, err
-}
-
-// place asks the router for a server. With mayWait it returns routing.ErrNoFreeMemory
-// rather than a server at which the request would wait for memory.
-func (j *job) place(mayWait bool) (routing.DirectChoice, error) {
-	s := j.gateway.state
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return j.placeLocked(time.Now(), mayWait)
-}
-
-func (j *job) placeLocked(now time.Time, mayWait bool) (routing.DirectChoice, error) {
-	s := j.gateway.state
-	request := j.routingRequest(s)
-	request.MayWait = mayWait
-	servers := s.candidatesLocked(now, j.service, j.modelName())
-	j.markFullServers(servers)
-	return s.router.Choose(now, &request, servers, j.excluded())
-}
-
-// routingRequest returns the request as the router needs it. The state must be
-// locked.
-func (j *job) routingRequest(s *state) routing.DirectRequest {
-	request := routing.DirectRequest{ID: j.head.ID, SuspectKey: j.suspectKey, Software: uint32(j.origin)}
-	if j.modelName() == "" {
-		return request
-	}
-	request.Tokens, request.OutputTokens = j.head.InputTokens, j.head.OutputTokens
-	request.Prefix, request.KVStores = j.head.Shared(), s.kvStoresLocked(j.table, j.service.Engine)
-	request.MemoryShare = routing.MemoryShare(j.table.RoutePriorityRank(j.route))
-	if j.workspace != nil && j.workspace.Isolated {
-		request.IsolatedWorkspace = j.workspace.Name
-	}
-	return request
-}
-
-// markFullServers marks the servers at which this entry has used its share of
-// connections.
-func (j *job) markFullServers(servers []routing.DirectServer) {
-	for i := range servers {
-		servers[i].Full = j.isFull(&servers[i])
-	}
-}
-
-// isFull reports whether this entry has used its share of a server's
-// connections. The state must be locked.
-func (j *job) isFull(server *routing.DirectServer) bool {
-	if j.service.MaxConns <= 0 {
-		return false
-	}
-	share := max(minConnections, int(connectionShare*float64(j.service.MaxConns)/float64(j.gateway.state.entryCount)))
-	return j.gateway.pool.Busy(server.Address) >= share
-}
-
 // serverTimeout returns the part of the remaining time that a server is given.
 // The rest lets the server's notice that it did not run an expired request
 // arrive before the entry's own deadline. Without it such a request would count
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -254,7 +254,7 @@
 	for _, id := range j.excluded() {
 		ask.Tried = append(ask.Tried, nameHash(id))
 	}
-	for _, paused := range s.limits.Paused(now) {
+	for _, paused := range s.limits.Paused(now, maxLimitNews) {
 		ask.Tried = append(ask.Tried, uint32(paused))
 	}
 	if ask.Model != "" {
--- a/internal/gateway/serverlimits.go
+++ b/internal/gateway/serverlimits.go
@@ -79,15 +79,6 @@
 	}
 }
 
-// excluded returns the servers that this request must not be sent to: those tried, and
-// those whose limits were used up.
-func (j *job) excluded() []string {
-	if len(j.overLimit) == 0 {
-		return j.tried
-	}
-	return append(append([]string(nil), j.tried...), j.overLimit...)
-}
-
 // observeLimitLocked records what a response says of its server's limit.
 func (s *state) observeLimitLocked(now, sentAt time.Time, server string, head *call.ResponseHead) {
 	if !head.HasLimit && s.limits.Empty() {
--- a/internal/gateway/sharedquota.go
+++ b/internal/gateway/sharedquota.go
@@ -31,25 +31,6 @@
 	maxPositions = 20
 )
 
-// quotaSource says what the accounts of a sharedQuota are. Its functions take no lock of the
-// sharedQuota.
-type quotaSource struct {
-	kind   jayv1.QuotaKind
-	bounds quota.Bounds
-	// label is the prefix of the metrics, name that of log lines.
-	label, name string
-	// capOf returns the cap of an account in force; no cap if it is unknown.
-	capOf func(quota.Account) quota.Cap
-	// inUse reports whether there are caps, so that this entry reports to lenders.
-	inUse func() bool
-	// ready reports whether this entry knows the caps well enough to lend.
-	ready func() bool
-	// news returns what the other entries are to be told with each message, and learn
-	// receives it. They are nil where caps are declared.
-	news  func() []*jayv1.ServerLimit
-	learn func(from string, news []*jayv1.ServerLimit)
-}
-
 // sharedQuota enforces caps together with the other entries. Its clock is that of the time
 // since boot: a loan must not outlive a suspension of the VM.
 type sharedQuota struct {
@@ -63,7 +44,8 @@
 	lender    *quota.Lender
 	directory *quota.Directory
 	entries   int
-	others    []shard.Entry
+	// others are the entries other than this one.
+	others []shard.Entry
 	// key is that of the last report. pending are the reports without an answer.
 	key     uint64
 	pending map[uint64]*pendingReport
@@ -89,14 +71,6 @@
 	}
 }
 
-// quotaOf returns the caps that a message is about.
-func (g *Gateway) quotaOf(kind jayv1.QuotaKind) *sharedQuota {
-	if kind == jayv1.QuotaKind_QUOTA_KIND_SERVERS {
-		return g.limits
-	}
-	return g.usage
-}
-
 // setEntries sets the entries that have rows. An entry that has not read its own row yet
 // counts itself among the others. While it knows of none at all, it admits nothing: it
 // can't tell whether it is the only one.
@@ -304,53 +278,6 @@
 	u.informOthers()
 }
 
-func (u *sharedQuota) reportDatagram(report *quota.Report) *jayv1.Datagram {
-	message := encodeReport(report)
-	message.Kind, message.Limits = u.source.kind, u.source.tell()
-	return &jayv1.Datagram{Body: &jayv1.Datagram_QuotaReport{QuotaReport: message}}
-}
-
-func (u *sharedQuota) grantDatagram(grant *quota.Grant) *jayv1.Datagram {
-	message := encodeGrant(grant)
-	message.Kind, message.Limits = u.source.kind, u.source.tell()
-	return &jayv1.Datagram{Body: &jayv1.Datagram_QuotaGrant{QuotaGrant: message}}
-}
-
-func (s *quotaSource) hear(from string, news []*jayv1.ServerLimit) {
-	if s.learn != nil && len(news) > 0 {
-		s.learn(from, news)
-	}
-}
-
-func (s *quotaSource) tell() []*jayv1.ServerLimit {
-	if s.news == nil {
-		return nil
-	}
-	return s.news()
-}
-
-// informOthers tells the entries that do not report to this lender of the caps that they
-// may not know.
-func (u *sharedQuota) informOthers() {
-	if u.source.news == nil {
-		return
-	}
-	u.mu.Lock()
-	now := lease.BootClock()
-	var targets []string
-	if slices.ContainsFunc(u.directory.Lenders(), func(e shard.Entry) bool { return e.Name == u.gateway.settings.Node }) {
-		for _, e := range u.others {
-			if !u.lender.Live(now, e.Name) {
-				targets = append(targets, e.Address)
-			}
-		}
-	}
-	u.mu.Unlock()
-	if len(targets) > 0 {
-		u.gateway.datagrams.trySendAll(u.gateway.datagrams.addressesOf(targets), u.grantDatagram(&quota.Grant{}))
-	}
-}
-
 // expireLocked records the reports that nobody waits for as unanswered.
 func (u *sharedQuota) expireLocked(now time.Time) {
 	for key, pending := range u.pending {
@@ -366,7 +293,7 @@
 	if !u.source.ready() {
 		return
 	}
-	u.source.hear(message.GetEntry(), message.GetLimits())
+	u.source.receiveNews(message.GetEntry(), message.GetLimits())
 	u.mu.Lock()
 	grant := u.lender.Handle(lease.BootClock(), decodeReport(message), u.source.capOf)
 	u.mu.Unlock()
@@ -376,7 +303,7 @@
 // receiveGrant applies a lender's answer. An answer that comes after its time-out is
 // ignored: its lender counts it as granted until the next report.
 func (u *sharedQuota) receiveGrant(message *jayv1.QuotaGrant) {
-	u.source.hear("lender", message.GetLimits())
+	u.source.receiveNews("lender", message.GetLimits())
 	grant := decodeGrant(message)
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -10,7 +10,6 @@
 	"k8s.io/klog/v2"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
-	"github.com/jayproxy/jayproxy/internal/fleet"
 	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/routing"
 	"github.com/jayproxy/jayproxy/internal/shard"
@@ -205,16 +204,3 @@
 // mayGoOn reports whether the stream may go on at another server: a stream that has begun
 // needs a known version.
 func (j *job) mayGoOn() bool { return j.stream.delivered == 0 || j.origin != 0 }
-
-// continuesAt reports whether a server may begin the stream, or go on with it.
-func (j *job) continuesAt(b *fleet.Backend) bool {
-	return j.origin == 0 || uint32(j.origin) == b.SoftwareHash
-}
-
-// unavailability says why no server can be chosen.
-func (j *job) unavailability(err error) string {
-	if j.origin != 0 {
-		return "no backend server available of the software version that began the stream: " + err.Error()
-	}
-	return "no backend server available: " + err.Error()
-}
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -177,11 +177,11 @@
 	return max(l.servers[id].pausedUntil.Sub(now), 0)
 }
 
-// Paused returns the servers that this entry may not send to now.
-func (l *Limits) Paused(now time.Time) []quota.Account {
+// Paused returns up to most servers that this entry may not send to now.
+func (l *Limits) Paused(now time.Time, most int) []quota.Account {
 	var paused []quota.Account
 	for id, known := range l.servers {
-		if known.Limited && known.pausedUntil.After(now) {
+		if len(paused) < most && known.Limited && known.pausedUntil.After(now) {
 			paused = append(paused, id)
 		}
 	}
