--- a/internal/gateway/datagrams.go
+++ b/internal/gateway/datagrams.go
@@ -175,7 +175,7 @@
 	case *jayv1.Datagram_StreamOriginAsk:
 		g.origins.answer(body.StreamOriginAsk, from)
 	case *jayv1.Datagram_StreamOriginAnswer:
-		g.origins.receiveAnswer(body.StreamOriginAnswer)
+		g.origins.receiveAnswer(body.StreamOriginAnswer, from)
 	default:
 		g.metrics.Count("datagrams", "unknown", 1)
 	}
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,10 +18,13 @@
 )
 
 const (
-	// originTimeout bounds the wait for the entries that may know a stream, with one
-	// repetition of the questions after originResendPause, since datagrams get lost.
-	originTimeout     = 60 * time.Millisecond
-	originResendPause = 20 * time.Millisecond
+	// originTimeout bounds the wait for the entries that may know a stream. It is longer
+	// than a VM that is throttled by its CPU quota takes to answer. The question is
+	// repeated after each originResendPause, since datagrams get lost.
+	originTimeout     = 200 * time.Millisecond
+	originResendPause = 40 * time.Millisecond
+	// maxOriginAnswers bounds the answers to one lookup that have not been read yet.
+	maxOriginAnswers = 16
 	// unknownOriginRetryAfter is the retry delay if nobody knows a stream: an entry that
 	// knows it may answer by then.
 	unknownOriginRetryAfter = 300 * time.Millisecond
@@ -34,12 +38,19 @@
 	mu      sync.Mutex
 	records *streamorigin.Records
 	entries []shard.Entry
-	// pending are the lookups that wait for answers. Each channel has room for all of them.
-	pending map[uint64]chan streamorigin.Version
+	// pending are the lookups that wait for answers.
+	pending map[uint64]chan originAnswer
+}
+
+// originAnswer is the answer of the entry with a datagram address; version 0: it does not
+// know the stream.
+type originAnswer struct {
+	from    string
+	version streamorigin.Version
 }
 
 func newStreamOrigins(g *Gateway) *streamOrigins {
-	return &streamOrigins{gateway: g, records: streamorigin.NewRecords(), pending: map[uint64]chan streamorigin.Version{}}
+	return &streamOrigins{gateway: g, records: streamorigin.NewRecords(), pending: map[uint64]chan originAnswer{}}
 }
 
 func (o *streamOrigins) setEntries(entries []shard.Entry) {
@@ -92,11 +103,11 @@
 }
 
 // receiveAnswer passes an answer to the lookup that waits for it.
-func (o *streamOrigins) receiveAnswer(answer *jayv1.StreamOriginAnswer) {
+func (o *streamOrigins) receiveAnswer(answer *jayv1.StreamOriginAnswer, from *net.UDPAddr) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	select {
-	case o.pending[answer.GetKey()] <- streamorigin.Version(answer.GetVersion()):
+	case o.pending[answer.GetKey()] <- originAnswer{from: from.String(), version: streamorigin.Version(answer.GetVersion())}:
 	default: // The lookup has ended.
 	}
 }
@@ -107,12 +118,12 @@
 	if version := o.known(stream); version != 0 {
 		return version, "own"
 	}
-	holders := o.holders(stream, streamorigin.AskedHolders)
-	if len(holders) == 0 {
+	silent := o.holders(stream, streamorigin.AskedHolders)
+	if len(silent) == 0 {
 		return 0, "no other entry"
 	}
 	key := rand.Uint64() //nolint:gosec // unique, not secret
-	answers := make(chan streamorigin.Version, 2*len(holders))
+	answers := make(chan originAnswer, maxOriginAnswers)
 	o.mu.Lock()
 	o.pending[key] = answers
 	o.mu.Unlock()
@@ -122,19 +133,19 @@
 		o.mu.Unlock()
 	}()
 	ask := &jayv1.Datagram{Body: &jayv1.Datagram_StreamOriginAsk{StreamOriginAsk: &jayv1.StreamOriginAsk{Key: key, Stream: uint64(stream)}}}
-	o.gateway.datagrams.trySendAll(holders, ask)
-	resend, timeout := time.NewTimer(originResendPause), time.NewTimer(originTimeout)
+	o.gateway.datagrams.trySendAll(silent, ask)
+	resend, timeout := time.NewTicker(originResendPause), time.NewTimer(originTimeout)
 	defer resend.Stop()
 	defer timeout.Stop()
-	for unknown := 0; unknown < len(holders); {
+	for len(silent) > 0 {
 		select {
-		case version := <-answers:
-			if version != 0 {
-				return version, "holder"
+		case answer := <-answers:
+			if answer.version != 0 {
+				return answer.version, "holder"
 			}
-			unknown++
+			silent = slices.DeleteFunc(silent, func(a *net.UDPAddr) bool { return a.String() == answer.from })
 		case <-resend.C:
-			o.gateway.datagrams.trySendAll(holders, ask)
+			o.gateway.datagrams.trySendAll(silent, ask)
 		case <-timeout.C:
 			return 0, "not all holders answered"
 		case <-ctx.Done():
