--- a/internal/gateway/serverlimits_test.go
+++ b/internal/gateway/serverlimits_test.go
@@ -9,7 +9,10 @@
 
 	"github.com/jayproxy/jayproxy/internal/call"
 	"github.com/jayproxy/jayproxy/internal/fleet"
+	"github.com/jayproxy/jayproxy/internal/metrics"
+	"github.com/jayproxy/jayproxy/internal/quota"
 	"github.com/jayproxy/jayproxy/internal/routetable"
+	"github.com/jayproxy/jayproxy/internal/shard"
 )
 
 // limitedFleet returns the state of an entry with the given number of servers, of which
@@ -46,6 +49,26 @@
 	assert.Len(t, s.candidatesLocked(now, service, ""), 199, "the limit of i-100 has ended")
 }
 
+// Guards against a server that is left out for a limit although the lender's answer, which
+// admits nothing under it, says that it has ended.
+func TestAServerWhoseLimitEndsWithTheLendersAnswerIsUsed(t *testing.T) {
+	now := time.Now()
+	g := &Gateway{settings: Settings{Node: "gw1"}, metrics: metrics.New(8)}
+	g.state = newState(g.settings, func(string) {})
+	server := &fleet.Backend{Incarnation: fleet.Incarnation{Instance: "i-0"}, Service: "s", Address: "10.0.0.1:80"}
+	g.state.changeBackends(now, []backendChange{{backend: server}}, "test")
+	g.state.observeResponse(now, now, "i-0", "", &call.ResponseHead{HasLimit: true, Limit: 1.5})
+	g.limits = newSharedQuota(g, serverLimitSource(g))
+	g.limits.setEntries([]shard.Entry{{Name: "gw1", Address: "10.0.0.2:1"}})
+	g.limits.source.capOf = func(account quota.Account) quota.Cap {
+		g.state.observeResponse(now.Add(2*time.Millisecond), now.Add(time.Millisecond), "i-0", "", &call.ResponseHead{})
+		return g.state.limitOf(account)
+	}
+	j := &job{gateway: g, ctx: t.Context(), route: &routetable.Route{}}
+	assert.True(t, j.takePermit("i-0"))
+	assert.Empty(t, j.overLimit)
+}
+
 func BenchmarkCandidatesOfALargeFleet(b *testing.B) {
 	for _, limited := range []bool{false, true} {
 		b.Run(fmt.Sprintf("limited=%t", limited), func(b *testing.B) {
