--- a/internal/gateway/serverlimits.go
+++ b/internal/gateway/serverlimits.go
@@ -57,6 +57,9 @@
 		caller: xxh3.HashString(g.settings.Node), patience: serverlimit.MinPause,
 	})
 	perSecond := limit.Rate / serverlimit.RequestUnits
+	if !decision.admitted && !g.state.limitOf(account).Limited() {
+		return true // The limit has ended meanwhile, and its lender admits nothing under it.
+	}
 	if decision.admitted {
 		j.permit = permit{account: account, at: lease.BootClock()}
 		g.metrics.Count("server_limit", "admitted", 1)
