--- a/internal/waitqueue/waitqueue_test.go
+++ b/internal/waitqueue/waitqueue_test.go
@@ -118,6 +118,35 @@
 	assert.Equal(t, 2, queue.Len(), "a request that was late before stays, and so do other priorities")
 }
 
+// placeEvery places one request each pause until the time given, with the pause
+// before it as the first.
+func placeEvery(queue *waitqueue.Queue, pause, until time.Duration) {
+	for at := time.Duration(0); at <= until; at += pause {
+		first := at > 0
+		queue.Dispatch(after(at), func(string, bool) bool {
+			place := first
+			first = false
+			return place
+		})
+	}
+}
+
+// Guards against requests that wait although those before them, at the pace of the last
+// seconds, take longer than the request may wait.
+func TestARequestThatIsNotExpectedToBePlacedInTimeIsRejectedAtOnce(t *testing.T) {
+	queue := waitqueue.New()
+	for i := range 40 {
+		add(t, queue, request(fmt.Sprint(i), 1, 0))
+	}
+	placeEvery(queue, 500*time.Millisecond, 3*time.Second)
+	require.Equal(t, 34, queue.Len())
+	retryAfter, ok := queue.Add(after(3*time.Second), request("new", 1, 3*time.Second))
+	assert.False(t, ok, "17 s at two a second, it may wait for 9")
+	assert.Equal(t, waitqueue.RetryAfter, retryAfter)
+	_, ok = queue.Add(after(3*time.Second), request("urgent", 0, 3*time.Second))
+	assert.True(t, ok, "none of its priority waits")
+}
+
 func noMemory(string, bool) bool { return false }
 
 // Checks, with random arrivals, that each accepted request is placed exactly once,
