--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -19,6 +19,7 @@
 // free memory. A stream that has begun does not wait, since its caller would
 // see the pause.
 func (j *job) chooseServer() (routing.DirectChoice, error) {
+	j.waited = false
 	if j.suspectKey = j.computeSuspectKey(); j.suspectKey != 0 {
 		return j.place(false)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -78,8 +78,10 @@
 	// server sent a complete response.
 	mayHaveStarted bool
 	complete       bool
-	// retryAfter is the retry delay of a request that the wait queue rejected.
+	// retryAfter is the retry delay of a request that the wait queue rejected; waited:
+	// the queue placed it at the last choice.
 	retryAfter time.Duration
+	waited     bool
 	// indeterminateSends counts the sends after which a server may have run the
 	// request.
 	indeterminateSends int
--- a/internal/gateway/serverlimits.go
+++ b/internal/gateway/serverlimits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -72,9 +73,21 @@
 	klog.InfoS("Server not used: its limit is used up", "request", j.head.ID, "server", server, "perSecond", perSecond,
 		"decidedBy", decision.basis, "level", decision.level/serverlimit.RequestUnits, "pauseMS", pause.Milliseconds())
 	j.overLimit = append(j.overLimit, server)
+	j.undoPlacement()
 	return false
 }
 
+// undoPlacement tells the wait queue that a request it placed was not sent.
+func (j *job) undoPlacement() {
+	if !j.waited {
+		return
+	}
+	s := j.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waitQueue.PlacementUndone()
+}
+
 // returnPermit counts a send as unused that did not reach its server.
 func (j *job) returnPermit() {
 	if !j.permit.at.IsZero() {
@@ -143,6 +156,13 @@
 	return shortest
 }
 
+// anyLimitLocked reports whether a server of the service has a limit.
+func (s *state) anyLimitLocked(service *routetable.Service) bool {
+	return !s.limits.Empty() && slices.ContainsFunc(s.list.OfService(service.Name), func(b *fleet.Backend) bool {
+		return s.limits.Limited(limitAccount(b.ID))
+	})
+}
+
 // limitNews returns what the servers last said of their limits, for other entries.
 func (s *state) limitNews(now time.Time) []*jayv1.ServerLimit {
 	s.mu.Lock()
--- a/internal/gateway/waitqueue.go
+++ b/internal/gateway/waitqueue.go
@@ -94,12 +94,14 @@
 		Prefill: prefillTime, FirstTokenTarget: j.arrived.Add(j.route.LatencyTarget), Deadline: j.firstEventDeadline(),
 	}
 	s.mu.Lock()
+	request.WaitUntil = j.waitUntilLocked(&request)
 	// A second send may begin when no time is left to wait. And if a caller uses an
 	// ID twice, only one of the two requests can wait under it.
 	if _, duplicate := s.waiters[j.head.ID]; duplicate || !now.Before(request.SendAt()) {
 		s.mu.Unlock()
 		return j.place(false)
 	}
+	expected := s.waitQueue.ExpectedWait(request.Priority)
 	retryAfter, ok := s.waitQueue.Add(now, request)
 	if ok {
 		s.waiters[j.head.ID] = w
@@ -107,15 +109,26 @@
 	waiting := s.waitQueue.Len()
 	s.mu.Unlock()
 	if !ok {
-		klog.InfoS("Request rejected: no engine memory in time", "request", j.head.ID, "waiting", waiting, "comeBackMS", retryAfter.Milliseconds())
+		klog.InfoS("Request rejected: no engine memory in time", "request", j.head.ID, "waiting", waiting, "expectedWaitMS", expected.Milliseconds(), "waitUntil", request.WaitUntil, "comeBackMS", retryAfter.Milliseconds())
 		j.retryAfter = retryAfter
 		return routing.DirectChoice{}, errRejected
 	}
 	j.gateway.metrics.Count("waited_for_memory", j.routeLabel(), 1)
-	klog.InfoS("Request waits for engine memory", "request", j.head.ID, "urgency", request.Priority, "waiting", waiting, "sendAt", request.SendAt())
+	klog.InfoS("Request waits for engine memory", "request", j.head.ID, "urgency", request.Priority, "waiting", waiting, "expectedWaitMS", expected.Milliseconds(), "waitUntil", request.WaitUntil, "sendAt", request.SendAt())
 	return j.awaitGrant(w)
 }
 
+// waitUntilLocked returns how long a request may wait; zero: until it is sent without
+// free memory. While servers have limits, a caller that returns may be on time at one of
+// them, so the request waits only as long as it is on time itself.
+func (j *job) waitUntilLocked(request *waitqueue.Request) time.Time {
+	onTime := request.FirstTokenTarget.Add(-request.Prefill)
+	if j.indeterminateSends > 0 || !onTime.After(request.Arrived) || !j.gateway.state.anyLimitLocked(j.service) {
+		return time.Time{}
+	}
+	return onTime
+}
+
 // firstEventDeadline is until when the caller waits for the first event.
 // Callers abandon a stream without events after the route's event timeout, long
 // before their deadline.
@@ -135,6 +148,7 @@
 	select {
 	case result := <-w.granted:
 		j.gateway.metrics.Time("waited", j.routeLabel(), time.Since(started))
+		j.waited = result.err == nil
 		if j.retryAfter = result.retryAfter; result.retryAfter > 0 {
 			klog.InfoS("Request rejected: no engine memory in time", "request", j.head.ID, "waitedMS", time.Since(started).Milliseconds(), "comeBackMS", result.retryAfter.Milliseconds())
 		}
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -2,10 +2,12 @@
 // until a backend server has memory for them. It decides in which order they are
 // placed and rejects those with little prospect of being served in time.
 //
-// Every accepted request leaves the queue in one of four ways: it is placed, it
-// is rejected when it becomes late behind other late requests, it is sent without
-// free memory when it has waited its maximum, or its caller leaves. The package
-// has no I/O, goroutines or clock; callers provide the locking.
+// A request that is not expected to be placed in time, as fast as requests were
+// placed lately, is not accepted. Every accepted request leaves the queue in one of
+// five ways: it is placed, it is rejected when it becomes late behind other late
+// requests, it is rejected at the end of the time for which it may wait, it is sent
+// without free memory when it has waited its maximum, or its caller leaves. The
+// package has no I/O, goroutines or clock; callers provide the locking.
 package waitqueue
 
 import (
@@ -25,6 +27,9 @@
 	FirstTokenTarget time.Time
 	// Deadline of the caller.
 	Deadline time.Time
+	// WaitUntil is when the request is rejected if it still waits; zero: never. It is
+	// rejected at once if it is not expected to be placed by then.
+	WaitUntil time.Time
 
 	// queuedLate is set when the request became late but stays in the queue, to be
 	// served after those that can still be on time.
@@ -49,6 +54,9 @@
 	// higher priority had to be sent without free memory. The demand exceeds the
 	// capacity, and a caller that is rejected at once has time to retry.
 	rejectPeriod = time.Second
+	// minRetryAfter is the least retry delay of a request that is rejected for its
+	// expected wait.
+	minRetryAfter = 250 * time.Millisecond
 	// maxFailedPlacements is how many requests of one priority may find no memory
 	// before the others of that priority are skipped: a large request must not
 	// block smaller ones, but a full fleet is not searched for every request.
@@ -60,6 +68,9 @@
 	return r.Arrived.Add(time.Duration(maxWaitShare * float64(r.Deadline.Sub(r.Arrived))))
 }
 
+// expires reports whether the request waits until a fixed time only.
+func (r *Request) expires() bool { return !r.WaitUntil.IsZero() }
+
 // late reports whether its first token can no longer be on time.
 func (r *Request) late(now time.Time) bool { return now.Add(r.Prefill).After(r.FirstTokenTarget) }
 
@@ -68,6 +79,7 @@
 	waiting map[string]*Request
 	// rejectUntil is, by priority, until when new requests are rejected.
 	rejectUntil map[int]time.Time
+	throughput  throughput
 }
 
 // New returns an empty queue.
@@ -77,7 +89,8 @@
 func (q *Queue) Len() int { return len(q.waiting) }
 
 // Add queues a request. It reports false if the request is rejected, with the
-// time after which the caller should retry.
+// time after which the caller should retry: it was recently necessary to send one
+// without free memory, or this one is not expected to be placed in time.
 func (q *Queue) Add(now time.Time, req Request) (after time.Duration, ok bool) {
 	for priority, until := range q.rejectUntil {
 		if priority <= req.Priority {
@@ -87,10 +100,42 @@
 	if after > 0 {
 		return after, false
 	}
+	if late := q.expectedLateness(now, &req); late > 0 {
+		return min(max(late, minRetryAfter), RetryAfter), false
+	}
 	q.waiting[req.ID] = &req
 	return 0, true
 }
 
+// ExpectedWait returns how long a new request of a priority is expected to wait, as
+// fast as requests were placed lately; 0 if none had to wait.
+func (q *Queue) ExpectedWait(priority int) time.Duration {
+	ahead := 0
+	for _, w := range q.waiting {
+		if w.Priority <= priority {
+			ahead++
+		}
+	}
+	return q.throughput.wait(ahead)
+}
+
+// expectedLateness returns by how much a new request is expected to miss the time
+// by which it must be placed; 0: it is expected to be placed in time.
+func (q *Queue) expectedLateness(now time.Time, req *Request) time.Duration {
+	wait := q.ExpectedWait(req.Priority)
+	if wait == 0 {
+		return 0
+	}
+	latest := req.SendAt()
+	if req.expires() {
+		latest = req.WaitUntil
+	}
+	return max(now.Add(wait).Sub(latest), 0)
+}
+
+// PlacementUndone says that a request was placed by Dispatch and then not sent.
+func (q *Queue) PlacementUndone() { q.throughput.undo() }
+
 // Remove takes out a request whose caller has left. It reports false if the
 // request was not waiting.
 func (q *Queue) Remove(id string) bool {
@@ -105,9 +150,18 @@
 // returns the IDs of requests that it removed because they are rejected.
 func (q *Queue) Dispatch(now time.Time, place func(id string, force bool) bool) (rejected []string) {
 	if len(q.waiting) == 0 {
+		q.throughput.update(now, 0, false)
 		return nil
 	}
 	rejected = q.rejectLate(now)
+	placed := q.placeInOrder(now, place)
+	q.throughput.update(now, placed, len(q.waiting) > 0)
+	return rejected
+}
+
+// placeInOrder tries to place the waiting requests and returns the number of those
+// that found memory.
+func (q *Queue) placeInOrder(now time.Time, place func(id string, force bool) bool) (placed int) {
 	failed := map[int]int{}
 	for _, w := range q.order(now) {
 		if !now.Before(w.SendAt()) {
@@ -121,17 +175,18 @@
 		}
 		if place(w.ID, false) {
 			delete(q.waiting, w.ID)
+			placed++
 			continue
 		}
 		failed[w.Priority]++
 	}
-	return rejected
+	return placed
 }
 
-// rejectLate removes the requests that became late since the last call if another
-// late request of their priority has waited for long: late requests are served in
-// order of arrival, so they would wait even longer. The other requests that became
-// late stay queued.
+// rejectLate removes the requests whose time to wait is over. It also removes those that
+// became late since the last call if another late request of their priority has waited
+// for long: late requests are served in order of arrival, so they would wait even
+// longer. The other requests that became late stay queued.
 func (q *Queue) rejectLate(now time.Time) (rejected []string) {
 	backlogged := map[int]bool{}
 	for _, w := range q.waiting {
@@ -140,15 +195,14 @@
 		}
 	}
 	for id, w := range q.waiting {
-		if w.queuedLate || !w.late(now) {
-			continue
-		}
-		if backlogged[w.Priority] {
+		becameLate := !w.queuedLate && w.late(now)
+		switch {
+		case w.expires() && !now.Before(w.WaitUntil), becameLate && backlogged[w.Priority]:
 			rejected = append(rejected, id)
 			delete(q.waiting, id)
-			continue
+		case becameLate:
+			w.queuedLate = true
 		}
-		w.queuedLate = true
 	}
 	sort.Strings(rejected)
 	return rejected
--- a/internal/waitqueue/waitqueue_test.go
+++ b/internal/waitqueue/waitqueue_test.go
@@ -147,6 +147,56 @@
 	assert.True(t, ok, "none of its priority waits")
 }
 
+// Guards against a request that waits past the time for which it may.
+func TestARequestIsRejectedAtTheEndOfItsWait(t *testing.T) {
+	queue := waitqueue.New()
+	short, long := request("short", 1, 0), request("long", 1, 0)
+	short.WaitUntil = after(800 * time.Millisecond)
+	add(t, queue, short, long)
+	for at := time.Duration(0); at < 800*time.Millisecond; at += 100 * time.Millisecond {
+		require.Empty(t, queue.Dispatch(after(at), noMemory))
+	}
+	assert.Equal(t, []string{"short"}, queue.Dispatch(after(800*time.Millisecond), noMemory))
+	assert.Equal(t, 1, queue.Len())
+	next := request("next", 1, 900*time.Millisecond)
+	next.WaitUntil = after(1600 * time.Millisecond)
+	retryAfter, ok := queue.Add(after(900*time.Millisecond), next)
+	assert.False(t, ok, "none was placed in 0.8 s, and another one waits")
+	assert.InDelta(t, 0.46, retryAfter.Seconds(), 0.02, "two times 0.58 s, the weighted time without a placement, less 0.7 s")
+}
+
+// Guards against placements at servers that declined the request, which would make the
+// queue look fast.
+func TestAPlacementThatWasUndoneDoesNotCount(t *testing.T) {
+	queue := waitqueue.New()
+	for i := range 40 {
+		add(t, queue, request(fmt.Sprint(i), 1, 0))
+	}
+	placeEvery(queue, 100*time.Millisecond, time.Second)
+	_, ok := queue.Add(after(time.Second), request("at ten a second", 1, time.Second))
+	assert.True(t, ok)
+	for range 10 {
+		queue.PlacementUndone()
+	}
+	_, ok = queue.Add(after(time.Second), request("at none", 1, time.Second))
+	assert.False(t, ok)
+}
+
+// Guards against a queue that rejects for a wait which is long past.
+func TestAnEmptyQueueForgetsHowSlowItWas(t *testing.T) {
+	queue := waitqueue.New()
+	add(t, queue, request("a", 1, 0))
+	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+		queue.Dispatch(after(at), noMemory)
+	}
+	require.Positive(t, queue.ExpectedWait(1))
+	queue.Remove("a")
+	for at := 5 * time.Second; at < 20*time.Second; at += 100 * time.Millisecond {
+		queue.Dispatch(after(at), noMemory)
+	}
+	assert.Less(t, queue.ExpectedWait(1), time.Millisecond)
+}
+
 func noMemory(string, bool) bool { return false }
 
 // Checks, with random arrivals, that each accepted request is placed exactly once,
