--- a/internal/gateway/shardowner_test.go
+++ b/internal/gateway/shardowner_test.go
@@ -15,6 +15,7 @@
 	"github.com/jayproxy/jayproxy/internal/metrics"
 	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/shard"
+	"github.com/jayproxy/jayproxy/internal/waitqueue"
 	"github.com/jayproxy/jayproxy/internal/weights"
 )
 
@@ -155,16 +156,34 @@
 	offer := one.placements.askOwner(context.Background(), owner, newAsk(7, "aa"))
 	require.NotNil(t, offer)
 	require.Equal(t, jayv1.PlacementOffer_OUTCOME_SERVER, offer.GetOutcome())
-	running := func() int {
-		other.state.mu.Lock()
-		defer other.state.mu.Unlock()
-		return other.state.shardRouter.Running(serverByHash(other.state, offer.GetServer()))
-	}
+	running := func() int { return runningAt(other.state, offer) }
 	assert.Equal(t, 1, running())
 	one.placements.releaseOffer(&ownerOffer{owner: owner, PlacementOffer: offer}, nil)
 	assert.Eventually(t, func() bool { return running() == 0 }, time.Second, time.Millisecond)
 }
 
+// runningAt returns the requests that an owner counts at the offered server.
+func runningAt(s *state, offer *jayv1.PlacementOffer) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shardRouter.Running(serverByHash(s, offer.GetServer()))
+}
+
+// Guards against counting a request that was rejected after an owner had offered a server.
+func TestOfferOfARejectedRequestIsReturned(t *testing.T) {
+	one, other := datagramPair(t)
+	owner, now := shard.Entry{Name: "gw2", Address: "127.0.0.2:1"}, time.Now()
+	offer := one.placements.askOwner(context.Background(), owner, newAsk(8, "aa"))
+	require.NotNil(t, offer)
+	w := &waiter{granted: make(chan grant, 1), offer: &ownerOffer{owner: owner, PlacementOffer: offer}}
+	one.state.waiters["r"] = w
+	_, ok := one.state.waitQueue.Add(now, waitqueue.Request{ID: "r", Arrived: now, Deadline: now.Add(time.Minute), WaitUntil: now})
+	require.True(t, ok)
+	one.serveWaitQueue(now)
+	require.ErrorIs(t, (<-w.granted).err, errRejected)
+	assert.Eventually(t, func() bool { return runningAt(other.state, offer) == 0 }, time.Second, time.Millisecond)
+}
+
 // Guards against counting a request that never arrives: an offer received after the
 // timeout must be returned to its owner.
 func TestLateOfferIsReturned(t *testing.T) {
--- a/internal/gateway/waitqueue.go
+++ b/internal/gateway/waitqueue.go
@@ -190,7 +190,9 @@
 		return true
 	})
 	for _, id := range rejected {
-		s.waiters[id].granted <- grant{err: errRejected, retryAfter: waitqueue.RetryAfter}
+		w := s.waiters[id]
 		delete(s.waiters, id)
+		go g.placements.releaseOffer(w.offer, nil)
+		w.granted <- grant{err: errRejected, retryAfter: waitqueue.RetryAfter}
 	}
 }
