--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -302,7 +302,7 @@
 		outcome = notSent
 	}
 	klog.InfoS("Send failed", "request", j.head.ID, "server", choice.Server.ID, "err", err, "afterMS", now.Sub(j.sentAt).Milliseconds(), "mayHaveRun", outcome != notSent,
-		"fingerprint", j.fingerprintOf(outcome))
+		"fingerprint", j.fingerprintOf(outcome), "parts", j.sharedPartIDs())
 	if !errors.Is(j.ctx.Err(), context.Canceled) {
 		s.sendFailed(now, choice.Server.ID, err)
 		j.evidence.notListening = errors.Is(err, upstream.ErrNoListener)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -35,6 +35,15 @@
 	return j.fingerprint().String()
 }
 
+// sharedPartIDs returns the IDs of the prompt's shared parts, for the log.
+func (j *job) sharedPartIDs() []string {
+	var ids []string
+	for _, part := range j.head.Shared() {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // isSuspect reports whether crashes or interrupted runs of the request may be
 // recorded.
 func (j *job) isSuspect() bool {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -119,7 +119,7 @@
 
 func (j *job) responseInterrupted(choice *routing.DirectChoice, err error) sendOutcome {
 	klog.InfoS("Response interrupted", "request", j.head.ID, "server", choice.Server.ID, "err", err, "events", j.stream.delivered,
-		"fingerprint", j.fingerprint().String(), "sentMS", time.Since(j.sentAt).Milliseconds())
+		"fingerprint", j.fingerprint().String(), "parts", j.sharedPartIDs(), "sentMS", time.Since(j.sentAt).Milliseconds())
 	if j.ctx.Err() != nil {
 		return canceled
 	}
