Responses without a length: a server that crashed did not end them

Callers saw half a body, or the first events of a stream, as a complete response: a response with neither a length nor chunks ends with its connection, and so does that of a server that crashes between two events.

At such an end the entry checks that the server still listens, unless it is draining. If nothing listens, the response is interrupted: the run is evidence of a crash, a resumable stream goes on elsewhere, a repeatable call is sent again, others see the break. The connection of the check is kept for the next request, as this one's can't be.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/call"
@@ -102,6 +104,9 @@
 	if len(body) == maxBufferedBytes {
 		return j.forwardLong(choice, response, body)
 	}
+	if err := j.checkEnd(choice, response); err != nil {
+		return j.responseInterrupted(choice, err)
+	}
 	buffered := &bufferedResponse{status: head.Status, header: j.gateway.ports.Dialect.ResponseHeader(response.Header), body: body}
 	if head.Status >= http.StatusInternalServerError && j.route.Repeatable() && j.indeterminateSends+1 < j.route.MaxAttempts {
 		// Another server may succeed. If none does, this response is passed on.
@@ -128,6 +133,26 @@
 	return indeterminate
 }
 
+// endProbeTimeout bounds the check of a response whose end its framing does not give.
+const endProbeTimeout = 250 * time.Millisecond
+
+// checkEnd checks that a response which ends with its connection is complete: a server
+// that crashed has closed the connection as well. A framed response needs no check.
+func (j *job) checkEnd(choice *routing.DirectChoice, response *upstream.Response) error {
+	g, server := j.gateway, choice.Server
+	if response.Bounded || g.state.isDraining(server.ID) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(j.ctx, endProbeTimeout)
+	defer cancel()
+	err := g.pool.Probe(ctx, server.Address, defaultKeepAlive)
+	if !errors.Is(err, upstream.ErrNoListener) {
+		return nil
+	}
+	g.state.sendFailed(time.Now(), server.ID, err)
+	return eris.Wrap(err, "the server ended with the connection that ends its response")
+}
+
 // writeBuffered sends the caller a complete response.
 func (j *job) writeBuffered(response *bufferedResponse) {
 	j.copyHeader(response.header)
@@ -164,6 +189,9 @@
 	if err == nil {
 		_, err = io.Copy(j.writer, response.Body)
 	}
+	if err == nil {
+		err = j.checkEnd(choice, response)
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		// The header is already sent: only closing the connection shows that the
 		// response is incomplete.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -95,7 +95,7 @@
 	for {
 		ev, err := reader.next()
 		if errors.Is(err, io.EOF) {
-			return j.streamEnded()
+			return j.streamEnded(choice, response)
 		}
 		if err != nil {
 			return j.responseInterrupted(choice, err)
@@ -115,7 +115,10 @@
 	}
 }
 
-func (j *job) streamEnded() sendOutcome {
+func (j *job) streamEnded(choice *routing.DirectChoice, response *upstream.Response) sendOutcome {
+	if err := j.checkEnd(choice, response); err != nil {
+		return j.responseInterrupted(choice, err)
+	}
 	if j.stream.delivered == 0 {
 		// A stream without an event is no response.
 		return indeterminate
