Quarantine: parts of prompts that crash servers

Callers saw 502 and broken streams while one part of a prompt ended server after server: no two requests with it were alike, and crashes counted against whole requests only.

A crash now counts against the request and each shared part of its prompt. A part that this entry has seen in whole runs shortly before is quarantined at five crashes, any other at three; a crash counts for no subject of a lower rank: proven parts come after unproven ones, fewer crashes after more, a part after a request with as many. A whole run clears a part at all entries and in the store. Requests with a quarantined part get 503 and the time of its trial at once, also those that waited; one request with exactly one such part runs as trial, after 5 s, then after 5 min.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -73,8 +73,8 @@
 	if ok && (!record.cleared || !at.After(knownAt.Add(recordTimeError))) {
 		return
 	}
-	f := record.crash.Request
-	clearedAt := s.records[crashRecord{crash: quarantine.Crash{Request: f}, cleared: true}]
+	f := record.crash.Subject
+	clearedAt := s.records[crashRecord{crash: quarantine.Crash{Subject: f}, cleared: true}]
 	if !record.cleared && !at.After(clearedAt.Add(recordTimeError)) || len(s.records) >= maxCrashRecords {
 		return
 	}
@@ -89,7 +89,7 @@
 
 func (s *suspects) addCrashLocked(now time.Time, crash quarantine.Crash) {
 	quarantined := s.registry.Add(now, []quarantine.Crash{crash})
-	klog.InfoS("engine crashed while running request", "fingerprint", crash.Request.String(), "engine", crash.Server)
+	klog.InfoS("engine crashed while running request", "fingerprint", crash.Subject.String(), "engine", crash.Server)
 	for _, f := range quarantined {
 		klog.InfoS("request quarantined", "fingerprint", f.String())
 	}
@@ -97,7 +97,7 @@
 
 func (s *suspects) clearLocked(now, at time.Time, f quarantine.Fingerprint) {
 	for record, recordedAt := range s.records {
-		if record.crash.Request == f && !record.cleared && !recordedAt.After(at) {
+		if record.crash.Subject == f && !record.cleared && !recordedAt.After(at) {
 			delete(s.records, record)
 		}
 	}
@@ -112,7 +112,7 @@
 		if len(update.GetRequest()) != len(quarantine.Fingerprint{}) {
 			continue
 		}
-		record := crashRecord{crash: quarantine.Crash{Request: quarantine.Fingerprint(update.GetRequest()), Server: update.GetServer()}, cleared: update.GetCleared()}
+		record := crashRecord{crash: quarantine.Crash{Subject: quarantine.Fingerprint(update.GetRequest()), Server: update.GetServer()}, cleared: update.GetCleared()}
 		s.add(now, now.Add(-time.Duration(update.GetAgeMs())*time.Millisecond), record)
 	}
 }
@@ -135,7 +135,7 @@
 		if age >= crashSendPeriod && !all {
 			continue
 		}
-		f := record.crash.Request
+		f := record.crash.Subject
 		update := &jayv1.CrashNews{Request: f[:], Server: record.crash.Server, Cleared: record.cleared, AgeMs: uint32(max(0, age.Milliseconds()))} //nolint:gosec // minutes
 		if record.cleared || s.registry.Verdict(now, f).Quarantined {
 			first = append(first, update)
@@ -188,7 +188,7 @@
 func (s *suspects) mayRepeat(f quarantine.Fingerprint, crashed []string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.MayRepeat(f, crashed)
+	return s.registry.MayRepeat(time.Now(), f, crashed)
 }
 
 // checkQuarantine refuses a quarantined request. It returns nil when the request
@@ -213,7 +213,7 @@
 	engine := a.server + "@" + strconv.FormatUint(a.end.GetIncarnation(), 36)
 	d.crashed = append(d.crashed, engine)
 	now := time.Now()
-	d.entry.suspects.add(now, now, crashRecord{crash: quarantine.Crash{Request: d.request.hashes.Fingerprint(), Server: engine}})
+	d.entry.suspects.add(now, now, crashRecord{crash: quarantine.Crash{Subject: d.request.hashes.Fingerprint(), Server: engine}})
 }
 
 // crashesAllowRepeat reports whether the engine crashes so far allow another
@@ -229,5 +229,5 @@
 		return
 	}
 	now := time.Now()
-	e.suspects.add(now, now, crashRecord{crash: quarantine.Crash{Request: request.hashes.Fingerprint()}, cleared: true})
+	e.suspects.add(now, now, crashRecord{crash: quarantine.Crash{Subject: request.hashes.Fingerprint()}, cleared: true})
 }
--- a/internal/entry/suspects_test.go
+++ b/internal/entry/suspects_test.go
@@ -12,7 +12,7 @@
 )
 
 func crashOf(n int, engine string) crashRecord {
-	return crashRecord{crash: quarantine.Crash{Request: requestNumber(n), Server: engine}}
+	return crashRecord{crash: quarantine.Crash{Subject: requestNumber(n), Server: engine}}
 }
 
 func requestNumber(n int) quarantine.Fingerprint {
@@ -57,7 +57,7 @@
 	old := one.digest(now, false)
 	other.receive(now, old)
 	complete := now.Add(2 * time.Second)
-	one.add(complete, complete, crashRecord{crash: quarantine.Crash{Request: requestNumber(1)}, cleared: true})
+	one.add(complete, complete, crashRecord{crash: quarantine.Crash{Subject: requestNumber(1)}, cleared: true})
 	assert.False(t, one.isQuarantined(complete, 1))
 	other.receive(complete, one.digest(complete, false))
 	assert.False(t, other.isQuarantined(complete, 1))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,8 +69,8 @@
 // run sends the request, to several servers if needed, until the caller has a
 // response.
 func (j *job) run() {
-	if retryAfter, quarantined := j.checkQuarantine(); quarantined {
-		j.respondQuarantined(retryAfter)
+	if h := j.checkQuarantine(); h != nil {
+		j.respondQuarantined(h)
 		return
 	}
 	if !j.findOrigin() {
@@ -87,9 +87,9 @@
 			return
 		}
 		// The request may have been quarantined while it waited for a server.
-		if retryAfter, quarantined := j.checkQuarantine(); quarantined {
+		if h := j.checkQuarantine(); h != nil {
 			j.sendFinished(&choice, notSent)
-			j.respondQuarantined(retryAfter)
+			j.respondQuarantined(h)
 			return
 		}
 		if !j.takePermit(choice.Server.ID) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -50,31 +51,74 @@
 	return j.gateway.state.suspects.mayBeSuspect(&j.hashes)
 }
 
-// checkQuarantine reports whether the request must not be sent, and when its
-// caller may retry. It first claims a trial that is due.
-func (j *job) checkQuarantine() (retryAfter time.Duration, quarantined bool) {
-	if j.trial > 0 || !j.isSuspect() {
-		return 0, false
+// hold is why a request must not be sent: a quarantined subject, and when the caller may
+// retry.
+type hold struct {
+	subject    quarantine.Fingerprint
+	part       string
+	retryAfter time.Duration
+}
+
+// checkQuarantine reports whether the request must not be sent; nil: it may. It first
+// claims a trial that is due. A request with several quarantined subjects is no trial,
+// since it would not show which of them causes crashes.
+func (j *job) checkQuarantine() *hold {
+	if j.trial.number > 0 {
+		return nil
 	}
-	g := j.gateway
-	verdict := g.state.suspects.verdict(time.Now(), j.fingerprint())
-	if verdict.Trial > 0 && g.claimTrial(j.ctx, j.fingerprint(), verdict.Trial) {
-		j.trial = verdict.Trial
-		return 0, false
+	s := j.gateway.state.suspects
+	now := time.Now()
+	var found *hold
+	due := trial{}
+	count := 0
+	for _, f := range j.suspectSubjects() {
+		verdict := s.verdict(now, f)
+		if !verdict.Quarantined {
+			continue
+		}
+		count++
+		due = trial{subject: f, number: verdict.Trial}
+		if found == nil || verdict.RetryAfter > found.retryAfter {
+			found = &hold{subject: f, part: j.partIDOf(f), retryAfter: verdict.RetryAfter}
+		}
+	}
+	if count == 1 && due.number > 0 && j.gateway.claimTrial(j.ctx, due.subject, due.number) {
+		j.trial = due
+		return nil
+	}
+	return found
+}
+
+// trial is a run of a quarantined subject that one entry has claimed; zero: none.
+type trial struct {
+	subject quarantine.Fingerprint
+	number  int
+}
+
+// partIDOf returns the ID of the shared part with this fingerprint; empty for others.
+func (j *job) partIDOf(f quarantine.Fingerprint) string {
+	for _, part := range j.head.Shared() {
+		if quarantine.PartFingerprint(part.ID) == f {
+			return part.ID
+		}
 	}
-	return verdict.RetryAfter, verdict.Quarantined
+	return ""
 }
 
 // respondQuarantined ends a quarantined request.
-func (j *job) respondQuarantined(retryAfter time.Duration) {
+func (j *job) respondQuarantined(h *hold) {
 	j.gateway.metrics.Count("held_back", j.routeLabel(), 1)
-	klog.InfoS("Quarantined request refused", "request", j.head.ID, "fingerprint", j.fingerprint().String(), "retryAfterMS", retryAfter.Milliseconds(), "ranOn", j.indeterminateSends)
-	const reason = "quarantined: servers crashed while running it"
+	klog.InfoS("Quarantined request refused", "request", j.head.ID, "fingerprint", h.subject.String(), "part", h.part, "retryAfterMS", h.retryAfter.Milliseconds(), "ranOn", j.indeterminateSends)
+	reason := "quarantined: servers crashed while running it"
+	if h.part != "" {
+		reason = "quarantined: servers crashed while running prompts with part " + h.part
+		j.gateway.state.suspects.rememberPartIDs(j.head.Shared(), j.partFingerprints())
+	}
 	if j.indeterminateSends > 0 {
 		j.giveUp(reason)
 		return
 	}
-	j.respondUnavailable(reason, retryAfter)
+	j.respondUnavailable(reason, h.retryAfter)
 }
 
 // computeSuspectKey returns the key that keeps a suspect request apart from other
@@ -97,13 +141,15 @@
 // crashesAllowRepeat reports whether an interrupted run may be repeated, as far
 // as possible crashes of its servers are concerned.
 func (j *job) crashesAllowRepeat() bool {
-	if j.trial > 0 {
+	if j.trial.number > 0 {
 		return false
 	}
 	if len(j.interruptedEarly) == 0 {
 		return true
 	}
-	return j.gateway.state.suspects.mayRepeat(j.fingerprint(), j.interruptedEarly)
+	return !slices.ContainsFunc(j.subjects(), func(f quarantine.Fingerprint) bool {
+		return !j.gateway.state.suspects.mayRepeat(f, j.interruptedEarly)
+	})
 }
 
 // recordEarlyInterruption records a run that ended with its connection. If that
@@ -119,7 +165,8 @@
 		return
 	}
 	j.interruptedEarly = append(j.interruptedEarly, server.ID)
-	g.state.suspects.runInterrupted(now, quarantine.Crash{Request: j.fingerprint(), Server: server.ID})
+	g.state.suspects.rememberPartIDs(j.head.Shared(), j.partFingerprints())
+	g.state.suspects.runInterrupted(now, server.ID, j.subjects()...)
 	if g.state.suspects.beginProbe(server.ID) {
 		g.spawn(func() { g.probeServer(server.ID, server.Address) })
 	}
@@ -152,10 +199,13 @@
 // trial that did not run.
 func (j *job) settleSuspect() {
 	s := j.gateway.state.suspects
+	if j.succeeded && len(j.head.Shared()) > 0 {
+		j.recordWholeRun()
+	}
 	switch {
 	case j.complete && j.isSuspect():
-		s.clear(j.fingerprint(), "ran to completion")
-	case j.trial > 0 && !j.mayHaveStarted:
-		s.trialReleased(j.fingerprint(), j.trial)
+		s.clear(j.fingerprint(), ranToCompletion)
+	case j.trial.number > 0 && !j.mayHaveStarted:
+		s.trialReleased(j.trial.subject, j.trial.number)
 	}
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -117,7 +117,7 @@
 	if head.Status >= http.StatusInternalServerError {
 		j.recordServerFailure(choice.Server.ID)
 	}
-	j.complete = true
+	j.complete, j.succeeded = true, head.Status < http.StatusMultipleChoices
 	j.writeBuffered(buffered)
 	return delivered
 }
@@ -201,7 +201,7 @@
 		j.logOutcome()
 		panic(http.ErrAbortHandler)
 	}
-	j.complete = true
+	j.complete, j.succeeded = true, response.Status < http.StatusMultipleChoices
 	j.outcome = "answered " + strconv.Itoa(response.Status)
 	return delivered
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,13 +71,14 @@
 	// suspectKey keeps suspect requests on different servers; 0: the request is no
 	// suspect.
 	suspectKey uint64
-	// trial is the number of this attempt's trial run of a quarantined request; 0:
-	// the attempt is no trial.
-	trial int
+	// partHashes are the fingerprints of the prompt's shared parts, once computed.
+	partHashes []quarantine.Fingerprint
+	// trial is this attempt's trial run of a quarantined subject, if it is one.
+	trial trial
 	// mayHaveStarted: a server may have begun to run the request. complete: a
-	// server sent a complete response.
-	mayHaveStarted bool
-	complete       bool
+	// server sent a complete response; succeeded: with status 2xx.
+	mayHaveStarted      bool
+	complete, succeeded bool
 	// retryAfter is the retry delay of a request that the wait queue rejected; waited:
 	// the queue placed it at the last choice.
 	retryAfter time.Duration
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -123,7 +123,7 @@
 		// A stream without an event is no response.
 		return indeterminate
 	}
-	j.complete = true
+	j.complete, j.succeeded = true, true
 	j.outcome = "streamed"
 	return delivered
 }
--- a/internal/gateway/suspectrows.go
+++ b/internal/gateway/suspectrows.go
@@ -28,6 +28,9 @@
 	suspectRelayInterval = 700 * time.Millisecond
 	// maxSuspectRowsPerTxn bounds the rows of one transaction.
 	maxSuspectRowsPerTxn = 90
+	// suspectWriteDelay is how long rows are collected for one transaction: most parts
+	// are cleared soon after a crash.
+	suspectWriteDelay = 100 * time.Millisecond
 	// suspectWriteRetryDelay is the pause after a failed write.
 	suspectWriteRetryDelay = 250 * time.Millisecond
 	// maxCrashesPerDatagram keeps a datagram below maxDatagramBytes.
@@ -51,7 +54,7 @@
 }
 
 func crashKey(crash quarantine.Crash) string {
-	return suspectPrefix + crash.Request.String() + "/" + crashKind + "/" + crash.Server
+	return suspectPrefix + crash.Subject.String() + "/" + crashKind + "/" + crash.Server
 }
 
 func trialKey(f quarantine.Fingerprint, trial int) string {
@@ -66,7 +69,7 @@
 		return row, eris.Errorf("suspect row %q: key must have three parts separated by slashes", key)
 	}
 	var err error
-	if row.crash.Request, err = quarantine.ParseFingerprint(fields[0]); err != nil {
+	if row.crash.Subject, err = quarantine.ParseFingerprint(fields[0]); err != nil {
 		return row, err
 	}
 	switch fields[1] {
@@ -98,8 +101,7 @@
 	}
 }
 
-// publishSuspects sends what this entry recorded to other entries and writes it
-// to the store, until ctx ends.
+// publishSuspects sends what this entry recorded to other entries, until ctx ends.
 func (g *Gateway) publishSuspects(ctx context.Context) {
 	s := g.state.suspects
 	for {
@@ -109,9 +111,23 @@
 		case <-s.publish:
 		}
 		g.sendSuspects()
+		signal(s.write)
+	}
+}
+
+// persistSuspects writes what this entry recorded to the store, until ctx ends.
+func (g *Gateway) persistSuspects(ctx context.Context) {
+	s := g.state.suspects
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.write:
+		}
+		sleep(ctx, suspectWriteDelay)
 		if !g.writeSuspects(ctx) {
 			sleep(ctx, suspectWriteRetryDelay)
-			s.signalPublish()
+			signal(s.write)
 		}
 	}
 }
@@ -140,7 +156,7 @@
 		update := &jayv1.StrikeNews{}
 		n := min(len(crashes), maxCrashesPerDatagram)
 		for _, crash := range crashes[:n] {
-			update.Strikes = append(update.Strikes, &jayv1.RequestStrike{Request: crash.Request[:], Server: crash.Server})
+			update.Strikes = append(update.Strikes, &jayv1.RequestStrike{Request: crash.Subject[:], Server: crash.Server})
 		}
 		m := min(len(cleared), maxCrashesPerDatagram-n)
 		for _, f := range cleared[:m] {
@@ -161,7 +177,7 @@
 			g.metrics.Count("datagrams", "malformed", 1)
 			return
 		}
-		crashes = append(crashes, quarantine.Crash{Request: quarantine.Fingerprint(crash.GetRequest()), Server: crash.GetServer()})
+		crashes = append(crashes, quarantine.Crash{Subject: quarantine.Fingerprint(crash.GetRequest()), Server: crash.GetServer()})
 	}
 	for _, f := range update.GetCleared() {
 		if len(f) != len(quarantine.Fingerprint{}) {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -11,23 +11,26 @@
 	"github.com/jayproxy/jayproxy/internal/quarantine"
 )
 
-// suspects holds an entry's records of requests under which servers crashed,
-// and which of them are still to be sent to other entries and to the store. It
-// does no I/O. Its lock may be taken while the state's is held, never the other
+// suspects holds an entry's records of requests and prompt parts under which servers
+// crashed, and which of them are still to be sent to other entries and to the store.
+// It does no I/O. Its lock may be taken while the state's is held, never the other
 // way round.
 type suspects struct {
-	// tracked counts the suspect requests and the interrupted runs whose servers
-	// are not known to have crashed or survived. While it is 0 no request is
-	// hashed.
+	// tracked counts the suspects and the interrupted runs whose servers are not known
+	// to have crashed or survived. While it is 0 no request is hashed before it is sent.
 	tracked atomic.Int64
-	// publish signals that there is something to send or to write.
-	publish chan struct{}
+	// publish signals that there is something to send, write that there are rows to
+	// write.
+	publish, write chan struct{}
 
 	mu            sync.Mutex
 	registry      *quarantine.Registry
 	interruptions *quarantine.Interruptions
 	// probing holds the server incarnations that are being probed.
 	probing map[string]bool
+	// partIDs holds the IDs of parts with records, as far as this entry has seen
+	// requests with them.
+	partIDs map[quarantine.Fingerprint]string
 	// unsent holds crashes, unsentCleared cleared requests that are still to be sent
 	// in datagrams.
 	unsent        []quarantine.Crash
@@ -44,17 +47,24 @@
 func newSuspects() *suspects {
 	return &suspects{
 		registry: quarantine.NewRegistry(quarantine.DefaultSettings()), interruptions: quarantine.NewInterruptions(),
-		probing: map[string]bool{}, unwrittenRows: map[string]bool{}, publish: make(chan struct{}, 1),
+		probing: map[string]bool{}, partIDs: map[quarantine.Fingerprint]string{}, unwrittenRows: map[string]bool{},
+		publish: make(chan struct{}, 1), write: make(chan struct{}, 1),
 	}
 }
 
-// runInterrupted records a run that was interrupted early.
-func (s *suspects) runInterrupted(now time.Time, run quarantine.Crash) {
+// runInterrupted records a run that was interrupted early: against its request and the
+// shared parts of its prompt.
+func (s *suspects) runInterrupted(now time.Time, server string, subjects ...quarantine.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.interruptions.Add(now, run) {
-		s.recordOwnCrashesLocked(now, []quarantine.Crash{run})
+	var crashes []quarantine.Crash
+	for _, f := range subjects {
+		run := quarantine.Crash{Subject: f, Server: server}
+		if s.interruptions.Add(now, run) {
+			crashes = append(crashes, run)
+		}
 	}
+	s.recordOwnCrashesLocked(now, crashes)
 	s.updateTrackedLocked()
 }
 
@@ -119,12 +129,25 @@
 	crashes = slices.DeleteFunc(slices.Clone(crashes), s.registry.Contains)
 	quarantined := s.registry.Add(now, crashes)
 	s.updateTrackedLocked()
-	for _, crash := range crashes {
-		klog.InfoS("Server crashed while running request", "fingerprint", crash.Request.String(), "server", crash.Server, "source", source)
-	}
+	s.logCrashesLocked(crashes, source)
 	for _, f := range quarantined {
 		v := s.registry.Verdict(now, f)
-		klog.InfoS("Request quarantined", "fingerprint", f.String(), "source", source, "trial", v.Trial, "retryAfterMS", v.RetryAfter.Milliseconds())
+		klog.InfoS(kindOf(f)+" quarantined", "fingerprint", f.String(), "part", s.partIDs[f], "source", source, "trial", v.Trial, "retryAfterMS", v.RetryAfter.Milliseconds())
+	}
+}
+
+// logCrashesLocked logs a line for each request, and one for all parts at a server.
+func (s *suspects) logCrashesLocked(crashes []quarantine.Crash, source string) {
+	parts := map[string][]string{}
+	for _, crash := range crashes {
+		if crash.Subject.IsPart() {
+			parts[crash.Server] = append(parts[crash.Server], s.partNameLocked(crash.Subject))
+			continue
+		}
+		klog.InfoS("Server crashed while running request", "fingerprint", crash.Subject.String(), "server", crash.Server, "source", source)
+	}
+	for server, names := range parts {
+		klog.InfoS("Server crashed while running prompts", "parts", names, "server", server, "source", source)
 	}
 }
 
@@ -143,7 +166,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if row.trial > 0 {
-		s.registry.TrialClaimed(now, row.crash.Request, row.trial)
+		s.registry.TrialClaimed(now, row.crash.Subject, row.trial)
 		s.updateTrackedLocked()
 		return
 	}
@@ -154,7 +177,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if row.trial > 0 {
-		s.registry.TrialReleased(row.crash.Request, row.trial)
+		s.registry.TrialReleased(row.crash.Subject, row.trial)
 	} else {
 		s.registry.Remove(time.Now(), row.crash)
 	}
@@ -167,6 +190,10 @@
 func (s *suspects) clear(f quarantine.Fingerprint, reason string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.clearEverywhereLocked(f, reason)
+}
+
+func (s *suspects) clearEverywhereLocked(f quarantine.Fingerprint, reason string) bool {
 	request, ok := s.clearLocked(f, reason)
 	if !ok {
 		return false
@@ -177,7 +204,7 @@
 	return true
 }
 
-func (s *suspects) clearLocked(f quarantine.Fingerprint, reason string) (quarantine.Request, bool) {
+func (s *suspects) clearLocked(f quarantine.Fingerprint, reason string) (quarantine.Suspect, bool) {
 	s.interruptions.Completed(f)
 	defer s.updateTrackedLocked()
 	request, ok := s.registry.Clear(time.Now(), f)
@@ -187,12 +214,12 @@
 	for _, crash := range crashesOf(request) {
 		delete(s.unwrittenRows, crashKey(crash))
 	}
-	klog.InfoS("Request cleared", "fingerprint", f.String(), "why", reason, "held", request.Quarantined, "servers", request.Servers, "trials", request.Trials)
+	klog.InfoS(kindOf(f)+" cleared", "fingerprint", f.String(), "part", s.partIDs[f], "why", reason, "held", request.Quarantined, "servers", request.Servers, "trials", request.Trials)
 	return request, true
 }
 
 // removeRowsLocked queues the deletion of all rows of a request.
-func (s *suspects) removeRowsLocked(request quarantine.Request) {
+func (s *suspects) removeRowsLocked(request quarantine.Suspect) {
 	for _, crash := range crashesOf(request) {
 		s.queueRowLocked(crashKey(crash), false)
 	}
@@ -209,9 +236,12 @@
 	s.unwrittenRows[key] = put
 }
 
-func (s *suspects) signalPublish() {
+func (s *suspects) signalPublish() { signal(s.publish) }
+
+// signal wakes the reader of a channel with room for one signal.
+func signal(to chan struct{}) {
 	select {
-	case s.publish <- struct{}{}:
+	case to <- struct{}{}:
 	default:
 	}
 }
@@ -243,7 +273,7 @@
 func (s *suspects) mayRepeat(f quarantine.Fingerprint, interruptedAt []string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.MayRepeat(f, interruptedAt)
+	return s.registry.MayRepeat(time.Now(), f, interruptedAt)
 }
 
 // trialClaimed records that this entry claimed a trial, trialReleased that the
@@ -264,7 +294,7 @@
 
 // list returns all suspect requests, for operators; counts returns their
 // numbers, for metrics.
-func (s *suspects) list() []quarantine.Request {
+func (s *suspects) list() []quarantine.Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.registry.List()
@@ -284,8 +314,9 @@
 	s.interruptions.Tick(now)
 	expired := s.registry.Tick(now)
 	s.updateTrackedLocked()
+	s.forgetPartIDsLocked()
 	for _, request := range expired {
-		klog.InfoS("Records of a suspect request expired", "fingerprint", request.Fingerprint.String(), "held", request.Quarantined, "servers", request.Servers)
+		klog.InfoS("Records of a suspect expired", "fingerprint", request.Fingerprint.String(), "part", s.partIDs[request.Fingerprint], "held", request.Quarantined, "servers", request.Servers)
 		if deleteRows {
 			s.removeRowsLocked(request)
 			s.signalPublish()
@@ -293,15 +324,25 @@
 	}
 }
 
-// takeUnsent returns what is still to be sent in datagrams. If there are more
-// than limit crashes it returns only those of requests with at least two; the
-// other entries read the rest from the store.
+// takeUnsent returns what is still to be sent in datagrams. Of more than limit crashes it
+// returns those of subjects with at least two, and up to limit of parts that were not in
+// whole runs before; the other entries read the rest from the store.
 func (s *suspects) takeUnsent(limit int) ([]quarantine.Crash, []quarantine.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	crashes := s.unsent
 	if len(crashes) > limit {
-		crashes = slices.DeleteFunc(crashes, func(crash quarantine.Crash) bool { return s.registry.CrashCount(crash.Request) < 2 })
+		unproven := 0
+		crashes = slices.DeleteFunc(crashes, func(crash quarantine.Crash) bool {
+			if s.registry.CrashCount(crash.Subject) >= 2 {
+				return false
+			}
+			if s.registry.UnprovenPart(crash.Subject) {
+				unproven++
+				return unproven > limit
+			}
+			return true
+		})
 	}
 	cleared := s.unsentCleared
 	s.unsent, s.unsentCleared = nil, nil
@@ -335,10 +376,10 @@
 	}
 }
 
-func crashesOf(request quarantine.Request) []quarantine.Crash {
+func crashesOf(request quarantine.Suspect) []quarantine.Crash {
 	crashes := make([]quarantine.Crash, 0, len(request.Servers))
 	for _, server := range request.Servers {
-		crashes = append(crashes, quarantine.Crash{Request: request.Fingerprint, Server: server})
+		crashes = append(crashes, quarantine.Crash{Subject: request.Fingerprint, Server: server})
 	}
 	return crashes
 }
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -35,7 +35,7 @@
 // request.
 func (g *Gateway) simulateCrash(f quarantine.Fingerprint, servers ...string) {
 	for _, server := range servers {
-		g.state.suspects.runInterrupted(time.Now(), quarantine.Crash{Request: f, Server: server})
+		g.state.suspects.runInterrupted(time.Now(), server, f)
 		g.state.suspects.serverCrashed(time.Now(), server)
 	}
 }
@@ -108,7 +108,7 @@
 	var crashes []quarantine.Crash
 	var cleared []quarantine.Fingerprint
 	for n := range 45 {
-		crashes = append(crashes, quarantine.Crash{Request: suspectFingerprint(n), Server: strings.Repeat("s", 24)})
+		crashes = append(crashes, quarantine.Crash{Subject: suspectFingerprint(n), Server: strings.Repeat("s", 24)})
 		cleared = append(cleared, suspectFingerprint(100+n))
 	}
 	datagrams := crashDatagrams(crashes, cleared)
@@ -134,8 +134,15 @@
 	crashes, _ := g.state.suspects.takeUnsent(maxLargeFleetCrashes)
 	assert.Len(t, crashes, 2)
 	for _, crash := range crashes {
-		assert.Equal(t, suspectFingerprint(2), crash.Request)
+		assert.Equal(t, suspectFingerprint(2), crash.Subject)
 	}
+	parts := []quarantine.Fingerprint{quarantine.PartFingerprint("new"), quarantine.PartFingerprint("known")}
+	g.state.suspects.partsRan(time.Now(), parts[1:], 1)
+	for _, f := range append(parts, suspectFingerprint(20), suspectFingerprint(21), suspectFingerprint(22)) {
+		g.simulateCrash(f, "p")
+	}
+	crashes, _ = g.state.suspects.takeUnsent(maxLargeFleetCrashes)
+	assert.Equal(t, []quarantine.Crash{{Subject: parts[0], Server: "p"}}, crashes, "a part without whole runs likely causes the crash")
 	g.simulateCrash(suspectFingerprint(3), "d")
 	crashes, _ = g.state.suspects.takeUnsent(maxLargeFleetCrashes)
 	assert.Len(t, crashes, 1, "a few crashes are sent unfiltered")
@@ -162,7 +169,7 @@
 // ran.
 func TestPlannedEndIsNotCountedAsCrash(t *testing.T) {
 	s := newSuspects()
-	s.runInterrupted(time.Now(), quarantine.Crash{Request: suspectFingerprint(1), Server: "a"})
+	s.runInterrupted(time.Now(), "a", suspectFingerprint(1))
 	s.serverDrained("a")
 	s.serverCrashed(time.Now(), "a")
 	assert.Empty(t, s.list())
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -35,6 +35,7 @@
 		g.runFeed(ctx, g.entries)
 	})
 	g.spawn(func() { g.publishSuspects(ctx) })
+	g.spawn(func() { g.persistSuspects(ctx) })
 	g.spawn(func() { g.readFromPeersDuringOutage(ctx, backends) })
 	g.spawn(func() { g.keepRegistered(ctx) })
 	g.spawn(func() { g.fetchWeightHistory(ctx) })
--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -6,51 +6,97 @@
 	"time"
 )
 
-func (r *Registry) sortByCrashes(order []Fingerprint) {
+// rank orders subjects by how likely they cause the crashes that they have in common
+// with others; the highest is the most likely.
+type rank struct {
+	// unproven: the subject was not in whole runs shortly before.
+	unproven bool
+	crashes  int
+	// request: the subject is a request. A part that has no more crashes than one request
+	// with it may be harmless in others.
+	request bool
+}
+
+func (x rank) compare(y rank) int {
+	switch {
+	case x.unproven != y.unproven:
+		return boolOrder(x.unproven)
+	case x.crashes != y.crashes:
+		return x.crashes - y.crashes
+	case x.request != y.request:
+		return boolOrder(x.request)
+	}
+	return 0
+}
+
+func boolOrder(higher bool) int {
+	if higher {
+		return 1
+	}
+	return -1
+}
+
+func rankOf(f Fingerprint, rec *record) rank {
+	return rank{unproven: !rec.proven, crashes: len(rec.servers), request: !f.IsPart()}
+}
+
+// sortByRank puts the highest rank first.
+func (r *Registry) sortByRank(order []Fingerprint) {
 	slices.SortFunc(order, func(x, y Fingerprint) int {
-		if more := len(r.records[y].servers) - len(r.records[x].servers); more != 0 {
-			return more
+		if higher := rankOf(y, r.records[y]).compare(rankOf(x, r.records[x])); higher != 0 {
+			return higher
 		}
 		return bytes.Compare(x[:], y[:])
 	})
 }
 
-// unexplained counts the crashes at which no quarantined request with more
-// crashes was running.
-func (r *Registry) unexplained(rec *record) int {
+// unexplained counts the crashes at which no quarantined subject of a higher rank
+// was running.
+func (r *Registry) unexplained(f Fingerprint, rec *record) int {
 	n := 0
 	for server := range rec.servers {
-		if r.maxCrashes[server] <= len(rec.servers) {
+		if highest, ok := r.maxRank[server]; !ok || highest.compare(rankOf(f, rec)) <= 0 {
 			n++
 		}
 	}
 	return n
 }
 
-// recompute derives the quarantined requests from the crash records alone, so that
-// entries with the same records quarantine the same requests. A crash under a
-// quarantined request does not count against requests with fewer crashes. It
-// returns the newly quarantined requests.
+// threshold returns the number of unexplained crashes at which a subject is quarantined.
+func (r *Registry) threshold(rec *record) int {
+	if rec.proven {
+		return r.settings.ProvenCrashThreshold
+	}
+	return r.settings.CrashThreshold
+}
+
+// recompute derives the quarantined subjects from the crash records and from which
+// parts are proven, so that entries with the same records quarantine the same subjects
+// except for parts that only some of them have seen in whole runs. A crash under a
+// quarantined subject does not count against those of a lower rank. It returns the
+// newly quarantined subjects.
 func (r *Registry) recompute(now time.Time) []Fingerprint {
 	order := make([]Fingerprint, 0, len(r.candidates))
 	for f := range r.candidates {
 		order = append(order, f)
 	}
-	r.sortByCrashes(order)
-	r.maxCrashes = map[string]int{}
+	r.sortByRank(order)
+	r.maxRank = map[string]rank{}
 	atServer := map[string][]Fingerprint{}
 	var quarantined, added []Fingerprint
 	for _, f := range order {
 		rec := r.records[f]
 		before := rec.quarantined
-		rec.quarantined = r.unexplained(rec) >= r.settings.CrashThreshold
+		rec.quarantined = r.unexplained(f, rec) >= r.threshold(rec)
 		if !rec.quarantined {
 			rec.uncertainSince = time.Time{}
 			continue
 		}
 		quarantined = append(quarantined, f)
 		for server := range rec.servers {
-			r.maxCrashes[server] = max(r.maxCrashes[server], len(rec.servers))
+			if highest, ok := r.maxRank[server]; !ok || rankOf(f, rec).compare(highest) > 0 {
+				r.maxRank[server] = rankOf(f, rec)
+			}
 			atServer[server] = append(atServer[server], f)
 		}
 		if !before {
@@ -64,8 +110,8 @@
 	return added
 }
 
-// updateUncertainty determines whether another quarantined request was running at
-// each crash, and if so, assigns the request its trial slot.
+// updateUncertainty determines whether another quarantined subject was running at
+// each crash, and if so, assigns the subject its trial slot.
 func (rec *record) updateUncertainty(now time.Time, f Fingerprint, atServer map[string][]Fingerprint) {
 	concurrent := map[Fingerprint]bool{}
 	for server := range rec.servers {
--- a/internal/quarantine/eviction.go
+++ b/internal/quarantine/eviction.go
@@ -9,7 +9,7 @@
 // quarantined first, the least recently updated first. It reports whether any
 // were removed.
 func (r *Registry) evict() bool {
-	if len(r.records) <= r.settings.MaxRequests {
+	if len(r.records) <= r.settings.MaxSubjects {
 		return false
 	}
 	order := make([]Fingerprint, 0, len(r.records))
@@ -17,7 +17,7 @@
 		order = append(order, f)
 	}
 	slices.SortFunc(order, func(x, y Fingerprint) int { return r.records[x].compareEviction(r.records[y]) })
-	keep := r.settings.MaxRequests - r.settings.MaxRequests/evictDivisor
+	keep := r.settings.MaxSubjects - r.settings.MaxSubjects/evictDivisor
 	for _, f := range order[:len(order)-keep] {
 		r.evicted = append(r.evicted, r.snapshot(f, r.records[f]))
 		r.drop(f)
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -12,8 +12,9 @@
 // headBytes is the length of the head at the start of a fingerprint.
 const headBytes = 4
 
-// Fingerprint identifies a request across the caller's attempts, each of which
-// has its own request ID. It starts with the Head of the request's identity.
+// Fingerprint identifies what crashes are recorded against: a request across the
+// caller's attempts, each of which has its own request ID, or a part of prompts. It
+// starts with the Head of the request's identity.
 type Fingerprint [16]byte
 
 // Head is the part of a fingerprint that is computed without the body's bytes.
@@ -39,7 +40,11 @@
 		_, _ = hash.WriteString(field)
 	}
 	writeSize(&hash, len(i.Body))
-	return Head(hash.Sum64())
+	head := Head(hash.Sum64())
+	if head == PartHead {
+		head++
+	}
+	return head
 }
 
 // Fingerprint hashes the identity. The hash is cryptographic, so that a caller
--- a/internal/quarantine/interruptions.go
+++ b/internal/quarantine/interruptions.go
@@ -57,11 +57,11 @@
 		requests = map[Fingerprint]time.Time{}
 		n.pending[run.Server] = requests
 	}
-	if _, ok := requests[run.Request]; !ok {
+	if _, ok := requests[run.Subject]; !ok {
 		n.count++
-		n.headCounts[run.Request.Head()]++
+		n.headCounts[run.Subject.Head()]++
 	}
-	requests[run.Request] = now.Add(proofTimeout)
+	requests[run.Subject] = now.Add(proofTimeout)
 	return false
 }
 
@@ -71,7 +71,7 @@
 	n.crashed[server] = now.Add(proofTimeout)
 	var crashes []Crash
 	for request := range n.pending[server] {
-		crashes = append(crashes, Crash{Request: request, Server: server})
+		crashes = append(crashes, Crash{Subject: request, Server: server})
 	}
 	n.dropServer(server)
 	return crashes
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -1,13 +1,14 @@
-// Package quarantine decides which requests are no longer sent to backend
-// servers because servers crashed shortly after starting to run them. It has no
-// I/O, goroutines or clock; callers provide the locking.
+// Package quarantine decides which requests, and which parts of prompts, are no
+// longer sent to backend servers because servers crashed shortly after starting to
+// run them. It has no I/O, goroutines or clock; callers provide the locking.
 //
-// A crash ends every run on the server, so one crash says little about any
-// single request. A request is quarantined when several servers crashed under
-// it, it did not complete in between, and no other quarantined request accounts
-// for those crashes better. The state is a set of crash records, each of a
-// request and an incarnation of a server. Records from several entries can be
-// merged in any order, and a duplicate has no effect.
+// A subject is a request or a part of prompts, known by its fingerprint. A crash ends
+// every run on the server, so one crash says little about any single subject. A
+// subject is quarantined when several servers crashed under it, it did not complete
+// in between, and no other quarantined subject accounts for those crashes better. The
+// state is a set of crash records, each of a subject and an incarnation of a server.
+// Records from several entries can be merged in any order, and a duplicate has no
+// effect.
 package quarantine
 
 import (
@@ -17,48 +18,51 @@
 
 // Settings of a Registry.
 type Settings struct {
-	// CrashThreshold is the number of crashes at which a request is quarantined.
+	// CrashThreshold is the number of crashes at which a subject is quarantined.
 	CrashThreshold int
+	// ProvenCrashThreshold is the same for a part that was in whole runs of this entry
+	// shortly before the first of its crashes.
+	ProvenCrashThreshold int
 	// TrialDelays has one element for each trial that a quarantined request gets:
 	// how long after the last update of its record the trial may start.
-	TrialDelays []time.Duration
+	// PartTrialDelays are those of a part.
+	TrialDelays, PartTrialDelays []time.Duration
 	// SuspectTTL is how long after the last update the record of a request that
 	// is not quarantined is kept.
 	SuspectTTL time.Duration
 	// QuarantineTTL is the same for a quarantined request.
 	QuarantineTTL time.Duration
-	// MaxRequests limits the number of requests with a record.
-	MaxRequests int
+	// MaxSubjects limits the number of subjects with a record.
+	MaxSubjects int
 }
 
 // DefaultSettings limit the servers that one request can crash: three before it
 // is quarantined, and one in each of two trials. Trials are rare because a crash
 // ends all runs of the server. They are needed because a harmless request may
-// have been running next to the faulty one at each crash; its trial shows that.
+// have been running next to the faulty one at each crash; its trial shows that. The
+// first trial of a part comes early, since many requests may share it.
 func DefaultSettings() Settings {
 	return Settings{
-		CrashThreshold: 3,
-		TrialDelays:    []time.Duration{5 * time.Minute, time.Hour},
-		SuspectTTL:     10 * time.Minute,
-		QuarantineTTL:  24 * time.Hour,
-		MaxRequests:    4096,
+		CrashThreshold:       3,
+		ProvenCrashThreshold: 5,
+		TrialDelays:          []time.Duration{5 * time.Minute, time.Hour},
+		PartTrialDelays:      []time.Duration{5 * time.Second, 5 * time.Minute},
+		SuspectTTL:           10 * time.Minute,
+		QuarantineTTL:        24 * time.Hour,
+		MaxSubjects:          4096,
 	}
 }
 
-// repeatCrashLimit is the number of crashes from which a request is not sent
-// again within one attempt, so that a repeat never crashes the third server.
-const repeatCrashLimit = 2
-
 // Crash is a crash record: a server incarnation crashed shortly after it started
 // to run a request. Interruptions use it for runs whose server may have crashed.
 type Crash struct {
-	Request Fingerprint
+	Subject Fingerprint
 	// Server is the ID of the incarnation.
 	Server string
 }
 
-// Request is the record of one request, for operators.
-type Request struct {
+// Suspect is the record of one subject, for operators.
+type Suspect struct {
 	Fingerprint Fingerprint
 	// Servers are the incarnations that crashed under the request, sorted by ID.
 	Servers []string
@@ -75,7 +79,10 @@
 }
 
 type record struct {
-	servers   map[string]bool
+	servers map[string]bool
+	// proven: the subject is a part that was in whole runs of this entry shortly before
+	// the first crash.
+	proven    bool
 	trials    int
 	updatedAt time.Time
 
@@ -93,17 +100,18 @@
 type Registry struct {
 	settings Settings
 	records  map[Fingerprint]*record
+	history  partHistory
 	// headCounts is the number of requests with each head.
 	headCounts map[Head]int
 	// candidates are the requests with at least CrashThreshold crashes; only they
 	// are considered for quarantine.
 	candidates map[Fingerprint]bool
-	// maxCrashes is, for each server that crashed under quarantined requests, the
-	// highest crash count among those requests.
-	maxCrashes       map[string]int
+	// maxRank is, for each server that crashed under quarantined subjects, the highest
+	// rank among those.
+	maxRank          map[string]rank
 	quarantinedCount int
 	// evicted requests that Tick has not returned yet.
-	evicted []Request
+	evicted []Suspect
 }
 
 // NewRegistry returns an empty registry.
@@ -123,7 +131,7 @@
 
 // Contains reports whether the crash is already recorded.
 func (r *Registry) Contains(crash Crash) bool {
-	rec := r.records[crash.Request]
+	rec := r.records[crash.Subject]
 	return rec != nil && rec.servers[crash.Server]
 }
 
@@ -139,14 +147,14 @@
 func (r *Registry) Add(now time.Time, crashes []Crash) []Fingerprint {
 	changed := false
 	for _, crash := range crashes {
-		rec := r.ensureRecord(crash.Request)
+		rec := r.ensureRecord(now, crash.Subject)
 		if rec.servers[crash.Server] {
 			continue
 		}
 		rec.servers[crash.Server] = true
 		rec.updatedAt = now
 		if len(rec.servers) >= r.settings.CrashThreshold {
-			r.candidates[crash.Request] = true
+			r.candidates[crash.Subject] = true
 			changed = true
 		}
 	}
@@ -161,25 +169,25 @@
 
 // Remove withdraws a crash record.
 func (r *Registry) Remove(now time.Time, crash Crash) {
-	rec := r.records[crash.Request]
+	rec := r.records[crash.Subject]
 	if rec == nil || !rec.servers[crash.Server] {
 		return
 	}
 	delete(rec.servers, crash.Server)
 	if len(rec.servers) < r.settings.CrashThreshold {
-		delete(r.candidates, crash.Request)
+		delete(r.candidates, crash.Subject)
 		rec.quarantined, rec.uncertainSince = false, time.Time{}
 	}
-	r.dropIfEmpty(crash.Request, rec)
+	r.dropIfEmpty(crash.Subject, rec)
 	r.recompute(now)
 }
 
 // Clear removes the record of a request, because it completed or an operator
 // released it, and returns the record. It reports false if there was none.
-func (r *Registry) Clear(now time.Time, f Fingerprint) (Request, bool) {
+func (r *Registry) Clear(now time.Time, f Fingerprint) (Suspect, bool) {
 	rec := r.records[f]
 	if rec == nil {
-		return Request{}, false
+		return Suspect{}, false
 	}
 	known := r.snapshot(f, rec)
 	r.drop(f)
@@ -187,25 +195,38 @@
 	return known, true
 }
 
-// MayRepeat reports whether a request may be sent again within one attempt, in
-// which it was interrupted early at the given servers.
-func (r *Registry) MayRepeat(f Fingerprint, interrupted []string) bool {
-	count := 0
+// UnprovenPart reports whether crashes are recorded under a part that was not in whole
+// runs shortly before.
+func (r *Registry) UnprovenPart(f Fingerprint) bool {
 	rec := r.records[f]
+	return rec != nil && f.IsPart() && !rec.proven
+}
+
+// WholeRun records that a part was in a whole run.
+func (r *Registry) WholeRun(now time.Time, part Fingerprint) { r.history.add(now, part) }
+
+// MayRepeat reports whether a request may be sent again within one attempt, in
+// which it was interrupted early at the given servers. subject is the request or one of
+// its parts. A repeat never crashes the server at which the subject is quarantined.
+func (r *Registry) MayRepeat(now time.Time, subject Fingerprint, interrupted []string) bool {
+	count, threshold := 0, r.settings.CrashThreshold
+	rec := r.records[subject]
 	if rec != nil {
-		count = r.unexplained(rec)
+		count, threshold = r.unexplained(subject, rec), r.threshold(rec)
+	} else if subject.IsPart() && r.history.contains(now, subject) {
+		threshold = r.settings.ProvenCrashThreshold
 	}
 	for i, server := range interrupted {
 		if (rec == nil || !rec.servers[server]) && !slices.Contains(interrupted[:i], server) {
 			count++
 		}
 	}
-	return count < repeatCrashLimit
+	return count < threshold-1
 }
 
 // Tick removes expired records. It returns them, and those evicted since the
 // last call.
-func (r *Registry) Tick(now time.Time) []Request {
+func (r *Registry) Tick(now time.Time) []Suspect {
 	removed := r.evicted
 	r.evicted = nil
 	for f, rec := range r.records {
@@ -225,35 +246,35 @@
 }
 
 // List returns all records, those with the most crashes first.
-func (r *Registry) List() []Request {
-	list := make([]Request, 0, len(r.records))
+func (r *Registry) List() []Suspect {
+	list := make([]Suspect, 0, len(r.records))
 	all := make([]Fingerprint, 0, len(r.records))
 	for f := range r.records {
 		all = append(all, f)
 	}
-	r.sortByCrashes(all)
+	r.sortByRank(all)
 	for _, f := range all {
 		list = append(list, r.snapshot(f, r.records[f]))
 	}
 	return list
 }
 
-func (r *Registry) snapshot(f Fingerprint, rec *record) Request {
+func (r *Registry) snapshot(f Fingerprint, rec *record) Suspect {
 	servers := make([]string, 0, len(rec.servers))
 	for server := range rec.servers {
 		servers = append(servers, server)
 	}
 	slices.Sort(servers)
-	return Request{
-		Fingerprint: f, Servers: servers, Unexplained: r.unexplained(rec), Trials: rec.trials,
+	return Suspect{
+		Fingerprint: f, Servers: servers, Unexplained: r.unexplained(f, rec), Trials: rec.trials,
 		Quarantined: rec.quarantined, Uncertain: rec.uncertain(), LastUpdate: rec.updatedAt,
 	}
 }
 
-func (r *Registry) ensureRecord(f Fingerprint) *record {
+func (r *Registry) ensureRecord(now time.Time, f Fingerprint) *record {
 	rec := r.records[f]
 	if rec == nil {
-		rec = &record{servers: map[string]bool{}}
+		rec = &record{servers: map[string]bool{}, proven: f.IsPart() && r.history.contains(now, f)}
 		r.records[f] = rec
 		r.headCounts[f.Head()]++
 	}
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -21,7 +21,7 @@
 func crashes(f Fingerprint, servers ...string) []Crash {
 	var all []Crash
 	for _, server := range servers {
-		all = append(all, Crash{Request: f, Server: server})
+		all = append(all, Crash{Subject: f, Server: server})
 	}
 	return all
 }
@@ -47,7 +47,7 @@
 	registry.Add(begin, crashes(harmless, "c"))
 	assert.True(t, registry.Verdict(begin, faulty).Quarantined)
 	assert.False(t, registry.Verdict(begin, harmless).Quarantined)
-	assert.True(t, registry.MayRepeat(harmless, []string{"e"}), "the other request accounts for its crashes")
+	assert.True(t, registry.MayRepeat(begin, harmless, []string{"e"}), "the other request accounts for its crashes")
 	registry.Add(begin, crashes(harmless, "f", "g", "h"))
 	assert.True(t, registry.Verdict(begin, harmless).Quarantined, "three crashes at which the other request was not running")
 }
@@ -138,12 +138,12 @@
 // Guards against a repeat within one attempt that crashes a third server.
 func TestASuspectIsNotRepeatedWithinOneAttempt(t *testing.T) {
 	registry := NewRegistry(DefaultSettings())
-	assert.True(t, registry.MayRepeat(fp(1), []string{"a"}), "the first crash may be due to another request")
-	assert.False(t, registry.MayRepeat(fp(1), []string{"a", "b"}))
-	assert.True(t, registry.MayRepeat(fp(1), []string{"a", "a"}))
+	assert.True(t, registry.MayRepeat(begin, fp(1), []string{"a"}), "the first crash may be due to another request")
+	assert.False(t, registry.MayRepeat(begin, fp(1), []string{"a", "b"}))
+	assert.True(t, registry.MayRepeat(begin, fp(1), []string{"a", "a"}))
 	registry.Add(begin, crashes(fp(1), "a"))
-	assert.True(t, registry.MayRepeat(fp(1), []string{"a"}), "the crash is already recorded")
-	assert.False(t, registry.MayRepeat(fp(1), []string{"b"}))
+	assert.True(t, registry.MayRepeat(begin, fp(1), []string{"a"}), "the crash is already recorded")
+	assert.False(t, registry.MayRepeat(begin, fp(1), []string{"b"}))
 }
 
 // Guards against entries that quarantine different requests because crash records
@@ -187,7 +187,7 @@
 
 func TestAFullRegistryKeepsQuarantinedRequests(t *testing.T) {
 	settings := DefaultSettings()
-	settings.MaxRequests = 10
+	settings.MaxSubjects = 10
 	registry := NewRegistry(settings)
 	registry.Add(begin, crashes(fp(0), "a", "b", "c"))
 	for i := 1; i <= 20; i++ {
@@ -229,7 +229,7 @@
 	settings := DefaultSettings()
 	registry := NewRegistry(settings)
 	var all []Crash
-	for n := range settings.MaxRequests {
+	for n := range settings.MaxSubjects {
 		all = append(all, crashes(fp(n), fmt.Sprint("s", n%100), fmt.Sprint("t", n%90))...)
 	}
 	for n := range 20 {
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -25,7 +25,7 @@
 
 // TrialClaimed records that an entry claimed a trial.
 func (r *Registry) TrialClaimed(now time.Time, f Fingerprint, trial int) {
-	rec := r.ensureRecord(f)
+	rec := r.ensureRecord(now, f)
 	if trial > rec.trials {
 		rec.trials, rec.updatedAt = trial, now
 	}
@@ -47,25 +47,32 @@
 	if rec == nil || !rec.quarantined {
 		return Verdict{}
 	}
-	wait := r.nextTrialIn(now, rec)
+	wait := r.nextTrialIn(now, rec, r.trialDelays(f))
 	if wait > 0 {
 		return Verdict{Quarantined: true, RetryAfter: wait}
 	}
 	return Verdict{Quarantined: true, Trial: rec.trials + 1, RetryAfter: trialSlot}
 }
 
+func (r *Registry) trialDelays(f Fingerprint) []time.Duration {
+	if f.IsPart() {
+		return r.settings.PartTrialDelays
+	}
+	return r.settings.TrialDelays
+}
+
 // nextTrialIn returns the time until the next trial, or until the record expires
 // if no trial is left. The first trial of an uncertain request runs in its slot:
 // at most one of the requests that ran together is at fault, and trials in turn
 // show which.
-func (r *Registry) nextTrialIn(now time.Time, rec *record) time.Duration {
+func (r *Registry) nextTrialIn(now time.Time, rec *record, delays []time.Duration) time.Duration {
 	switch {
-	case rec.trials >= len(r.settings.TrialDelays):
+	case rec.trials >= len(delays):
 		return rec.updatedAt.Add(r.settings.QuarantineTTL).Sub(now)
 	case rec.uncertain() && rec.trials == 0:
 		return rec.nextSlotIn(now)
 	}
-	return rec.updatedAt.Add(r.settings.TrialDelays[rec.trials]).Sub(now)
+	return rec.updatedAt.Add(delays[rec.trials]).Sub(now)
 }
 
 // nextSlotIn returns the time until the next claim window of the request's slot;
