Connections to servers: an entry uses what others leave

Callers got 503 at an entry to which most of a zone's connections came: it used its fixed share of each server's connections, one Nth, although the servers had free slots and the other entries hardly used theirs.

Beyond its share an entry now uses up to half of the connections, as long as the server reported a free slot within two seconds and this entry has not filled it since. The share holds again as soon as others use the slots.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -13,6 +13,9 @@
 	// each may use at least minConnections.
 	connectionShare = 0.9
 	minConnections  = 4
+	// borrowedShare is the share of that which one entry may use of connections that the
+	// others leave. It is kept below 1 for their idle connections.
+	borrowedShare = 0.5
 )
 
 // chooseServer asks the router for the next server, and waits while none has
@@ -72,14 +75,20 @@
 	}
 }
 
-// isFull reports whether this entry has used its share of a server's
-// connections. The state must be locked.
+// isFull reports whether this entry must open no more connections to a server. The state
+// must be locked. An entry to which many callers come uses more than its share of the
+// connections while the server reports free slots.
 func (j *job) isFull(server *routing.DirectServer) bool {
 	if j.service.MaxConns <= 0 {
 		return false
 	}
-	share := max(minConnections, int(connectionShare*float64(j.service.MaxConns)/float64(j.gateway.state.entryCount)))
-	return j.gateway.pool.Busy(server.Address) >= share
+	s := j.gateway.state
+	usable := connectionShare * float64(j.service.MaxConns)
+	busy := j.gateway.pool.Busy(server.Address)
+	if busy < max(minConnections, int(usable/float64(s.entryCount))) {
+		return false
+	}
+	return busy >= int(usable*borrowedShare) || !s.router.HasFreeSlot(time.Now(), server)
 }
 
 // excluded returns the servers that this request must not be sent to: those tried, and
--- a/internal/routing/direct_load.go
+++ b/internal/routing/direct_load.go
@@ -150,6 +150,16 @@
 	d.UpdateSlowdown(now, server, load.SlowdownPercent)
 }
 
+// HasFreeSlot reports whether a server recently said that it has a free slot, and this
+// router has not filled it since.
+func (d *Direct) HasFreeSlot(now time.Time, s *DirectServer) bool {
+	l := d.loads[s.ID]
+	if l == nil || l.otherRequestsAt.IsZero() || now.Sub(l.otherRequestsAt) > reportLifetime {
+		return false
+	}
+	return float64(l.running)+l.otherRequests < float64(s.Slots)
+}
+
 // UpdateSlowdown records how long work takes at a server, in percent of the usual
 // time; 0, not reported, changes nothing.
 func (d *Direct) UpdateSlowdown(now time.Time, server string, reported int) {
--- a/internal/routing/direct_test.go
+++ b/internal/routing/direct_test.go
@@ -205,3 +205,20 @@
 	}
 	assert.NotEmpty(t, choose(t, d, 0, req, servers).Server.ID)
 }
+
+// Guards against an entry that fills a server beyond its slots because no response has
+// shown its own requests there yet.
+func TestAFreeSlotIsOneThatTheServerReportedLately(t *testing.T) {
+	d := routing.NewDirect(routing.DirectOptions{})
+	now := time.Unix(1_800_000_000, 0)
+	server := routing.DirectServer{ID: "a", Slots: 2, Usable: true, Weight: 1}
+	assert.False(t, d.HasFreeSlot(now, &server), "nothing reported")
+	d.UpdateLoad(now, "a", call.Load{Running: 1, Slots: 2})
+	assert.True(t, d.HasFreeSlot(now, &server))
+	_, err := d.Choose(now, &routing.DirectRequest{ID: "r1"}, []routing.DirectServer{server}, nil)
+	require.NoError(t, err)
+	assert.False(t, d.HasFreeSlot(now, &server), "one request of another entry, one of this")
+	d.Finished(now, "r1", true)
+	assert.True(t, d.HasFreeSlot(now, &server))
+	assert.False(t, d.HasFreeSlot(now.Add(3*time.Second), &server), "reported too long ago")
+}
