Draining: a server says so in its responses

Requests reached a server for seconds after it had told the entry that it leaves: only its registration was read, which the store may accept much later.

Server-Leaving in any response, a report's included, marks the incarnation as draining until it ends: a registration that says ready, a list that is read anew, a response of another instance or one without the header change nothing. It gets no requests and no load orders, is named to owners of shards as excluded, and its end counts as planned.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -104,6 +104,8 @@
 	// together.
 	HasLimit bool
 	Limit    float64
+	// Draining: the server says that it takes no new work and will end.
+	Draining bool
 	// Version of the weights that answered; 0: not given.
 	Version uint64
 	// RetryAfter is the delay that the backend server asks for; 0: none.
@@ -122,6 +124,12 @@
 // (Misdirected Request) does so, too.
 func (h *ResponseHead) Refused() bool { return h.NotRun || h.Status == 421 }
 
+// IsFrom reports whether the response may be that of an instance. Most responses do not
+// name theirs; any other instance than the one called refuses the request.
+func (h *ResponseHead) IsFrom(instance string) bool {
+	return h.Instance == instance || h.Instance == "" && h.Status != 421
+}
+
 // Report is the state that a backend server reports of itself, a few hundred
 // milliseconds old.
 type Report struct {
@@ -129,8 +137,8 @@
 	StartedMS int64
 	// Versions of the loaded weights, by model.
 	Versions map[string]uint64
-	// Busy: it is loading weights.
-	Busy bool
+	// Busy: it is loading weights. Draining: it takes no new work and will end.
+	Busy, Draining bool
 	// Orders is how many orders it has accepted.
 	Orders uint64
 	// Running and Queued are numbers of requests.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,7 +58,7 @@
 	SoftwareUnknown bool
 	SoftwareHash    uint32
 	Slots           int
-	// Draining backends get no new requests.
+	// Draining backends get no new requests. Set by the registration, or by MarkDraining.
 	Draining bool
 	// Cold is how much longer the server stays slow after its start.
 	Cold time.Duration
@@ -82,6 +82,9 @@
 	// ended maps incarnations that are known to have ended, though they are still
 	// listed, to the time until which that overrides the list.
 	ended map[string]time.Time
+	// draining holds the incarnations that said themselves that they drain, whatever their
+	// registrations say, and when each was last listed.
+	draining map[string]time.Time
 	// unconfirmed holds registrations of earlier incarnations, by the servers' own names.
 	unconfirmed map[string]unconfirmedBackend
 	// restoredAt is when the store last became readable again.
@@ -97,7 +100,7 @@
 func NewList(grace time.Duration) *List {
 	return &List{
 		grace: grace, byName: map[string]*Backend{}, byID: map[string]*Backend{},
-		missing: map[string]time.Time{}, ended: map[string]time.Time{}, unconfirmed: map[string]unconfirmedBackend{},
+		missing: map[string]time.Time{}, ended: map[string]time.Time{}, draining: map[string]time.Time{}, unconfirmed: map[string]unconfirmedBackend{},
 	}
 }
 
@@ -143,6 +146,9 @@
 		b.StartedMS = old.StartedMS
 	}
 	b.ID = b.Incarnation.ID()
+	if _, ok := l.draining[b.ID]; ok {
+		b.Draining = true
+	}
 	switch {
 	case old == nil:
 		change = Added
@@ -204,6 +210,49 @@
 // Ended reports whether an incarnation is marked as ended.
 func (l *List) Ended(now time.Time, id string) bool { return now.Before(l.ended[id]) }
 
+// drainingTTL is how long an incarnation that said that it drains is remembered when it is
+// not listed any more: its registration may come back after an outage.
+const drainingTTL = 5 * time.Minute
+
+// MarkDraining records that an incarnation said itself that it drains, which holds until it
+// ends. It reports false if the incarnation is not listed or is draining already.
+func (l *List) MarkDraining(now time.Time, id string) bool {
+	b := l.byID[id]
+	if b == nil {
+		return false
+	}
+	l.draining[id] = now
+	if b.Draining {
+		return false
+	}
+	b.Draining = true
+	l.invalidate()
+	return true
+}
+
+// SaidDraining returns up to most listed incarnations of a service that said themselves
+// that they drain.
+func (l *List) SaidDraining(service string, most int) []string {
+	var ids []string
+	for id := range l.draining {
+		if b := l.byID[id]; b != nil && b.Service == service && len(ids) < most {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// forgetDraining drops incarnations that have not been listed for a while.
+func (l *List) forgetDraining(now time.Time) {
+	for id, listedAt := range l.draining {
+		if l.byID[id] != nil {
+			l.draining[id] = now
+		} else if now.Sub(listedAt) >= drainingTTL {
+			delete(l.draining, id)
+		}
+	}
+}
+
 // Restored records that the store is readable again after an outage.
 func (l *List) Restored(now time.Time) { l.restoredAt = now }
 
@@ -228,6 +277,7 @@
 // have persisted for the confirmation period. It returns the backends removed and
 // those listed as a result; a server that is in both has a new incarnation.
 func (l *List) Tick(now time.Time) (gone, listed []*Backend) {
+	l.forgetDraining(now)
 	for instance, until := range l.missing {
 		if !now.Before(until) {
 			b := l.byName[instance]
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -150,3 +150,34 @@
 	assert.Equal(t, fleet.Restarted, change)
 	assert.Equal(t, "h:2", l.OfService("s")[0].Address)
 }
+
+// Guards against a server that gets requests again because its registration, written
+// before or read anew, still says that it is ready.
+func TestAnIncarnationThatSaidItDrainsDoesSoUntilItEnds(t *testing.T) {
+	ready := func() *fleet.Backend {
+		return &fleet.Backend{Incarnation: fleet.Incarnation{Instance: "a"}, Service: "s"}
+	}
+	l := newTestList()
+	assert.False(t, l.MarkDraining(start, "z"), "not listed")
+	assert.True(t, l.MarkDraining(start, "a"))
+	assert.False(t, l.MarkDraining(start, "a"), "it drains already")
+	assert.True(t, l.Get("a").Draining)
+	assert.False(t, l.Get("b").Draining)
+	assert.Equal(t, []string{"a"}, l.SaidDraining("s", 8))
+	l.Put(start, ready())
+	assert.True(t, l.Get("a").Draining, "its heartbeat still says ready")
+	l.Remove(start, "a")
+	l.Tick(start.Add(time.Minute))
+	l.Put(start.Add(time.Minute), ready())
+	assert.True(t, l.Get("a").Draining, "the list was read anew")
+	next := ready()
+	next.StartedMS = 5
+	l.Put(start.Add(time.Minute), next)
+	assert.False(t, l.Named("a").Draining, "another incarnation")
+	assert.Empty(t, l.SaidDraining("s", 8))
+	l.Tick(start.Add(time.Hour))
+	l.Tick(start.Add(2 * time.Hour))
+	l.Remove(start, "a")
+	l.Put(start.Add(2*time.Hour), ready())
+	assert.False(t, l.Get("a").Draining, "forgotten long after its end")
+}
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -136,7 +136,7 @@
 // registration follows with its next heartbeat.
 func (s *state) recordRestart(now time.Time, listed *fleet.Backend, report *call.Report) {
 	next := *listed
-	next.StartedMS, next.Versions, next.SoftwareUnknown = report.StartedMS, report.Versions, true
+	next.StartedMS, next.Versions, next.SoftwareUnknown, next.Draining = report.StartedMS, report.Versions, true, report.Draining
 	s.putBackend(now, &next)
 }
 
@@ -156,6 +156,23 @@
 	s.cacheClearedLocked(id)
 }
 
+// serverDrains records that an incarnation said itself that it drains: its registration may
+// show it much later, or never.
+func (s *state) serverDrains(now time.Time, id, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serverDrainsLocked(now, id, source)
+}
+
+func (s *state) serverDrainsLocked(now time.Time, id, source string) {
+	if !s.list.MarkDraining(now, id) {
+		return
+	}
+	klog.InfoS("Backend server drains", "server", id, "source", source)
+	s.membersStale = true
+	s.refreshMembersLocked(now)
+}
+
 // reportFailed records that a server did not report its state. A server that is gone must
 // not count among those that are loading weights until the list shows its end.
 func (s *state) reportFailed(now time.Time, id string, err error) {
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -257,6 +257,9 @@
 	for _, paused := range s.limits.Paused(now, maxLimitNews) {
 		ask.Tried = append(ask.Tried, uint32(paused))
 	}
+	for _, draining := range s.list.SaidDraining(j.service.Name, maxLimitNews) {
+		ask.Tried = append(ask.Tried, nameHash(draining))
+	}
 	if ask.Model != "" {
 		ask.Wall = request.IsolatedWorkspace
 		ask.Tokens, ask.OutputTokens = uint32(request.Tokens), uint32(request.OutputTokens) //nolint:gosec // sizes
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -217,6 +217,9 @@
 	if !r.gateway.state.reportIsCurrent(time.Now(), action.Server, &report) {
 		return
 	}
+	if report.Draining {
+		r.gateway.state.serverDrains(time.Now(), action.Server, "report")
+	}
 	version := report.Versions[model]
 	r.mu.Lock()
 	plan.ObserveState(action.Server, rollout.ServerState{Version: version, Busy: report.Busy, Orders: report.Orders, Running: report.Running, Queued: report.Queued})
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -335,6 +335,9 @@
 	if model != "" && response.Version > 0 {
 		s.observeVersionLocked(server, model, response.Version, "answer")
 	}
+	if response.Draining && response.IsFrom(fleet.InstanceOf(server)) {
+		s.serverDrainsLocked(now, server, "answer")
+	}
 	s.observeLimitLocked(now, sentAt, server, response)
 }
 
