Rest: a server's Retry-After keeps this entry away

A server that refused with Retry-After got request after request of the same entry: it answers fastest and looks idle, and each refusal used up a second send of its service.

Owners of shards are asked for another server. While all servers that may run a request rest, it is rejected at once with the time until the first of them ends its rest.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -199,10 +199,12 @@
 }
 
 // retryDelay is the time after which a refused request may be retried, spread
-// by request ID. It is not before a server that has named a limit takes another one.
+// by request ID. It is not before a server that has named a limit takes another one, or
+// before the first rest ends if all servers rest.
 func (j *job) retryDelay() time.Duration {
 	const base = 250 * time.Millisecond
-	return spread(max(base, j.gateway.state.limitDelay(time.Now(), j.service)), j.head.ID)
+	now := time.Now()
+	return j.restDelay(now) + spread(max(base, j.gateway.state.limitDelay(now, j.service)), j.head.ID)
 }
 
 // serverTimeout returns the part of the remaining time that a server is given.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -48,7 +48,11 @@
 	request.MayWait = mayWait
 	servers := s.candidatesLocked(now, j.service, j.modelName())
 	j.markFullServers(servers)
-	return s.router.Choose(now, &request, servers, j.excluded())
+	choice, err := s.router.Choose(now, &request, servers, j.excluded())
+	if err == nil {
+		s.placedLocked(now, choice.Server.ID)
+	}
+	return choice, err
 }
 
 // routingRequest returns the request as the router needs it. The state must be
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -106,6 +106,7 @@
 	s.members.Forget(b.ID)
 	delete(s.switches, b.ID)
 	s.limits.Forget(limitAccount(b.ID))
+	s.rests.Forget(limitAccount(b.ID))
 	for key := range s.versions {
 		if key.server == b.ID {
 			delete(s.versions, key)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -257,6 +257,9 @@
 	for _, paused := range s.limits.Paused(now, maxLimitNews) {
 		ask.Tried = append(ask.Tried, uint32(paused))
 	}
+	for _, resting := range s.rests.Resting(now, maxLimitNews) {
+		ask.Tried = append(ask.Tried, uint32(resting))
+	}
 	for _, draining := range s.list.SaidDraining(j.service.Name, maxLimitNews) {
 		ask.Tried = append(ask.Tried, nameHash(draining))
 	}
@@ -303,6 +306,7 @@
 		Server: server, FetchFrom: offer.GetFetchFrom(), SaveTo: offer.GetSaveTo(), Source: routing.SourceFromCode(offer.GetSource()),
 		QueueMS: float64(offer.GetQueueMs()), MemoryMS: float64(offer.GetMemoryMs()), PrefillMS: float64(offer.GetReadMs()),
 	})
+	s.placedLocked(now, b.ID)
 	j.offer = offer
 	return choice, true
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -64,7 +64,7 @@
 // incarnation, have other weights than expected, or be overloaded.
 func (j *job) handleRefusal(choice *routing.DirectChoice, head *call.ResponseHead) {
 	klog.InfoS("Refused by server", "request", j.head.ID, "server", choice.Server.ID, "status", head.Status,
-		"instance", head.Instance, "version", head.Version, "expected", choice.Server.Version, "running", head.Load.Running, "waiting", head.Load.Waiting)
+		"instance", head.Instance, "retryAfterMS", head.RetryAfter.Milliseconds(), "version", head.Version, "expected", choice.Server.Version, "running", head.Load.Running, "waiting", head.Load.Waiting)
 	j.gateway.metrics.Count("refused_by_server", strconv.Itoa(head.Status), 1)
 	now := time.Now()
 	server := choice.Server
@@ -83,6 +83,8 @@
 		// The request waited at the server until its time was over, which says nothing
 		// about the server. Avoiding it would concentrate an overload on fewer and
 		// fewer servers.
+	case asksForRest(head):
+		// The rest keeps this entry away.
 	case server.Version != 0:
 		// The server is probably taking new weights: avoid it until that shows.
 		j.gateway.state.announceSwitch(server.ID, server.Version+1, now.Add(refusalPause))
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -76,6 +76,8 @@
 	suspects *suspects
 	// limits are the limits on requests per second that servers name.
 	limits *serverlimit.Limits
+	// rests are the servers that asked this entry for rest.
+	rests *serverlimit.Rests
 	// closeIdle closes the idle connections to an address.
 	closeIdle func(address string)
 }
@@ -108,7 +110,7 @@
 		retryBudgets: map[string]*retry.Window{},
 		entryCount:   1, kvStoresDown: map[string]bool{},
 		waitQueue: waitqueue.New(), waiters: map[string]*waiter{},
-		suspects: newSuspects(), limits: serverlimit.New(),
+		suspects: newSuspects(), limits: serverlimit.New(), rests: serverlimit.NewRests(),
 	}
 }
 
@@ -280,7 +282,7 @@
 
 // mayServe reports whether a listed server may receive requests of this entry at all.
 func (s *state) mayServe(now time.Time, b *fleet.Backend) bool {
-	return !b.Draining && !s.list.Ended(now, b.ID) && !s.pausedByLimit(now, b)
+	return !b.Draining && !s.list.Ended(now, b.ID) && !s.pausedByLimit(now, b) && !s.resting(now, b)
 }
 
 // serverLocked describes a listed server to the router.
@@ -321,8 +323,7 @@
 	return s.kvStores
 }
 
-// observeResponse records the load, the weight version and the limit that a response
-// reports of its server. sentAt is when the request was sent.
+// observeResponse records what a response says of its server. sentAt is when the request was sent.
 func (s *state) observeResponse(now, sentAt time.Time, server, model string, response *call.ResponseHead) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -339,6 +340,7 @@
 		s.serverDrainsLocked(now, server, "answer")
 	}
 	s.observeLimitLocked(now, sentAt, server, response)
+	s.observeRestLocked(now, sentAt, server, response)
 }
 
 func (s *state) ready() bool {
