Quarantine: bounds for prompts of many parts, cheaper clearing

Crashes count against the first 64 shared parts of a prompt; of a thousand parts each would have had a record. A part that a prompt names twice gets its trial. Clearing a subject that is not near quarantine no longer recomputes the verdicts.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -97,10 +97,8 @@
 
 // partIDOf returns the ID of the shared part with this fingerprint; empty for others.
 func (j *job) partIDOf(f quarantine.Fingerprint) string {
-	for _, part := range j.head.Shared() {
-		if quarantine.PartFingerprint(part.ID) == f {
-			return part.ID
-		}
+	if i := slices.Index(j.partFingerprints(), f); i >= 0 {
+		return j.head.Parts[i].ID
 	}
 	return ""
 }
@@ -112,7 +110,7 @@
 	reason := "quarantined: servers crashed while running it"
 	if h.part != "" {
 		reason = "quarantined: servers crashed while running prompts with part " + h.part
-		j.gateway.state.suspects.rememberPartIDs(j.head.Shared(), j.partFingerprints())
+		j.gateway.state.suspects.rememberPartIDs(j.trackedParts(), j.partFingerprints())
 	}
 	if j.indeterminateSends > 0 {
 		j.giveUp(reason)
@@ -165,7 +163,7 @@
 		return
 	}
 	j.interruptedEarly = append(j.interruptedEarly, server.ID)
-	g.state.suspects.rememberPartIDs(j.head.Shared(), j.partFingerprints())
+	g.state.suspects.rememberPartIDs(j.trackedParts(), j.partFingerprints())
 	g.state.suspects.runInterrupted(now, server.ID, j.subjects()...)
 	if g.state.suspects.beginProbe(server.ID) {
 		g.spawn(func() { g.probeServer(server.ID, server.Address) })
--- a/internal/gateway/suspectparts.go
+++ b/internal/gateway/suspectparts.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/jayproxy/jayproxy/internal/call"
@@ -49,7 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, f := range fingerprints {
-		s.partIDs[f] = parts[i].ID
+		s.partIDs[f] = strings.Clone(parts[i].ID) // Not the whole header.
 	}
 }
 
@@ -90,10 +92,20 @@
 	clearPublishedFromSharded = 2
 )
 
-// partFingerprints returns the fingerprints of the prompt's shared parts.
+// maxTrackedParts bounds the parts of one prompt that crashes are recorded against, so that
+// one request can't fill the records.
+const maxTrackedParts = 64
+
+// trackedParts returns the prompt's shared parts that crashes are recorded against.
+func (j *job) trackedParts() []call.Part {
+	shared := j.head.Shared()
+	return shared[:min(len(shared), maxTrackedParts)]
+}
+
+// partFingerprints returns the fingerprints of the tracked parts.
 func (j *job) partFingerprints() []quarantine.Fingerprint {
 	if j.partHashes == nil {
-		for _, part := range j.head.Shared() {
+		for _, part := range j.trackedParts() {
 			j.partHashes = append(j.partHashes, quarantine.PartFingerprint(part.ID))
 		}
 	}
@@ -105,14 +117,18 @@
 	return append([]quarantine.Fingerprint{j.fingerprint()}, j.partFingerprints()...)
 }
 
-// suspectSubjects returns those subjects that may have records.
+// suspectSubjects returns those subjects that may have records, each once.
 func (j *job) suspectSubjects() []quarantine.Fingerprint {
 	var subjects []quarantine.Fingerprint
 	if j.isSuspect() {
 		subjects = append(subjects, j.fingerprint())
 	}
 	if len(j.head.Shared()) > 0 && j.gateway.state.suspects.mayContainParts() {
-		subjects = append(subjects, j.partFingerprints()...)
+		for _, f := range j.partFingerprints() {
+			if !slices.Contains(subjects, f) {
+				subjects = append(subjects, f)
+			}
+		}
 	}
 	return subjects
 }
--- a/internal/gateway/suspectparts_test.go
+++ b/internal/gateway/suspectparts_test.go
@@ -99,3 +99,19 @@
 	}
 	assert.Len(t, tried, 2, "each part has its turn")
 }
+
+// Guards against a part that never gets a trial because prompts name it twice, and against
+// a request that fills the records with its parts.
+func TestPromptsWithRepeatedOrManyParts(t *testing.T) {
+	g := newTableEntry(platformtest.New(), "gw1")
+	for i, server := range []string{"a", "b", "c"} {
+		newPromptJob(g, fmt.Sprint("r", i), "twice", "twice").crash(server)
+	}
+	assert.Len(t, newPromptJob(g, "another", "twice", "twice").suspectSubjects(), 1)
+	var parts []string
+	for n := range 1000 {
+		parts = append(parts, fmt.Sprint("p", n))
+	}
+	newPromptJob(g, "many", parts...).crash("d")
+	assert.Len(t, g.state.suspects.list(), 3+1+1+maxTrackedParts)
+}
--- a/internal/quarantine/interruptions.go
+++ b/internal/quarantine/interruptions.go
@@ -28,9 +28,10 @@
 // Interruptions holds runs that were interrupted early until it is known whether
 // their servers crashed; a stream can end early for many other reasons.
 type Interruptions struct {
-	// pending maps server incarnations to their interrupted requests and when each expires.
+	// pending maps server incarnations to the subjects of their interrupted runs and when
+	// each expires.
 	pending map[string]map[Fingerprint]time.Time
-	// headCounts is the number of pending runs with each request head.
+	// headCounts is the number of pending runs with each head.
 	headCounts map[Head]int
 	count      int
 	// crashed maps crashed incarnations to the time at which that is forgotten. An
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -36,7 +36,7 @@
 	MaxSubjects int
 }
 
-// DefaultSettings limit the servers that one request can crash: three before it
+// DefaultSettings limit the servers that one subject can crash: three or five before it
 // is quarantined, and one in each of two trials. Trials are rare because a crash
 // ends all runs of the server. They are needed because a harmless request may
 // have been running next to the faulty one at each crash; its trial shows that. The
@@ -189,9 +189,11 @@
 	if rec == nil {
 		return Suspect{}, false
 	}
-	known := r.snapshot(f, rec)
+	known, candidate := r.snapshot(f, rec), r.candidates[f]
 	r.drop(f)
-	r.recompute(now)
+	if candidate {
+		r.recompute(now)
+	}
 	return known, true
 }
 
@@ -207,7 +209,7 @@
 
 // MayRepeat reports whether a request may be sent again within one attempt, in
 // which it was interrupted early at the given servers. subject is the request or one of
-// its parts. A repeat never crashes the server at which the subject is quarantined.
+// its parts. A repeat must not cause the crash at which the subject is quarantined.
 func (r *Registry) MayRepeat(now time.Time, subject Fingerprint, interrupted []string) bool {
 	count, threshold := 0, r.settings.CrashThreshold
 	rec := r.records[subject]
