--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -251,7 +251,7 @@
 	}
 	defer response.Close()
 	head := g.ports.Dialect.DecodeResponse(response.Status, response.Header)
-	response.KeepFor(keepAliveFor(head.KeepAlive))
+	response.KeepFor(j.keepConnection(server.Address, head.KeepAlive))
 	g.state.observeResponse(time.Now(), j.sentAt, server.ID, j.modelName(), &head)
 	outcome := j.handleResponse(choice, response, &head)
 	j.sendFinished(choice, outcome)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -86,13 +86,30 @@
 	if j.service.MaxConns <= 0 {
 		return false
 	}
-	s := j.gateway.state
-	usable := connectionShare * float64(j.service.MaxConns)
 	busy := j.gateway.pool.Busy(server.Address)
-	if busy < max(minConnections, int(usable/float64(s.entryCount))) {
+	if busy < j.connectionsLocked() {
 		return false
 	}
-	return busy >= int(usable*borrowedShare) || !s.router.HasFreeSlot(time.Now(), server)
+	borrowed := int(connectionShare * borrowedShare * float64(j.service.MaxConns))
+	return busy >= borrowed || !j.gateway.state.router.HasFreeSlot(time.Now(), server)
+}
+
+// connectionsLocked returns this entry's share of the connections of each server.
+func (j *job) connectionsLocked() int {
+	return max(minConnections, int(connectionShare*float64(j.service.MaxConns)/float64(j.gateway.state.entryCount)))
+}
+
+// keepConnection returns how long the connection of a response is kept. One beyond this
+// entry's share is not: it would take the place of the other entries' connections.
+func (j *job) keepConnection(address string, announced time.Duration) time.Duration {
+	s := j.gateway.state
+	s.mu.Lock()
+	share := j.connectionsLocked()
+	s.mu.Unlock()
+	if j.service.MaxConns > 0 && j.gateway.pool.Open(address) > share {
+		return 0
+	}
+	return keepAliveFor(announced)
 }
 
 // excluded returns the servers that this request must not be sent to: those tried, and
