--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -39,7 +39,6 @@
 	begun    time.Duration
 	subjects []Fingerprint
 	life     int
-	done     bool
 }
 
 type simFleet struct {
