--- a/internal/gateway/suspectparts.go
+++ b/internal/gateway/suspectparts.go
@@ -86,7 +86,7 @@
 const ranToCompletion = "ran to completion"
 
 // Numbers of crashes from which other entries are told that a part is cleared. Above
-// maxUnshardedEntries one crash does not travel either.
+// maxUnshardedEntries a single crash is left to expire at the others.
 const (
 	clearPublishedFrom        = 1
 	clearPublishedFromSharded = 2
