Quarantine: bystanders of few crashes do not account for many

A part that had run well until it began to crash servers was sent on by one entry for seconds: parts of sessions, quarantined after three crashes beside it, accounted for six of its nine, so that it stayed below the five that a proven part needs.

A subject accounts for no crash of one that has more than twice as many. No other verdict changes: between requests the one with more crashes accounts for those of the other.

--- a/internal/quarantine/attribution.go
+++ b/internal/quarantine/attribution.go
@@ -50,18 +50,24 @@
 	})
 }
 
-// unexplained counts the crashes at which no quarantined subject of a higher rank
-// was running.
+// unexplained counts the crashes that no quarantined subject accounts for.
 func (r *Registry) unexplained(f Fingerprint, rec *record) int {
 	n := 0
 	for server := range rec.servers {
-		if highest, ok := r.maxRank[server]; !ok || highest.compare(rankOf(f, rec)) <= 0 {
+		if highest, ok := r.maxRank[server]; !ok || !highest.accountsFor(rankOf(f, rec)) {
 			n++
 		}
 	}
 	return n
 }
 
+// accountsFor reports whether the crash at which two subjects were running counts for x
+// and not for y. An unproven subject that merely ran beside y a few times must not take
+// all of its crashes.
+func (x rank) accountsFor(y rank) bool {
+	return x.compare(y) > 0 && 2*x.crashes >= y.crashes
+}
+
 // threshold returns the number of unexplained crashes at which a subject is quarantined.
 func (r *Registry) threshold(rec *record) int {
 	if rec.proven {
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -255,7 +255,7 @@
 	}{
 		{name: "few entries", entries: 4, servers: 12, seeds: 50, lostPercent: 2, restarts: true},
 		{name: "few entries, a part that ran before", entries: 4, servers: 12, seeds: 50, lostPercent: 2, turned: true},
-		{name: "few entries, a part that ran before, seed 87", entries: 4, servers: 12, first: 87, seeds: 1, lostPercent: 2, turned: true},
+		{name: "few entries, a part that ran before, bystanders with few crashes", entries: 4, servers: 12, first: 87, seeds: 1, lostPercent: 2, turned: true},
 		{name: "few entries, datagrams lost", entries: 4, servers: 12, seeds: 50, lostPercent: 100, restarts: true},
 		{name: "few entries, no store", entries: 4, servers: 12, seeds: 50, lostPercent: 2, storeFrom: time.Hour},
 		{name: "31 entries", entries: 31, servers: 48, seeds: 20, lostPercent: 2, restarts: true},
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -81,6 +81,16 @@
 	assert.True(t, old.Verdict(late, part("turned")).Quarantined, "whole runs of long ago don't count")
 }
 
+// Guards against a part whose crashes are all put down to bystanders of a few of them.
+func TestABystanderOfFewCrashesDoesNotAccountForMany(t *testing.T) {
+	registry := NewRegistry(DefaultSettings())
+	registry.WholeRun(begin, part("turned"))
+	for n := range 9 {
+		crashUnder(registry, begin, fmt.Sprint("s", n), part("turned"), part(fmt.Sprint("session", n/3)))
+	}
+	assert.True(t, registry.Verdict(begin, part("turned")).Quarantined)
+}
+
 // A part that crashes most of its runs is quarantined, one that crashes few is not.
 func TestAPartThatCrashesSomeRuns(t *testing.T) {
 	for _, one := range []struct {
