Log and count what gives the end of a server's response

Change: the field framing and the counter response_framing. A response without a body, as to HEAD, counts as framed.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -35,6 +35,8 @@
 func (j *job) handleResponse(choice *routing.DirectChoice, response *upstream.Response, head *call.ResponseHead) sendOutcome {
 	server := choice.Server.ID
 	j.load, j.hasLoad = head.Load, head.HasLoad
+	j.framing = response.Framing.String()
+	j.gateway.metrics.Count("response_framing", j.framing, 1)
 	switch {
 	case head.Refused():
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
@@ -142,7 +144,7 @@
 // that crashed has closed the connection as well. A framed response needs no check.
 func (j *job) checkEnd(choice *routing.DirectChoice, response *upstream.Response) error {
 	g, server := j.gateway, choice.Server
-	if response.Bounded || g.state.isDraining(server.ID) {
+	if response.Framing != upstream.FramedByConnection || g.state.isDraining(server.ID) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(j.ctx, endProbeTimeout)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -101,7 +101,9 @@
 	// serverFailure is a server's 5xx response, passed on if no other send
 	// succeeds.
 	serverFailure *bufferedResponse
-	outcome       string
+	// framing is what gave the end of the last server's response.
+	framing string
+	outcome string
 }
 
 // ServeHTTP forwards one request. It panics with http.ErrAbortHandler to close
@@ -301,7 +303,7 @@
 	j.gateway.metrics.Time("request", j.routeLabel(), took)
 	klog.InfoS("Request ended", "request", j.head.ID, "route", j.routeLabel(), "outcome", j.outcome, "sends", j.sends, "tried", j.tried,
 		"events", j.stream.delivered, "firstMS", j.stream.firstAfter.Milliseconds(), "longestGapMS", j.stream.longestGap.Milliseconds(), "ms", took.Milliseconds(),
-		"serverRunning", j.load.Running, "serverWaiting", j.load.Waiting, "config", configVersion(j.table))
+		"framing", j.framing, "serverRunning", j.load.Running, "serverWaiting", j.load.Waiting, "config", configVersion(j.table))
 }
 
 func configVersion(t *routetable.Table) uint64 {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -81,6 +81,33 @@
 	idleSince time.Time
 }
 
+// Framing is what gives the end of a response.
+type Framing int
+
+// The framings.
+const (
+	// FramedByLength: a Content-Length, or a status that has no body.
+	FramedByLength Framing = iota
+	// FramedByChunks: the last chunk.
+	FramedByChunks
+	// FramedByConnection: the end of the connection, which a server that ends in the
+	// middle of its response closes as well.
+	FramedByConnection
+)
+
+// String returns the name of the framing in logs and metrics.
+func (f Framing) String() string { return [...]string{"length", "chunks", "connection"}[f] }
+
+func framingOf(r *http.Response) Framing {
+	switch {
+	case r.ContentLength >= 0, r.Body == http.NoBody:
+		return FramedByLength
+	case len(r.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByConnection
+}
+
 // Response is an HTTP response whose header has been read. It must be closed.
 type Response struct {
 	Status int
@@ -89,9 +116,8 @@
 	Body io.Reader
 	// Reused: the connection has carried other requests before.
 	Reused bool
-	// Bounded: the response's end is given by its framing, not by the end of the
-	// connection.
-	Bounded bool
+	// Framing is what gives the response's end.
+	Framing Framing
 
 	conn  *conn
 	pool  *Pool
@@ -187,7 +213,7 @@
 // skip reads a stray response to its end; false if its framing does not give the end, or
 // the body is too long.
 func skip(stray *http.Response) bool {
-	if stray.ContentLength < 0 && len(stray.TransferEncoding) == 0 {
+	if framingOf(stray) == FramedByConnection {
 		return false
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(stray.Body, maxStrayBytes))
@@ -197,7 +223,7 @@
 func (r *Response) setHeader(inner *http.Response) {
 	r.inner = inner
 	r.Status, r.Header = inner.StatusCode, inner.Header
-	r.Bounded = inner.ContentLength >= 0 || len(inner.TransferEncoding) > 0
+	r.Framing = framingOf(inner)
 	r.Body = &body{response: r}
 }
 
@@ -225,7 +251,7 @@
 	}
 	r.closed = true
 	complete := r.ended.Load() && r.stop() && r.sent()
-	reusable := complete && r.Bounded && r.keep > 0 && !r.inner.Close && r.inner.ProtoAtLeast(1, 1)
+	reusable := complete && r.Framing != FramedByConnection && r.keep > 0 && !r.inner.Close && r.inner.ProtoAtLeast(1, 1)
 	if !reusable || r.conn.reader.Buffered() > 0 {
 		r.stop()
 		r.pool.discard(r.conn)
