Streams that have begun end as streams, or are broken off

Callers saw a stream of two of five events, with the text of another response behind them, end as a complete response. Cause: a stream that breaks off goes on at a second server; if that one answered with anything but a stream (500, 404, another content type), its response was written as the final one into the response that had begun, and net/http ended that in good order. Class: a handler that returns ends its response as complete, whatever was written. Change: such a response is discarded, like one that was broken off. One place sends the header of a caller's response, and breaks off if one was sent; a request whose response was not sent to its end breaks off too (an event that could not be written, for example). Ruled out: refusals and quarantine during a stream (giveUp breaks off already). The check is now made for requests whose stream has begun: one that first comes to the other server rightly gets the whole response of that server.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,15 +169,11 @@
 	switch {
 	case j.stream.delivered > 0:
 		// The response has begun: closing the connection shows that it is incomplete.
-		j.outcome = "stream interrupted: " + reason
-		j.logOutcome()
-		panic(http.ErrAbortHandler)
+		j.abort("stream interrupted: " + reason)
 	case errors.Is(j.ctx.Err(), context.Canceled):
 		// Nobody reads a response. Returning without one would send an empty 200
 		// response if the connection is open after all.
-		j.outcome = "caller disconnected"
-		j.logOutcome()
-		panic(http.ErrAbortHandler)
+		j.abort("caller disconnected")
 	case j.indeterminateSends > 0 && j.serverFailure != nil:
 		j.writeBuffered(j.serverFailure)
 	case j.indeterminateSends > 0:
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -50,10 +50,22 @@
 		return indeterminate
 	case head.Status < http.StatusMultipleChoices && strings.HasPrefix(response.Header.Get("Content-Type"), eventStreamType):
 		return j.forwardStream(choice, response)
+	case j.stream.delivered > 0:
+		return j.handleOtherThanRest(choice, head)
 	}
 	return j.handleBuffered(choice, response, head)
 }
 
+// handleOtherThanRest discards a response that is not the rest of the stream that the
+// caller has begun to receive.
+func (j *job) handleOtherThanRest(choice *routing.DirectChoice, head *call.ResponseHead) sendOutcome {
+	klog.InfoS("Response is not the rest of the stream", "request", j.head.ID, "server", choice.Server.ID, "status", head.Status, "events", j.stream.delivered)
+	if head.Status >= http.StatusInternalServerError {
+		j.recordServerFailure(choice.Server.ID)
+	}
+	return indeterminate
+}
+
 func (j *job) recordServerFailure(server string) {
 	j.evidence.failed = true
 	s := j.gateway.state
@@ -161,7 +173,8 @@
 func (j *job) writeBuffered(response *bufferedResponse) {
 	j.copyHeader(response.header)
 	j.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
-	j.writer.WriteHeader(response.status)
+	j.beginResponse(response.status)
+	j.ended = true
 	if j.inbound.Method != http.MethodHead {
 		if _, err := j.writer.Write(response.body); err != nil {
 			j.outcome = "response not written: " + err.Error()
@@ -188,7 +201,7 @@
 	if response.Header.Get("Content-Length") != "" {
 		j.writer.Header().Set("Content-Length", response.Header.Get("Content-Length"))
 	}
-	j.writer.WriteHeader(response.Status)
+	j.beginResponse(response.Status)
 	_, err := j.writer.Write(buffered)
 	if err == nil {
 		_, err = io.Copy(j.writer, response.Body)
@@ -201,11 +214,9 @@
 		// response is incomplete.
 		j.responseInterrupted(choice, err)
 		j.sendFinished(choice, indeterminate)
-		j.outcome = "long response interrupted"
-		j.logOutcome()
-		panic(http.ErrAbortHandler)
+		j.abort("long response interrupted")
 	}
-	j.complete, j.succeeded = true, response.Status < http.StatusMultipleChoices
+	j.ended, j.complete, j.succeeded = true, true, response.Status < http.StatusMultipleChoices
 	j.outcome = "answered " + strconv.Itoa(response.Status)
 	return delivered
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -101,6 +102,8 @@
 	// serverFailure is a server's 5xx response, passed on if no other send
 	// succeeds.
 	serverFailure *bufferedResponse
+	// begun: the header of the caller's response was sent; ended: all of it was.
+	begun, ended bool
 	// framing is what gave the end of the last server's response.
 	framing string
 	outcome string
@@ -131,9 +134,30 @@
 	j.ctx = ctx
 	defer j.settleSuspect()
 	j.run()
+	if !j.ended {
+		j.abort(j.outcome)
+	}
 	j.logOutcome()
 }
 
+// beginResponse sends the header of the caller's response. A second response would be
+// taken for the rest of the first and end it in good order.
+func (j *job) beginResponse(status int) {
+	if j.begun {
+		j.abort("response of status " + strconv.Itoa(status) + " not sent behind another")
+	}
+	j.begun = true
+	j.writer.WriteHeader(status)
+}
+
+// abort logs the outcome and closes the caller's connection: net/http ends the response
+// of a handler that returns as a complete one. It does not return.
+func (j *job) abort(outcome string) {
+	j.outcome = outcome
+	j.logOutcome()
+	panic(http.ErrAbortHandler)
+}
+
 // admit decodes the request, finds its route, workspace and service, and reads
 // its body. It returns false if it has already responded.
 func (j *job) admit() bool {
@@ -285,7 +309,8 @@
 
 func (j *job) respondEmpty(status int) {
 	j.writer.Header().Set("Content-Length", "0")
-	j.writer.WriteHeader(status)
+	j.beginResponse(status)
+	j.ended = true
 	j.gateway.metrics.Count("answers_own", http.StatusText(status), 1)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -123,7 +123,7 @@
 		// A stream without an event is no response.
 		return indeterminate
 	}
-	j.complete, j.succeeded = true, true
+	j.ended, j.complete, j.succeeded = true, true, true
 	j.outcome = "streamed"
 	return delivered
 }
@@ -157,7 +157,7 @@
 func (j *job) writeEvent(response *upstream.Response, ev event) error {
 	if j.stream.delivered == 0 {
 		j.copyHeader(j.gateway.ports.Dialect.ResponseHeader(response.Header))
-		j.writer.WriteHeader(response.Status)
+		j.beginResponse(response.Status)
 	}
 	if _, err := j.writer.Write(ev.text); err != nil {
 		return err
