Responses that end with their connection are whole only if their server still runs

Callers saw half a response as a whole one: with neither a length nor chunks, its server had ended in the middle of it. Cause: the check after the end asked whether anything listens at the address, and took every answer but a refused connection for proof: another instance, silence, a server that was leaving, a look that came too late. Class: the absence of contrary evidence taken for proof. Change: such a response is complete only if the incarnation that sent it answers for itself after the end: an engine by its report (which also tells two incarnations of one name apart), others by their health check, whatever it says of their health. Nothing else is proof. Framed responses need none. Ruled out: chunked responses, and those with a length, which the reader checks.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/endproof"
 	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/metrics"
 	"github.com/jayproxy/jayproxy/internal/upstream"
@@ -55,9 +56,11 @@
 	ports    Ports
 	state    *state
 	pool     *upstream.Pool
-	metrics  *metrics.Registry
-	peers    *peers
-	hints    *hints
+	// endChecks are the checks whether servers still run when their responses end.
+	endChecks *endproof.Checks
+	metrics   *metrics.Registry
+	peers     *peers
+	hints     *hints
 	// datagrams carries messages between entries; placements sends placement
 	// requests over it.
 	datagrams  *datagrams
@@ -96,7 +99,7 @@
 	g := &Gateway{
 		settings: settings, ports: ports, pool: pool,
 		state: newState(settings, pool.CloseIdle), metrics: metrics.New(maxMetricLabels),
-		unregistered: make(chan struct{}, 1),
+		unregistered: make(chan struct{}, 1), endChecks: endproof.NewChecks(),
 	}
 	g.ports.Tables = countedTables{ports.Tables, &g.load}
 	g.ports.Table = countedTable{ports.Table, &g.load}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -70,6 +70,13 @@
 	Order(ctx context.Context, order call.LoadOrder) (call.OrderOutcome, error)
 }
 
+// Health makes health checks of backend servers.
+type Health interface {
+	// Answers returns nil if an instance answers for itself, healthy or not. The error
+	// wraps call.ErrOtherInstance if another one answers at the address.
+	Answers(ctx context.Context, instance, address, path string) error
+}
+
 // KVStores asks KV cache stores what they hold.
 type KVStores interface {
 	// Changes returns what changed since the Next of an earlier result;
@@ -83,6 +90,7 @@
 	Tables  Tables
 	Decoder Decoder
 	Engines Engines
+	Health  Health
 	// KVStores may be nil.
 	KVStores KVStores
 	// Table holds the entries' own rows: leases, the entries' addresses and the
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,15 +1,12 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/call"
@@ -149,26 +146,6 @@
 	return indeterminate
 }
 
-// endProbeTimeout bounds the check of a response whose end its framing does not give.
-const endProbeTimeout = 250 * time.Millisecond
-
-// checkEnd checks that a response which ends with its connection is complete: a server
-// that crashed has closed the connection as well. A framed response needs no check.
-func (j *job) checkEnd(choice *routing.DirectChoice, response *upstream.Response) error {
-	g, server := j.gateway, choice.Server
-	if response.Framing != upstream.FramedByConnection || g.state.isDraining(server.ID) {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(j.ctx, endProbeTimeout)
-	defer cancel()
-	err := g.pool.Probe(ctx, server.Address, defaultKeepAlive)
-	if !errors.Is(err, upstream.ErrNoListener) {
-		return nil
-	}
-	g.state.sendFailed(time.Now(), server.ID, err)
-	return eris.Wrap(err, "the server ended with the connection that ends its response")
-}
-
 // writeBuffered sends the caller a complete response.
 func (j *job) writeBuffered(response *bufferedResponse) {
 	j.copyHeader(response.header)
@@ -209,7 +186,7 @@
 	if err == nil {
 		err = j.checkEnd(choice, response)
 	}
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil {
 		// The header is already sent: only closing the connection shows that the
 		// response is incomplete.
 		j.responseInterrupted(choice, err)
