Quarantine: an interrupted run's server is asked who it is, not whether anything listens

Callers' requests crashed one server after the other: five of five sends of one request, where another instance listened at the crashed server's address at once. Cause: the same as with responses that end with their connection: the probe after an interrupted run took a listener for the server, so that proof of the crash had to come within a second; the list shows it after seconds. Change: the probe asks the incarnation for its state, as the check of a response's end does; the connection-only probe is gone.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
 	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/quarantine"
+	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/routing"
-	"github.com/jayproxy/jayproxy/internal/upstream"
 )
 
 // identity returns what identifies the request across its caller's attempts.
@@ -166,7 +165,8 @@
 	g.state.suspects.rememberPartIDs(j.trackedParts(), j.partFingerprints())
 	g.state.suspects.runInterrupted(now, server.ID, j.subjects()...)
 	if g.state.suspects.beginProbe(server.ID) {
-		g.spawn(func() { g.probeServer(server.ID, server.Address) })
+		service := j.service
+		g.spawn(func() { g.probeServer(server, service) })
 	}
 }
 
@@ -179,18 +179,12 @@
 	return b != nil && b.Draining
 }
 
-// probeServer finds out whether a server's process has ended. If that were left
-// to the next request sent there, the caller's next attempt could be sent
+// probeServer finds out whether the incarnation that a run was interrupted at still runs.
+// If that were left to the next request sent there, the caller's next attempt could be sent
 // before the crash is known.
-func (g *Gateway) probeServer(server, address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-	defer cancel()
-	err := g.pool.Probe(ctx, address, defaultKeepAlive)
-	now := time.Now()
-	g.state.suspects.endProbe(now, server, err == nil)
-	if errors.Is(err, upstream.ErrNoListener) {
-		g.state.sendFailed(now, server, err)
-	}
+func (g *Gateway) probeServer(server routing.DirectServer, service *routetable.Service) {
+	err := g.stillRuns(context.Background(), server, service)
+	g.state.suspects.endProbe(time.Now(), server.ID, err == nil)
 }
 
 // settleSuspect clears the records of a request that completed, and releases a
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -98,17 +98,6 @@
 	return &conn{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
 }
 
-// Probe opens a connection to an address to check that a server listens there; if not,
-// the error is ErrNoListener. The connection stays in the pool for the time keep.
-func (p *Pool) Probe(ctx context.Context, address string, keep time.Duration) error {
-	c, err := p.take(ctx, address, ReusePolicy{})
-	if err != nil {
-		return fmt.Errorf("probe %s: %w", address, err)
-	}
-	p.put(c, keep)
-	return nil
-}
-
 // pop removes and returns the most recently used idle connection, nil if there is
 // none. It is the least likely to have been closed by the peer.
 func (p *Pool) pop(address string) *conn {
