HTTP/1.0 callers: a response that is broken off ends in a reset

A caller of HTTP/1.0 saw a stream of two of five events end like a complete one, also where the entry was killed. Cause: to such a caller a response of unknown length ends with its connection, and that was closed in order, by net/http as by the kernel. Change: such a connection is closed with a reset until the response was written to its end. Framed responses and HTTP/1.1 callers, whose streams are chunked, are as before.

--- a/internal/gateway/callerconn.go
+++ b/internal/gateway/callerconn.go
@@ -172,3 +172,23 @@
 	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
 	return !ok || !c.isClosed()
 }
+
+// Values of net.TCPConn.SetLinger: close with a reset, or in order.
+const (
+	lingerReset   = 0
+	lingerDefault = -1
+)
+
+// closeWithReset sets whether the socket is closed with a reset, also by the end of the
+// process.
+func (c *callerConn) closeWithReset(reset bool) error {
+	conn, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	linger := lingerDefault
+	if reset {
+		linger = lingerReset
+	}
+	return conn.SetLinger(linger)
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -134,28 +133,8 @@
 	j.ctx = ctx
 	defer j.settleSuspect()
 	j.run()
-	if !j.ended {
-		j.abort(j.outcome)
-	}
-	j.logOutcome()
-}
-
-// beginResponse sends the header of the caller's response. A second response would be
-// taken for the rest of the first and end it in good order.
-func (j *job) beginResponse(status int) {
-	if j.begun {
-		j.abort("response of status " + strconv.Itoa(status) + " not sent behind another")
-	}
-	j.begun = true
-	j.writer.WriteHeader(status)
-}
-
-// abort logs the outcome and closes the caller's connection: net/http ends the response
-// of a handler that returns as a complete one. It does not return.
-func (j *job) abort(outcome string) {
-	j.outcome = outcome
+	j.endResponse()
 	j.logOutcome()
-	panic(http.ErrAbortHandler)
 }
 
 // admit decodes the request, finds its route, workspace and service, and reads
