A response that was reset while its request was sent is not complete

A caller could see half a response without a length as a whole one: its server had answered before it had read the request, and reset the connection. Cause: the system reports a reset once; the write of the request, still in progress, got that report, and the read found the end of the connection. Change: the end of the connection ends a response only if the request was sent completely.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -122,8 +123,10 @@
 	conn  *conn
 	pool  *Pool
 	inner *http.Response
-	// written receives the result of writing the request.
-	written chan error
+	// written receives the result of writing the request, writeResult keeps it.
+	written     chan error
+	writeResult sync.Once
+	wholeSent   bool
 	// stop ends the watch on the context; false: the connection was closed by it.
 	stop func() bool
 	// ended: the end of the body was read.
@@ -233,9 +236,15 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.inner.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.response.ended.Store(true)
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if b.response.Framing == FramedByConnection && !b.response.sent() {
+		// A reset is reported once. The failed write of the request has got that report, so
+		// that the read after it finds nothing but the end.
+		return n, io.ErrUnexpectedEOF
+	}
+	b.response.ended.Store(true)
 	return n, err
 }
 
@@ -265,6 +274,11 @@
 // for it. If none comes in time, the server has answered before it has read the
 // request.
 func (r *Response) sent() bool {
+	r.writeResult.Do(func() { r.wholeSent = r.awaitWritten() })
+	return r.wholeSent
+}
+
+func (r *Response) awaitWritten() bool {
 	timer := time.NewTimer(writeDoneTimeout)
 	defer timer.Stop()
 	select {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -156,3 +156,25 @@
 	_, _, err = send(newPool(), invalid, "1", "")
 	assert.ErrorIs(t, err, upstream.ErrInvalidResponse)
 }
+
+// Guards against a response without a length that looks complete although it was reset: the
+// write of the request, still in progress, gets the report of the reset.
+func TestAResetDuringTheRequestIsNotTheResponsesEnd(t *testing.T) {
+	for i := range 100 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReaderSize(c, 16)) // reads the header, not the body
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf")
+			time.Sleep(time.Duration(i%20) * 200 * time.Microsecond)
+			_ = c.Close() // resets the connection, as bytes are unread
+		}()
+		_, _, err = send(newPool(), l.Addr().String(), "1", strings.Repeat("x", 4<<20))
+		assert.Error(t, err, "try %d", i)
+		_ = l.Close()
+	}
+}
