Entry: reset an HTTP/1.0 caller's connection when its response breaks off

What callers saw: a plain service's response, or a stream, that the entry broke off ended for an HTTP/1.0 caller as a complete one: half the body, then the end of the connection in order.

Cause: a response of unknown length has no framing for HTTP/1.0, its end is that of the connection. net/http closes an aborted connection in order, so does a closing entry, and a call that runs to its end without its caller returned normally after a failed write.

Change: from the first byte of such a response until it is written completely the connection is set to reset when it is closed (SO_LINGER 0), which holds for a killed process too. A response that was not written completely is aborted.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,7 +86,7 @@
 	}
 	e := newEntry(ctx, settings, creds)
 	e.callers = newServer(callers, e.callersAPI(), settings.Limits.HeaderBytes)
-	e.callers.http.ConnContext = e.limitSendBuffer
+	e.callers.http.ConnContext = e.callerContext
 	if err := e.listen(); err != nil {
 		e.Close()
 		return nil, err
@@ -246,20 +246,6 @@
 	listener net.Listener
 }
 
-// limitSendBuffer bounds what the kernel takes for a caller that does not read. Left
-// alone it grows to megabytes per connection, and such a caller is noticed only once
-// it is full. It implements http.Server.ConnContext.
-func (e *Entry) limitSendBuffer(ctx context.Context, conn net.Conn) context.Context {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return ctx
-	}
-	if err := tcp.SetWriteBuffer(e.settings.Limits.CallerSendBytes); err != nil {
-		klog.V(1).InfoS("send buffer of a caller's connection not limited", "caller", conn.RemoteAddr().String(), "error", err.Error())
-	}
-	return ctx
-}
-
 // callersListener returns the listener of the settings, or opens one.
 func callersListener(settings Settings) (net.Listener, error) {
 	if settings.CallersListener != nil {
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -91,7 +91,7 @@
 	a.dial, a.limits, a.timeouts = e.node, e.settings.Attempts, e.settings.Timeouts
 	a.acks = relay.NewAcks(a.limits.acks(true), next)
 	a.resumable = c.Request().Header.Get(HeaderResume) == resumeKeep
-	client := newCaller(c.Response(), token.GetRequestId(), ms(e.settings.Timeouts.CallerWriteMS))
+	client := newCaller(c.Response(), c.Request(), token.GetRequestId(), ms(e.settings.Timeouts.CallerWriteMS))
 	to := &sseSink{caller: client, newToken: e.resumeToken}
 	to.Begin(a)
 	a.follow(c.Request().Context(), to)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -33,7 +33,7 @@
 	if refusal := e.takeClaim(ctx, request); refusal != nil {
 		return refusal
 	}
-	client := newCaller(c.Response(), request.id, ms(e.settings.Timeouts.CallerWriteMS))
+	client := newCaller(c.Response(), c.Request(), request.id, ms(e.settings.Timeouts.CallerWriteMS))
 	client.onToken = e.tokenMeter(request)
 	to := newSink(client)
 	r := e.dispatch(ctx, request, to)
--- a/internal/entry/sinks.go
+++ b/internal/entry/sinks.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +17,9 @@
 type caller struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	// unframed is the connection that ends a response of unknown length; nil if such a
+	// response is chunked.
+	unframed *net.TCPConn
 	// writeTimeout limits the duration of one write.
 	writeTimeout time.Duration
 	id           string
@@ -26,9 +30,9 @@
 	onToken      func(now time.Time, sincePrevious time.Duration)
 }
 
-func newCaller(w http.ResponseWriter, id string, writeTimeout time.Duration) *caller {
+func newCaller(w http.ResponseWriter, request *http.Request, id string, writeTimeout time.Duration) *caller {
 	w.Header().Set(HeaderRequestID, id)
-	return &caller{w: w, control: http.NewResponseController(w), writeTimeout: writeTimeout, id: id}
+	return &caller{w: w, control: http.NewResponseController(w), unframed: unframedConn(request), writeTimeout: writeTimeout, id: id}
 }
 
 // Begin sets the number of the attempt for the response headers.
@@ -49,8 +53,10 @@
 	return c.control.Flush()
 }
 
+// start sends the status and headers of a response of unknown length.
 func (c *caller) start(status int) {
 	c.started = true
+	c.resetOnClose()
 	h := c.w.Header()
 	h.Set(HeaderAttempts, strconv.Itoa(int(c.attempts)))
 	h.Add("Trailer", HeaderOutcome)
@@ -144,10 +150,10 @@
 	outcome := append(append(append([]byte{}, sseOutcome...), OutcomeName(r.outcome)...),
 		" attempts="+strconv.Itoa(int(r.attempts))+"\n\n"...)
 	if r.err != nil {
-		_ = s.write(sseError, r.err.body(s.id), sseEnd, outcome)
+		s.complete(s.write(sseError, r.err.body(s.id), sseEnd, outcome))
 		return
 	}
-	_ = s.write(outcome, sseDone)
+	s.complete(s.write(outcome, sseDone))
 }
 
 // plainSink buffers a response until it is complete.
@@ -244,12 +250,13 @@
 	switch {
 	case r.err != nil && !s.started:
 		s.fail(r.err)
-	case r.err != nil:
+	case r.err != nil, s.callerGone:
 		panic(http.ErrAbortHandler)
 	default:
 		if !s.started {
 			s.open()
 		}
 		s.w.Header().Set(HeaderOutcome, OutcomeName(r.outcome))
+		s.complete(s.write())
 	}
 }
