Agent: a service's response that ends with its connection is not done

What callers saw: a plain service that ended in the middle of a response without length or chunks (HTTP/1.0, or Connection: close) left its callers half the body, framed as complete by the entry, with the outcome done.

Cause: the agent took the end of such a connection for the end of the response. A service that crashes, or whose handler fails, ends it in the same way.

Change: the attempt ends as unknown when neither a length nor chunks show the end; the entry then aborts the caller's response. Responses without a body, with a length or in chunks are as before.

--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -148,7 +148,7 @@
 	a.scheduler.firstToken(att.id)
 	att.response.setHead(serviceHead(response))
 	a.observeFirstToken(att)
-	if err := a.relayBody(att, response.Body); err != nil {
+	if err := a.relayBody(att, response); err != nil {
 		a.end(att, eventFail, &jayv1.End{Error: err.Error()})
 		return
 	}
@@ -167,19 +167,30 @@
 	return head
 }
 
-func (a *Agent) relayBody(att *attempt, body io.Reader) error {
+// endIsProven reports whether the framing of a response shows its end. The body of a response
+// with neither a length nor chunks ends with its connection, which ends in the same way when
+// the service breaks it off.
+func endIsProven(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
+
+func (a *Agent) relayBody(att *attempt, response *http.Response) error {
+	sent := 0
 	for {
 		buffer := make([]byte, serviceReadSize)
-		n, err := body.Read(buffer)
+		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			if err := att.response.append(att.ctx, buffer[:n:n], millis(a.settings.Replay.StallMS)); err != nil {
 				return err
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		sent += n
+		switch {
+		case errors.Is(err, io.EOF) && endIsProven(response):
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, io.EOF):
+			return eris.Errorf("the service's response ended with its connection after %d bytes; without a length or chunks it may be incomplete", sent)
+		case err != nil:
 			return eris.Wrap(err, "read the service's response")
 		}
 	}
