Platform client: refuse objects and weights that end only with their connection

An object cut off by the platform's end, or by one in between, was taken for complete.

Cause: an answer with neither a length nor chunks ends in order when its connection does.

Change: internal/wholebody says whether a body's framing shows its end; objects and weights need that. JSON answers show their end themselves.

--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/wholebody"
 )
 
 const (
@@ -167,13 +168,6 @@
 	return head
 }
 
-// endIsProven reports whether the framing of a response shows its end. The body of a response
-// with neither a length nor chunks ends with its connection, which ends in the same way when
-// the service breaks it off.
-func endIsProven(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
-}
-
 func (a *Agent) relayBody(att *attempt, response *http.Response) error {
 	sent := 0
 	for {
@@ -186,10 +180,10 @@
 		}
 		sent += n
 		switch {
-		case errors.Is(err, io.EOF) && endIsProven(response):
+		case errors.Is(err, io.EOF) && wholebody.IsFramed(response):
 			return nil
 		case errors.Is(err, io.EOF):
-			return eris.Errorf("the service's response ended with its connection after %d bytes; without a length or chunks it may be incomplete", sent)
+			return eris.Wrapf(wholebody.ErrNoFraming, "the service's response ended with its connection after %d bytes", sent)
 		case err != nil:
 			return eris.Wrap(err, "read the service's response")
 		}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/jayproxy/jayproxy/internal/wholebody"
 )
 
 // The defaults of ClientOptions.
@@ -136,7 +138,7 @@
 
 // GetObject implements Objects.
 func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
-	return c.call(ctx, call{method: http.MethodGet, path: objectPath(key)})
+	return c.call(ctx, call{method: http.MethodGet, path: objectPath(key), opaque: true})
 }
 
 // ListObjects implements Objects.
@@ -173,7 +175,7 @@
 
 // Open implements Weights.
 func (c *Client) Open(ctx context.Context, digest string) (io.ReadCloser, error) {
-	response, err := c.send(ctx, call{method: http.MethodGet, path: weightPath(digest)})
+	response, err := c.send(ctx, call{method: http.MethodGet, path: weightPath(digest), opaque: true})
 	if err != nil {
 		return nil, err
 	}
@@ -212,6 +214,8 @@
 	body   []byte
 	// writes is true if the call changes the platform's state.
 	writes bool
+	// opaque is true if the answer's content doesn't show where it ends, as JSON does.
+	opaque bool
 }
 
 // failure returns the error for a failed call that may have reached the platform.
@@ -260,12 +264,21 @@
 		return nil, eris.Wrapf(request.failure(), "%s: %v", request.path, err)
 	}
 	if response.StatusCode < http.StatusMultipleChoices {
-		return response, nil
+		return framed(request, response)
 	}
 	defer response.Body.Close()
 	return nil, statusError(request, response)
 }
 
+// framed returns the response unless its content could be cut off unnoticed.
+func framed(request call, response *http.Response) (*http.Response, error) {
+	if !request.opaque || wholebody.IsFramed(response) {
+		return response, nil
+	}
+	_ = response.Body.Close()
+	return nil, eris.Wrapf(request.failure(), "%s: %v", request.path, wholebody.ErrNoFraming)
+}
+
 func bodyOf(body []byte) io.Reader {
 	if body == nil {
 		return nil
