Platform client: refuse answers above the limit instead of cutting them off

What callers saw: nothing on record; found on the way.

Cause: io.LimitReader ends at its limit like the body does at its end.

Change: the client reads one byte more and fails, with the limit in the error.

Measured: TestObjectAboveTheLimitIsRefused failed on (67,108,864 of 68,157,440 bytes, no error), passes now.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -235,7 +235,7 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	answer, err := wholebody.ReadUpTo(response.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, eris.Wrapf(request.failure(), "%s: read answer: %v", request.path, err)
 	}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -53,6 +54,21 @@
 	assert.ErrorIs(t, err, platform.ErrUnavailable)
 }
 
+// Guards against an object above the limit of answers that is cut there and taken for complete.
+func TestObjectAboveTheLimitIsRefused(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		piece := []byte(strings.Repeat("x", 1<<20))
+		for range 65 {
+			_, _ = w.Write(piece)
+		}
+	}))
+	t.Cleanup(server.Close)
+	client := platform.NewClient(server.URL, platform.ClientOptions{})
+	t.Cleanup(client.Close)
+	body, err := client.GetObject(t.Context(), "k")
+	assert.ErrorIs(t, err, platform.ErrUnavailable, "%d bytes", len(body))
+	assert.ErrorContains(t, err, "67108864 bytes")
+}
 
 // Guards against rows that are cut off and taken for all of them.
 func TestRowsThatAreCutOffAreRefused(t *testing.T) {
