--- a/internal/catalogstore/store.go
+++ b/internal/catalogstore/store.go
@@ -236,6 +236,9 @@
 		if err := proto.Unmarshal(body, snapshot); err != nil {
 			return nil, eris.Wrapf(err, "decode %s", keys[i])
 		}
+		if snapshotKey(snapshot.GetGeneration()) != keys[i] {
+			return nil, eris.Errorf("object %s holds generation %d", keys[i], snapshot.GetGeneration())
+		}
 		return snapshot, nil
 	}
 	return nil, eris.Wrap(platform.ErrNotFound, "no snapshot of the catalog")
--- a/internal/catalogstore/store_test.go
+++ b/internal/catalogstore/store_test.go
@@ -264,3 +264,13 @@
 		require.True(t, equalTables(table, reader))
 	})
 }
+
+// Guards against a snapshot whose content is missing and that is taken for a catalog without
+// any resource.
+func TestSnapshotWithoutItsContentIsRefused(t *testing.T) {
+	p := platformtest.New()
+	store := catalogstore.New(p, p, catalogstore.Options{})
+	require.NoError(t, p.PutObject(t.Context(), fmt.Sprintf("%s%020d", catalogstore.SnapshotPrefix, 7), nil))
+	_, err := store.LoadSnapshot(t.Context())
+	assert.ErrorContains(t, err, "holds generation 0")
+}
