Agent: import only KV cache of the size that its lookup has shown

What callers saw: nothing on record; found on the way. KV cache from the store that was cut off (an answer without length, or above 1 GiB) was imported into the engine as complete.

Change: the fetch compares the size with that of the lookup, which precedes it; otherwise the engine computes the prompt as after any failed fetch.

Measured: TestKVCacheThatIsCutOffIsNotImported (no length, other length) failed on: 5 of 10 bytes were imported. go test -run 'KV|Prefix' ./internal/agent passes.

--- a/internal/agent/kv.go
+++ b/internal/agent/kv.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/engine"
 	"github.com/jayproxy/jayproxy/internal/kvplan"
+	"github.com/jayproxy/jayproxy/internal/wholebody"
 )
 
 const (
@@ -30,6 +30,7 @@
 var (
 	errKVAbsent = errors.New("not in the KV cache store")
 	errKVStatus = errors.New("KV cache store refused the request")
+	errKVSize   = errors.New("KV cache has another size than the store reported")
 )
 
 // kvStore is the client of the KV cache store. It moves KV cache between the
@@ -151,6 +152,7 @@
 	}
 }
 
+// fetch imports a point, of so many bytes as its lookup has shown, into the engine.
 func (k *kvStore) fetch(ctx context.Context, e engine.Engine, point *jayv1.PrefixPoint, size int64) error {
 	ctx, cancel := context.WithTimeout(ctx, kvTransferTimeout)
 	defer cancel()
@@ -161,10 +163,13 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	blob, err := io.ReadAll(io.LimitReader(response.Body, maxKVBytes))
+	blob, err := wholebody.ReadUpTo(response.Body, maxKVBytes)
 	if err != nil {
 		return eris.Wrap(err, "read KV cache")
 	}
+	if int64(len(blob)) != size {
+		return eris.Wrapf(errKVSize, "received %d bytes, expected %d", len(blob), size)
+	}
 	if err := e.ImportKV(ctx, blob); err != nil {
 		return eris.Wrap(err, "import KV cache")
 	}
