Engines: refuse state reports and KV cache that end only with their connection

What callers saw: nothing on record; found on the way. A state report of Pica in lines that was cut off between two lines, or inside a number, was taken for complete: the agent then refuses requests for weights that the engine has. KV cache cut off by the engine, or above 1 GiB, was stored as complete for other engines.

Cause: a response with neither a length nor chunks ends in order when its connection does; io.LimitReader cuts silently.

Change: both need framing, and a response above its limit fails. JSON responses and streams show their end themselves.

--- a/internal/engine/dialect/dialect.go
+++ b/internal/engine/dialect/dialect.go
@@ -24,6 +24,7 @@
 	"github.com/jayproxy/jayproxy/internal/engine"
 	"github.com/jayproxy/jayproxy/internal/engine/blockhash"
 	"github.com/jayproxy/jayproxy/internal/prefix"
+	"github.com/jayproxy/jayproxy/internal/wholebody"
 )
 
 // Vendors that Open supports.
@@ -86,6 +87,8 @@
 	path   string
 	header http.Header
 	body   []byte
+	// opaque is true if the response's content doesn't show where it ends, as JSON does.
+	opaque bool
 }
 
 // send returns a response with a success status; the caller closes its body. The
@@ -126,14 +129,17 @@
 	return response.Body, nil
 }
 
-// read sends a call and reads the complete response, up to limit bytes.
+// read sends a call and reads the complete response. One of more than limit bytes fails.
 func (c *client) read(ctx context.Context, call call, limit int64) ([]byte, error) {
 	response, err := c.send(ctx, call)
 	if err != nil {
 		return nil, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	if call.opaque && !wholebody.IsFramed(response) {
+		return nil, eris.Wrapf(engine.ErrInterrupted, "%s: %v", call.path, wholebody.ErrNoFraming)
+	}
+	body, err := wholebody.ReadUpTo(response.Body, limit)
 	if err != nil {
 		return nil, eris.Wrapf(engine.ErrInterrupted, "%s: %v", call.path, err)
 	}
--- a/internal/engine/dialect/merle.go
+++ b/internal/engine/dialect/merle.go
@@ -363,7 +363,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode blocks to export")
 	}
-	return m.read(ctx, call{method: http.MethodPost, path: "/kv/export", body: body, header: jsonHeader()}, maxKV)
+	return m.read(ctx, call{method: http.MethodPost, path: "/kv/export", body: body, header: jsonHeader(), opaque: true}, maxKV)
 }
 
 // ImportKV implements engine.Engine.
--- a/internal/engine/dialect/pica.go
+++ b/internal/engine/dialect/pica.go
@@ -66,7 +66,7 @@
 
 // State implements engine.Engine. Pica does not report Lag.
 func (p *pica) State(ctx context.Context) (engine.State, error) {
-	body, err := p.read(ctx, call{method: http.MethodGet, path: "/stats"}, maxResponse)
+	body, err := p.read(ctx, call{method: http.MethodGet, path: "/stats", opaque: true}, maxResponse)
 	if err != nil {
 		return engine.State{}, err
 	}
@@ -242,7 +242,7 @@
 	for _, hash := range blocks {
 		body = binary.LittleEndian.AppendUint64(body, uint64(hash))
 	}
-	return p.read(ctx, call{method: http.MethodPost, path: "/kv/read", body: body}, maxKV)
+	return p.read(ctx, call{method: http.MethodPost, path: "/kv/read", body: body, opaque: true}, maxKV)
 }
 
 // ImportKV implements engine.Engine.
--- a/internal/wholebody/wholebody.go
+++ b/internal/wholebody/wholebody.go
@@ -23,14 +23,6 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 }
 
-// Read reads the whole body, at most limit bytes. It doesn't close it.
-func Read(response *http.Response, limit int64) ([]byte, error) {
-	if !IsFramed(response) {
-		return nil, ErrNoFraming
-	}
-	return ReadUpTo(response.Body, limit)
-}
-
 // ReadUpTo reads all bytes. It fails if there are more than limit, instead of cutting them off.
 func ReadUpTo(reader io.Reader, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(reader, limit+1))
