Gateway settings: refuse a reload from a file that may be half written

What callers saw: nothing on record; found on the way. A settings file that was read at SIGHUP while it was being written, and ended at a line or in an address, was taken for complete: the entry dropped its seeds, or kept half an address of one.

Cause: the file is lines of key=value, unknown and missing keys are allowed, so each cut at a line is a valid file.

Change: at a reload the last line must end with a newline and the key of the seeds must be there, if both were so in the settings in force. Otherwise these stay in force, and the log names file and line.

Measured: TestReloadRefusesAHalfWrittenFile (each cut of a file) fails on a Reload that only loads the file, as cmd/jay-gateway did (no seeds from 44 bytes on, half a seed); passes now. TestReloadTakesACompleteFile passes.

--- a/cmd/jay-gateway/main.go
+++ b/cmd/jay-gateway/main.go
@@ -73,12 +73,13 @@
 	for {
 		select {
 		case <-reload:
-			again, err := platform.LoadSettings(path)
+			again, err := settings.Reload(path)
 			if err != nil {
 				klog.ErrorS(err, "Settings not reloaded, keeping the previous ones", "file", path)
 				continue
 			}
-			g.Reload(settingsOf(again))
+			settings = again
+			g.Reload(settingsOf(settings))
 		case <-stop:
 			return g.Shutdown(ctx)
 		}
