Transport: a stream that ends after a frame's size is not closed in order

What callers saw: nothing on record; found on the way. A stream that ended between the size of a frame and its body was reported as closed by its peer. An agent takes that for the sign that the entry has read the whole response, and discards it.

Cause: io.ReadFull returns io.EOF if no byte of the body arrived.

Change: it is io.ErrUnexpectedEOF, as inside the body.

--- a/internal/transport/close_test.go
+++ b/internal/transport/close_test.go
@@ -14,6 +14,11 @@
 )
 
 func testNode(t *testing.T, authority *keys.Authority, role keys.Role, name string) *Node {
+	t.Helper()
+	return servingNode(t, authority, role, name, func(context.Context, keys.Identity, *Stream) {})
+}
+
+func servingNode(t *testing.T, authority *keys.Authority, role keys.Role, name string, handler Handler) *Node {
 	t.Helper()
 	cert, err := authority.Issue(keys.Identity{Role: role, Name: name}, time.Hour)
 	require.NoError(t, err)
@@ -21,7 +26,7 @@
 	require.NoError(t, cert.Save(dir))
 	creds, err := LoadCredentials(dir)
 	require.NoError(t, err)
-	node, err := Listen(Options{Address: "127.0.0.1:0"}, creds, func(context.Context, keys.Identity, *Stream) {})
+	node, err := Listen(Options{Address: "127.0.0.1:0"}, creds, handler)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = node.Close() })
 	return node
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -138,6 +138,10 @@
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(s.reader, body); err != nil {
+		if errors.Is(err, io.EOF) {
+			// The size was received: the stream ends inside the frame.
+			err = io.ErrUnexpectedEOF
+		}
 		return s.receiveError(err)
 	}
 	s.stats.FramesReceived.Add(1)
