Entry: send each line of a chunk as a data field of its event

What callers saw: nothing on record; found on the way. Of a chunk with a line break between two JSON tokens, which a vendor may send as several data fields or in an answer that is not streamed, a caller got the first line only, in a stream that ended as complete.

Cause: a line break ends a field of a server-sent event, and the rest is no field.

Change: one data field for each line; callers join them with a line break.

--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -129,3 +129,24 @@
 		read.Write(buffer[:n])
 	}
 }
+
+// Guards against an event of which a caller gets the first line only: chunks of engines may
+// have line breaks between their JSON tokens.
+func TestChunkWithLineBreaksArrivesWhole(t *testing.T) {
+	s := newDeployment(t, "b1")
+	scripted := func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+		emit("{\"choices\":[\n{\"delta\":\r\n{\"content\":\"whole\"}}]}")
+		return done()
+	}
+	s.agents[0].set(func(f *fakeAgent) { f.respond = scripted })
+	r := call(t, "POST", s.entry("e1").CallersURL()+chatPath, keyQuarry, chatStream)
+	event, _, _ := strings.Cut(r.body, "\n\n")
+	var data []string
+	for line := range strings.SplitSeq(event, "\n") {
+		if text, ok := strings.CutPrefix(line, "data: "); ok {
+			data = append(data, text)
+		}
+	}
+	assert.JSONEq(t, `{"choices":[{"delta":{"content":"whole"}}]}`, strings.Join(data, "\n"), r.body)
+	assert.NotContains(t, r.body, "\r")
+}
--- a/internal/entry/sinks.go
+++ b/internal/entry/sinks.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"net/http"
@@ -120,12 +121,26 @@
 	s.token()
 	s.event = append(s.event[:0], sseID...)
 	s.event = strconv.AppendUint(s.event, seq, 10)
-	s.event = append(s.event, sseData...)
-	s.event = append(s.event, data...)
+	s.event = appendData(s.event, data)
 	s.event = append(s.event, sseEnd...)
 	return s.write(s.event)
 }
 
+// appendData appends data fields to an event: one for each line, since a line break would end
+// the field.
+func appendData(event, data []byte) []byte {
+	for {
+		end := bytes.IndexAny(data, "\r\n")
+		if end < 0 {
+			event = append(event, sseData...)
+			return append(event, data...)
+		}
+		event = append(event, sseData...)
+		event = append(event, data[:end]...)
+		data = data[end+1:]
+	}
+}
+
 func (s *sseSink) open() {
 	h := s.w.Header()
 	h.Set("Content-Type", "text/event-stream")
