Entry: abort a response whose handler fails after it has begun

What callers saw: nothing; no handler is known to do this today.

Cause: the error handler ignored an error after the response had begun, and net/http then ends the response as a complete one.

Change: such a response is aborted.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -109,10 +109,11 @@
 	return total
 }
 
-// writeError sends any error of a handler as a typed error response.
+// writeError sends any error of a handler as a typed error response. It aborts a response that
+// has begun, since that would otherwise end as a complete one.
 func (e *Entry) writeError(err error, c echo.Context) {
 	if c.Response().Committed {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	refusal := fromEcho(err)
 	id := ""
