Keys: refuse an authority file that ends inside a certificate

What callers saw: nothing on record; found on the way. While an authority is replaced, its file holds two certificates. Read half written, it was taken without the second one, and processes with certificates of that were refused until the next reload (5 to 10 s).

Cause: x509.CertPool.AppendCertsFromPEM skips what it can't parse, and is content with one certificate.

Change: a certificate that is cut off is an error, so that the previous credentials stay in use.

--- a/internal/transport/credentials.go
+++ b/internal/transport/credentials.go
@@ -1,9 +1,11 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/pem"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -47,9 +49,9 @@
 	if err != nil {
 		return eris.Wrap(err, "read authority certificate")
 	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(authority) {
-		return eris.Errorf("no PEM certificate in authority file %s", keys.AuthorityFile)
+	roots, err := parseRoots(authority)
+	if err != nil {
+		return eris.Wrapf(err, "authority file %s", keys.AuthorityFile)
 	}
 	leaf, err := x509.ParseCertificate(pair.Certificate[0])
 	if err != nil {
@@ -63,6 +65,32 @@
 	return nil
 }
 
+// parseRoots parses the certificates of an authority file. One that is cut off at its end is an
+// error: x509.CertPool would skip it.
+func parseRoots(text []byte) (*x509.CertPool, error) {
+	roots := x509.NewCertPool()
+	count := 0
+	block, rest := pem.Decode(text)
+	for ; block != nil; block, rest = pem.Decode(rest) {
+		if block.Type != "CERTIFICATE" {
+			continue
+		}
+		cert, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, eris.Wrapf(err, "parse certificate %d", count+1)
+		}
+		roots.AddCert(cert)
+		count++
+	}
+	if count == 0 {
+		return nil, eris.New("no PEM certificate")
+	}
+	if bytes.HasPrefix(rest, []byte("-")) || bytes.Contains(rest, []byte("\n-")) {
+		return nil, eris.Errorf("certificate %d is cut off; the file may be half written", count+1)
+	}
+	return roots, nil
+}
+
 // Watch reloads the credentials every interval until the context ends. Errors, such as a
 // directory that is just being written, are logged and the next interval tries again.
 func (c *Credentials) Watch(ctx context.Context, interval time.Duration) {
