--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -150,3 +150,37 @@
 	assert.JSONEq(t, `{"choices":[{"delta":{"content":"whole"}}]}`, strings.Join(data, "\n"), r.body)
 	assert.NotContains(t, r.body, "\r")
 }
+
+// Guards against a broken-off response that ends with its last chunk, on a connection that is
+// kept and on one that is closed.
+func TestBrokenResponseHasNoLastChunk(t *testing.T) {
+	s, agent, _ := serviceDeployment(t)
+	scripted := func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+		emit("half")
+		return &jayv1.End{Outcome: jayv1.Outcome_OUTCOME_UNKNOWN, Error: "service failed"}
+	}
+	agent.set(func(f *fakeAgent) { f.respond = scripted })
+	e := s.entry("e1")
+	for _, connection := range []string{"keep-alive", "close"} {
+		r := call(t, "GET", e.CallersURL()+"/services/reservas/list", keyQuarry, "", "Connection", connection)
+		assert.ErrorIs(t, r.err, io.ErrUnexpectedEOF, connection)
+		assert.Equal(t, "half", r.body, connection)
+	}
+}
+
+// Guards against a response that an entry breaks off as it closes and that ends with its last
+// chunk or with a marker of completion.
+func TestResponseOfClosedEntryHasNoLastChunk(t *testing.T) {
+	s := newDeployment(t, "b1")
+	s.agents[0].set(func(f *fakeAgent) { f.respond = paced(1000, 5*time.Millisecond) })
+	e := s.entry("e1")
+	response := open(t, "POST", e.CallersURL()+chatPath, keyQuarry, chatStream)
+	readEvents(t, response, 2)
+	e.Close()
+	rest, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	assert.NotContains(t, string(rest), "[DONE]")
+	if !strings.Contains(string(rest), "event: error\n") {
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
