--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -20,7 +20,12 @@
 // connection, and returns the connection.
 func openHTTP10(t *testing.T, e *entry.Entry, method, path, body string) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", strings.TrimPrefix(e.CallersURL(), "http://"))
+	return dialHTTP10(t, e.CallersURL(), method, path, body)
+}
+
+func dialHTTP10(t *testing.T, url, method, path, body string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
