Test of streams that outlive entries: wait for events, not for 0.3 s

Cause, from its log: the test replaces entries 0.3 s after its callers ask, and on the loaded machine the first events came later; the state that it is about was not reached. Change: it waits for the first event of each caller (10 s at most), and the answers are twice as long, so that none ends before. All its checks stand; the number of tokens that each caller must get rises from 60 to 120.

--- a/test/history/outage_test.go
+++ b/test/history/outage_test.go
@@ -39,7 +39,8 @@
 func TestStreamsOutliveEntriesThatAcceptNobody(t *testing.T) {
 	const (
 		callers = 12
-		reading = 300 * time.Millisecond // Before the first replacement.
+		tokens  = 2 * answerTokens
+		reading = 300 * time.Millisecond // Before the first replacement, at least.
 		pause   = 300 * time.Millisecond // Between replacements.
 		abandon = 8 * time.Second        // Far more than a run takes.
 	)
@@ -58,10 +59,17 @@
 	readers := make([]*reader, callers)
 	var wg sync.WaitGroup
 	for i := range readers {
-		readers[i] = &reader{cluster: c, random: rand.New(rand.NewPCG(3, uint64(i)))}
+		readers[i] = &reader{cluster: c, random: rand.New(rand.NewPCG(3, uint64(i))), tokens: tokens, began: make(chan struct{})}
 		wg.Go(func() { readers[i].ask(t, fmt.Sprintf("Review contract %d.", i)) })
 	}
 	time.Sleep(reading)
+	for i, r := range readers {
+		select {
+		case <-r.began:
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "no event within 10 s", "caller %d", i)
+		}
+	}
 	held.Store(true)
 	for began := time.Now(); time.Since(began) < abandon+time.Second; time.Sleep(pause) {
 		require.NoError(t, c.RestartEntries(t.Context()))
@@ -72,7 +80,7 @@
 	for i, r := range readers {
 		assert.Empty(t, r.failure, "caller %d", i)
 		assert.True(t, r.complete, "caller %d", i)
-		assert.GreaterOrEqual(t, len(r.texts), answerTokens, "caller %d", i)
+		assert.GreaterOrEqual(t, len(r.texts), tokens, "caller %d", i)
 		assert.Positive(t, r.resumes, "caller %d had no event before the entries were replaced", i)
 	}
 }
--- a/test/history/streams_test.go
+++ b/test/history/streams_test.go
@@ -29,15 +29,26 @@
 	complete    bool
 	failure     string
 	resumes     int
+	// tokens is the length of the answer; 0: answerTokens.
+	tokens int
+	// began is closed at the first event, unless it is nil.
+	began chan struct{}
 }
 
 const answerTokens = 60
 
+func (r *reader) answerLength() int {
+	if r.tokens > 0 {
+		return r.tokens
+	}
+	return answerTokens
+}
+
 // ask requests the answer and resumes it at random entries until it is complete or
 // has failed.
 func (r *reader) ask(t *testing.T, prompt string) {
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
-		cluster.Model, answerTokens, prompt)
+		cluster.Model, r.answerLength(), prompt)
 	for try := 0; r.token == "" && try < 100; try++ {
 		r.read(t, http.MethodPost, "/v1/chat/completions", body)
 	}
@@ -94,6 +105,9 @@
 		case line == "" && id != "":
 			r.lastEventID = id
 			r.texts = append(r.texts, id+" "+data)
+			if r.began != nil && len(r.texts) == 1 {
+				close(r.began)
+			}
 			id, data = "", ""
 		}
 	}
