Streams: an event ends only with its blank line

An event whose line fills the reader's buffer (4096 bytes, or a multiple) was passed on without its blank line and counted as whole: a stream cut there looked complete, and one that went on at another server joined two events into one. Cause: the rest of a line longer than the buffer was taken for a line of its own: empty, the event's end; beginning with "id:", its ID. Change: a line is read to its newline before it is looked at. Measured: TestAnEventEndsOnlyWithABlankLine, 4 of 5 cases failed before, 5 pass; ./internal/gateway passes.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -60,23 +59,30 @@
 func (e *eventReader) next() (event, error) {
 	var ev event
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		ev.text = append(ev.text, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(ev.text) < maxEventBytes {
-			continue
-		}
-		if err != nil {
+		start := len(ev.text)
+		if err := e.appendLine(&ev); err != nil {
 			return ev, eventReadError(ev, err)
 		}
 		if len(ev.text) > maxEventBytes {
 			return ev, eris.Wrapf(errEventTooLong, "read event: got %d bytes", len(ev.text))
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
+		trimmed := bytes.TrimRight(ev.text[start:], "\r\n")
 		if len(trimmed) == 0 {
 			return ev, nil
 		}
-		if id, ok := strings.CutPrefix(string(trimmed), "id:"); ok {
-			ev.id = strings.TrimSpace(id)
+		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
+			ev.id = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// appendLine appends the next line to the event, including its newline.
+func (e *eventReader) appendLine(ev *event) error {
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		ev.text = append(ev.text, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) || len(ev.text) >= maxEventBytes {
+			return err
 		}
 	}
 }
