Checks of a response's end outlast a moment at the connection limit

Whole responses without a length were lost where their server, at its connection limit for half a second, reset the check's connections. Cause: a reset comes at once, so that four tries took 0.12 s. Change: the pause between tries doubles from 120 ms: tries after 0, 0.12, 0.36 and 0.84 s if they fail at once. The number and the time of tries are as before, as is the end of the wait with the caller's deadline.

--- a/internal/endproof/endproof.go
+++ b/internal/endproof/endproof.go
@@ -23,9 +23,10 @@
 	// maxTries bounds the tries of one check. They are counted, not timed: a process that
 	// was frozen looks again after it.
 	maxTries = 4
-	// tryTimeout bounds one try, tryPause follows a failed one.
+	// tryTimeout bounds one try. tryPause follows the first failed one and doubles with each:
+	// a server at its connection limit resets new connections at once.
 	tryTimeout = 400 * time.Millisecond
-	tryPause   = 40 * time.Millisecond
+	tryPause   = 120 * time.Millisecond
 )
 
 // Check asks a server once whether it still runs. Its error wraps ErrEnded if it has
@@ -108,6 +109,7 @@
 
 // try makes a check until it shows whether the server runs, at most maxTries times.
 func try(check Check) error {
+	pause := tryPause
 	for n := 1; ; n++ {
 		err := once(check)
 		switch {
@@ -116,7 +118,8 @@
 		case n == maxTries:
 			return errors.Join(ErrNoProof, err)
 		}
-		time.Sleep(tryPause)
+		time.Sleep(pause)
+		pause *= 2
 	}
 }
 
