Test of shared checks of ends: it no longer hangs at times

Cause: the check offered its signal without waiting for a receiver. Change: the first check closes a channel. The test is as strict: with a check that joins the one in progress it fails.

--- a/internal/endproof/endproof_test.go
+++ b/internal/endproof/endproof_test.go
@@ -17,13 +17,12 @@
 func TestACheckProvesOnlyResponsesThatEndedBeforeIt(t *testing.T) {
 	c := endproof.NewChecks()
 	began, release := make(chan struct{}), make(chan struct{})
-	var ended atomic.Bool
+	var blocked, ended atomic.Bool
 	check := func(context.Context) error {
 		hasEnded := ended.Load()
-		select {
-		case began <- struct{}{}:
+		if blocked.CompareAndSwap(false, true) {
+			close(began)
 			<-release
-		default:
 		}
 		if hasEnded {
 			return endproof.ErrEnded
