--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -47,6 +47,9 @@
 	// minOutage is the time without a successful read of the list that counts as an
 	// outage.
 	minOutage = 1500 * time.Millisecond
+	// ignoredLogInterval is the least time between two log lines on ignored snapshots of a
+	// table.
+	ignoredLogInterval = 10 * time.Second
 	// maxUnreadableLogged bounds the log lines on rows of one read that can't be decoded.
 	maxUnreadableLogged = 10
 	// sourceStore names the store in logs.
@@ -71,6 +74,10 @@
 
 	mu   sync.Mutex
 	copy mirror.Copy
+	// era is the store's era at the last read from it, ignoredLoggedAt when an ignored
+	// snapshot was last logged.
+	era             uint64
+	ignoredLoggedAt time.Time
 
 	// lastResponse is when the store last answered this entry or its relay, in Unix
 	// nanoseconds.
@@ -270,16 +277,41 @@
 		batch, err = g.readChanges(ctx, f.table, after, wait)
 	}
 	if errors.Is(err, g.ports.HistoryGone) {
+		g.metrics.Count("history_gone", f.table, 1)
 		batch, err = g.ports.Tables.Snapshot(ctx, f.table)
 	}
 	if err != nil {
 		return err
 	}
 	g.feedSucceeded(f, 0)
+	g.noteStoreAnswer(time.Now(), f, batch)
 	f.applyBatch(batch, sourceStore)
 	return nil
 }
 
+// noteStoreAnswer logs and counts a change of the store's era, and a snapshot that the copy
+// ignores because it has a newer version.
+func (g *Gateway) noteStoreAnswer(now time.Time, f *feed, batch mirror.Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := f.copy.Version()
+	if g.ports.StoreEra != nil {
+		if era := g.ports.StoreEra(); era != f.era {
+			g.metrics.Count("store_eras", f.table, 1)
+			klog.InfoS("Store era changed", "table", f.table, "from", f.era, "to", era, "version", batch.Version, "held", held)
+			f.era = era
+		}
+	}
+	if !batch.Snapshot || batch.Version >= held {
+		return
+	}
+	g.metrics.Count("snapshots_ignored", f.table, 1)
+	if now.Sub(f.ignoredLoggedAt) >= ignoredLogInterval {
+		f.ignoredLoggedAt = now
+		klog.InfoS("Snapshot ignored: it is older than the copy", "table", f.table, "version", batch.Version, "held", held)
+	}
+}
+
 func (g *Gateway) readChanges(ctx context.Context, table string, after uint64, wait time.Duration) (mirror.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,6 +210,9 @@
 // and what is left of each retry budget.
 func (g *Gateway) updateGauges(now time.Time) {
 	g.updateUsageGauges()
+	if g.ports.StoreEra != nil {
+		g.metrics.Gauge("store_era", "all", int64(g.ports.StoreEra())) //nolint:gosec // a count
+	}
 	for _, f := range g.feeds {
 		g.metrics.Gauge("belief_version", f.table, int64(f.version())) //nolint:gosec // a count
 		g.metrics.Gauge("belief_age_ms", f.table, g.tableAge(now, f).Milliseconds())
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -98,6 +98,8 @@
 	Table platform.Table
 	// HistoryGone is the error of Tables.Changes for a version that is too old.
 	HistoryGone error
+	// StoreEra returns the newest era that the store has named; nil or 0: none.
+	StoreEra func() uint64
 }
 
 // Settings configure one process.
