Store: versions order over its eras, and what an entry knows is kept

Callers saw routes that were never served, revoked or older configurations in force, and requests at servers that had said they leave, after the store came back from a copy some seconds old. The entries called it some 75 times a second each, half of the calls refused.

Cause: versions were taken for newer because they are larger.

The store's client combines the era (header Store-Era) and the commit number into one version that orders as a whole: 13 bits and 40 bits, exact in float64. A copy follows a new era, and its policy says what it knows better: operators' rows never go back and stay if the store lost them, a draining server's row stays draining and an ended one removed until its writer has written three versions or one that is newer. Servers whose rows the store lost stay for the list's grace period. An entry that enters an era through the store, or starts in one, asks another entry, three times within two seconds. A store without history is read once a second. A relay that has not heard of the copy's era doesn't count as fresh.

Entries of builds without eras get the store's commit numbers (the query has no eras=1) and go on as before; as relays they are of era 0, so entries that know a later era read the store instead.

--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -64,7 +64,7 @@
 // accepts only so many a second, and their rows are still there.
 func TestRestartedEntryDoesNotWriteItsRowAgain(t *testing.T) {
 	g, store := newStartingEntry(t)
-	g.entries.applyBatch(entryBatch(t, 1, entryRow(g.settings), false), sourceStore)
+	g.applyBatch(g.entries, entryBatch(t, 1, entryRow(g.settings), false), sourceStore)
 	startRegistering(t, g)
 	time.Sleep(100 * time.Millisecond)
 	assert.Zero(t, store.commits.Load())
@@ -75,11 +75,11 @@
 func TestEntryWritesItsRowWhenItIsMissingOrOld(t *testing.T) {
 	old := roster.Row{Address: "10.0.0.9:1", DataCentre: "a"}
 	g, store := newStartingEntry(t)
-	g.entries.applyBatch(entryBatch(t, 1, old, false), sourceStore)
+	g.applyBatch(g.entries, entryBatch(t, 1, old, false), sourceStore)
 	startRegistering(t, g)
 	require.Eventually(t, func() bool { return store.commits.Load() == 1 }, time.Second, time.Millisecond, "its address has changed")
 	require.Eventually(t, g.peers.registered, time.Second, time.Millisecond)
-	g.entries.applyBatch(entryBatch(t, 2, entryRow(g.settings), true), sourceStore)
+	g.applyBatch(g.entries, entryBatch(t, 2, entryRow(g.settings), true), sourceStore)
 	require.Eventually(t, func() bool { return store.commits.Load() == 2 }, time.Second, time.Millisecond, "its row was removed")
 	require.Eventually(t, g.peers.registered, time.Second, time.Millisecond)
 }
@@ -88,14 +88,14 @@
 // bring no row.
 func TestReadWithoutRowsKeepsTheAssignment(t *testing.T) {
 	g, _ := newStartingEntry(t)
-	g.entries.applyBatch(entryBatch(t, 1, entryRow(g.settings), false), sourceStore)
+	g.applyBatch(g.entries, entryBatch(t, 1, entryRow(g.settings), false), sourceStore)
 	assignment := func() any {
 		g.state.mu.Lock()
 		defer g.state.mu.Unlock()
 		return g.state.assignmentLocked(time.Unix(1000, 0), "engines")
 	}
 	before := assignment()
-	g.entries.applyBatch(mirror.Batch{Version: 2}, sourceStore)
+	g.applyBatch(g.entries, mirror.Batch{Version: 2}, sourceStore)
 	assert.Same(t, before, assignment())
 }
 
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -13,6 +13,7 @@
 	"github.com/jayproxy/jayproxy/internal/call"
 	"github.com/jayproxy/jayproxy/internal/feedsource"
 	"github.com/jayproxy/jayproxy/internal/mirror"
+	"github.com/jayproxy/jayproxy/internal/platform"
 )
 
 const (
@@ -74,10 +75,13 @@
 
 	mu   sync.Mutex
 	copy mirror.Copy
-	// era is the store's era at the last read from it, ignoredLoggedAt when an ignored
-	// snapshot was last logged.
-	era             uint64
+	// asksPeers: in a new era of the store, other entries may know newer values of rows.
+	asksPeers bool
+	// ignoredLoggedAt is when an ignored snapshot was last logged. historyGone counts the
+	// reads in succession for which the store did not have the history. Both are used by the
+	// goroutine that runs the feed only.
 	ignoredLoggedAt time.Time
+	historyGone     int
 
 	// lastResponse is when the store last answered this entry or its relay, in Unix
 	// nanoseconds.
@@ -176,14 +180,6 @@
 	return time.Duration(float64(g.settings.DrainBound) * backendPauseShare)
 }
 
-// applyBatch applies a batch to the copy and to this entry's view, one batch at a time.
-func (f *feed) applyBatch(batch mirror.Batch, source string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	changed := f.copy.Apply(batch)
-	f.apply(time.Now(), changed, source)
-}
-
 // runFeed keeps a feed's copy up to date.
 func (g *Gateway) runFeed(ctx context.Context, f *feed) {
 	for ctx.Err() == nil {
@@ -204,10 +200,19 @@
 			sleep(ctx, g.pauseAfterFailure(f))
 			continue
 		}
-		sleep(ctx, f.pause)
+		sleep(ctx, f.pauseAfterRead())
 	}
 }
 
+// pauseAfterRead returns the pause after a read from the store. A store that never has the
+// history is not read without a pause.
+func (f *feed) pauseAfterRead() time.Duration {
+	if f.historyGone > 1 {
+		return max(f.pause, otherTablesRetryPause)
+	}
+	return f.pause
+}
+
 // pauseWithoutCall returns the pause until the relays are tried again.
 func (g *Gateway) pauseWithoutCall(f *feed, relayed feedsource.Outcome, hasData bool) time.Duration {
 	switch {
@@ -248,7 +253,9 @@
 		if err != nil && ctx.Err() == nil && !starting {
 			g.peers.markUnresponsive(time.Now(), relay)
 		}
-		if err != nil || batch.AgeMS > g.maxRelayAge(hops).Milliseconds() || batch.Version == 0 {
+		// A relay that has not heard of the store's era passes on nothing of it.
+		behind := platform.EraOf(batch.Version) < platform.EraOf(f.version())
+		if err != nil || behind || batch.AgeMS > g.maxRelayAge(hops).Milliseconds() || batch.Version == 0 {
 			g.metrics.Count("relay_failed", f.table, 1)
 			if err == nil && batch.Version > 0 {
 				outcome = feedsource.Stale
@@ -257,7 +264,7 @@
 		}
 		g.load.tablesRead.add(batch.Size())
 		g.feedSucceeded(f, time.Duration(batch.AgeMS)*time.Millisecond)
-		f.applyBatch(batch.Batch, relay)
+		g.applyBatch(f, batch.Batch, relay)
 		return feedsource.Fresh
 	}
 	return outcome
@@ -267,41 +274,38 @@
 // does not reach back far enough.
 func (g *Gateway) readFromStore(ctx context.Context, f *feed) error {
 	wait := f.pollTimeout()
-	ctx, cancel := context.WithCancel(ctx)
+	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.interrupt.Store(&cancel)
 	after := f.version()
 	var batch mirror.Batch
 	err := g.ports.HistoryGone
 	if after > 0 {
-		batch, err = g.readChanges(ctx, f.table, after, wait)
+		batch, err = g.readChanges(callCtx, f.table, after, wait)
 	}
-	if errors.Is(err, g.ports.HistoryGone) {
+	if !errors.Is(err, g.ports.HistoryGone) {
+		f.historyGone = 0
+	} else {
+		f.historyGone++
 		g.metrics.Count("history_gone", f.table, 1)
-		batch, err = g.ports.Tables.Snapshot(ctx, f.table)
+		batch, err = g.ports.Tables.Snapshot(callCtx, f.table)
 	}
 	if err != nil {
 		return err
 	}
 	g.feedSucceeded(f, 0)
-	g.noteStoreAnswer(time.Now(), f, batch)
-	f.applyBatch(batch, sourceStore)
+	g.noteIgnored(time.Now(), f, batch, after)
+	if f.asksPeers && platform.EraOf(batch.Version) > platform.EraOf(after) {
+		g.enterEra(ctx, f, batch)
+		return nil
+	}
+	g.applyBatch(f, batch, sourceStore)
 	return nil
 }
 
-// noteStoreAnswer logs and counts a change of the store's era, and a snapshot that the copy
-// ignores because it has a newer version.
-func (g *Gateway) noteStoreAnswer(now time.Time, f *feed, batch mirror.Batch) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	held := f.copy.Version()
-	if g.ports.StoreEra != nil {
-		if era := g.ports.StoreEra(); era != f.era {
-			g.metrics.Count("store_eras", f.table, 1)
-			klog.InfoS("Store era changed", "table", f.table, "from", f.era, "to", era, "version", batch.Version, "held", held)
-			f.era = era
-		}
-	}
+// noteIgnored logs and counts a snapshot that the copy ignores because it has a newer
+// version.
+func (g *Gateway) noteIgnored(now time.Time, f *feed, batch mirror.Batch, held uint64) {
 	if !batch.Snapshot || batch.Version >= held {
 		return
 	}
@@ -321,7 +325,8 @@
 func (g *Gateway) feedFailed(f *feed, err error) {
 	g.metrics.Count("store_errors", f.table, 1)
 	if !f.failing.Swap(true) {
-		klog.InfoS("Store lost", "table", f.table, "version", f.version(), "err", err)
+		version := f.version()
+		klog.InfoS("Store lost", "table", f.table, "era", platform.EraOf(version), "version", platform.CommitOf(version), "err", err)
 	}
 }
 
@@ -336,20 +341,15 @@
 		return
 	}
 	gap := time.Duration(now.UnixNano() - last)
-	klog.InfoS("Store regained", "table", f.table, "version", f.version(), "gapMS", gap.Milliseconds())
+	version := f.version()
+	klog.InfoS("Store regained", "table", f.table, "era", platform.EraOf(version), "version", platform.CommitOf(version), "gapMS", gap.Milliseconds())
 	if f.table != g.ports.Decoder.BackendTable {
 		return
 	}
 	if last > 0 && gap > minOutage {
-		g.state.mu.Lock()
-		g.state.list.Restored(now)
-		g.state.mu.Unlock()
-	}
-	for _, other := range g.feeds {
-		if other != f {
-			other.interruptPoll()
-		}
+		g.state.listRestored(now)
 	}
+	g.interruptOtherPolls(f)
 }
 
 // readFromPeersDuringOutage reads all tables from other entries while this one cannot read
@@ -361,13 +361,13 @@
 			return
 		}
 		for _, f := range g.feeds {
-			batch, peer, err := g.peers.pull(ctx, f.table, f.version())
+			batch, peer, err := g.peers.pull(ctx, peerTimeout, f.table, f.version())
 			if err != nil {
 				klog.V(1).InfoS("Table could not be read from any other entry", "table", f.table, "err", err)
 				continue
 			}
 			if batch.Version > 0 {
-				f.applyBatch(batch, peer)
+				g.applyBatch(f, batch, peer)
 			}
 		}
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/jayproxy/jayproxy/internal/endproof"
 	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/metrics"
+	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/upstream"
 )
 
@@ -210,11 +211,10 @@
 // and what is left of each retry budget.
 func (g *Gateway) updateGauges(now time.Time) {
 	g.updateUsageGauges()
-	if g.ports.StoreEra != nil {
-		g.metrics.Gauge("store_era", "all", int64(g.ports.StoreEra())) //nolint:gosec // a count
-	}
 	for _, f := range g.feeds {
-		g.metrics.Gauge("belief_version", f.table, int64(f.version())) //nolint:gosec // a count
+		version := f.version()
+		g.metrics.Gauge("store_era", f.table, int64(platform.EraOf(version)))         //nolint:gosec // a count
+		g.metrics.Gauge("belief_version", f.table, int64(platform.CommitOf(version))) //nolint:gosec // a count
 		g.metrics.Gauge("belief_age_ms", f.table, g.tableAge(now, f).Milliseconds())
 	}
 	s := g.state
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/mirror"
+	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/roster"
 	"github.com/jayproxy/jayproxy/internal/upstream"
 	"github.com/jayproxy/jayproxy/internal/weights"
@@ -71,14 +72,14 @@
 // given time.
 func (p *peers) table(ctx context.Context, begin time.Duration, address, table string, after uint64) (tableResponse, error) {
 	var batch tableResponse
-	path := "/v1/tables/" + url.PathEscape(table) + "?after=" + strconv.FormatUint(after, 10)
+	path := "/v1/tables/" + url.PathEscape(table) + "?eras=1&after=" + strconv.FormatUint(after, 10)
 	err := p.callWithin(ctx, begin, http.MethodGet, address, path, nil, &batch)
 	return batch, err
 }
 
-// pull reads the changes of a table from other entries, in random order. It returns the
-// address of the one that answered.
-func (p *peers) pull(ctx context.Context, table string, after uint64) (mirror.Batch, string, error) {
+// pull reads the changes of a table from other entries, in random order; the response of
+// each must begin within the given time. It returns the address of the one that answered.
+func (p *peers) pull(ctx context.Context, begin time.Duration, table string, after uint64) (mirror.Batch, string, error) {
 	all := p.addresses()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	err := eris.New("no other entry known: no rows and no seeds")
@@ -87,7 +88,7 @@
 			break
 		}
 		var batch tableResponse
-		if batch, err = p.table(ctx, peerTimeout, address, table, after); err == nil {
+		if batch, err = p.table(ctx, begin, address, table, after); err == nil {
 			return batch.Batch, address, nil
 		}
 	}
@@ -168,7 +169,11 @@
 	}
 	for _, f := range g.feeds {
 		if f.table == c.Param("table") {
-			err := g.respondTable(c, f, after)
+			respond := g.respondTable
+			if c.QueryParam("eras") == "" {
+				respond = g.respondWithoutEras
+			}
+			err := respond(c, f, after)
 			g.load.tablesServed.add(int(c.Response().Size))
 			return err
 		}
@@ -195,6 +200,23 @@
 	return err
 }
 
+// respondWithoutEras is respondTable for entries of builds that know no eras: they compare
+// versions with the store's commit numbers.
+func (g *Gateway) respondWithoutEras(c echo.Context, f *feed, after uint64) error {
+	era := platform.EraOf(f.version())
+	if era == 0 {
+		return g.respondTable(c, f, after)
+	}
+	if after > 0 {
+		var err error
+		if after, err = platform.VersionOf(era, after); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+	}
+	batch := f.since(after)
+	return c.JSON(http.StatusOK, tableResponse{Batch: batch.WithoutEras(), AgeMS: g.tableAge(time.Now(), f).Milliseconds()})
+}
+
 func (g *Gateway) handleWeights(c echo.Context) error {
 	s := g.state
 	s.mu.Lock()
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -33,7 +33,8 @@
 	Refuse(h http.Header, requestID string, after time.Duration)
 }
 
-// Tables reads the tables that operators and backend servers write.
+// Tables reads the tables that operators and backend servers write. Versions include the
+// store's era (platform.VersionOf).
 type Tables interface {
 	// Snapshot reads a complete table, and bounds its own time. Changes waits for changes
 	// after a version; its error is Ports.HistoryGone if that version is too old. Both fail
@@ -61,6 +62,9 @@
 	// SameBackend reports whether two values of a backend server's row differ in
 	// nothing but the heartbeat.
 	SameBackend func(old, new []byte) bool
+	// OlderOperatorRow and OlderBackend report whether a value of a row was written before
+	// a known one, by what its writer says in it.
+	OlderOperatorRow, OlderBackend func(key string, known, value []byte) bool
 }
 
 // Engines makes control calls to model engines, independent of callers'
@@ -98,8 +102,6 @@
 	Table platform.Table
 	// HistoryGone is the error of Tables.Changes for a version that is too old.
 	HistoryGone error
-	// StoreEra returns the newest era that the store has named; nil or 0: none.
-	StoreEra func() uint64
 }
 
 // Settings configure one process.
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -18,8 +18,10 @@
 		g.feeds = append(g.feeds, f)
 		return f
 	}
-	operators := newFeed(&feed{table: g.ports.Decoder.OperatorTable, wait: longPollWait, relayPause: g.relayPause(), apply: g.applyOperator})
-	backends := newFeed(&feed{copy: mirror.NewCopy(g.ports.Decoder.SameBackend), table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: g.relayPause(), apply: g.applyBackends})
+	operatorPolicy := mirror.Policy{Older: g.ports.Decoder.OlderOperatorRow, Lasting: true}
+	backendPolicy := mirror.Policy{Same: g.ports.Decoder.SameBackend, Older: g.ports.Decoder.OlderBackend}
+	operators := newFeed(&feed{copy: mirror.NewCopy(operatorPolicy), asksPeers: true, table: g.ports.Decoder.OperatorTable, wait: longPollWait, relayPause: g.relayPause(), apply: g.applyOperator})
+	backends := newFeed(&feed{copy: mirror.NewCopy(backendPolicy), asksPeers: true, table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: g.relayPause(), apply: g.applyBackends})
 	g.entries = newFeed(&feed{table: g.ports.Decoder.EntryTable, wait: longPollWait, pause: entriesPause, relayPause: g.relayPause(), apply: g.applyEntries})
 	suspected := newFeed(&feed{table: g.ports.Decoder.SuspectTable, wait: longPollWait, pause: entriesPause, relayPause: suspectRelayInterval, apply: g.applySuspects})
 	for _, f := range []*feed{operators, backends, suspected} {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -1,11 +1,16 @@
 // Package mirror keeps an in-memory copy of one table of the platform's store,
 // so that a process can get the table from another process when the store does
 // not serve it. All copies use the store's row versions, so a copy can apply
-// batches from any source. The package does no I/O, starts no goroutine and
-// reads no clock. It is not safe for concurrent use.
+// batches from any source. The store may come back from an older copy of its rows,
+// in a new era; what a copy knows better then is kept. The package does no I/O,
+// starts no goroutine and reads no clock. It is not safe for concurrent use.
 package mirror
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/jayproxy/jayproxy/internal/platform"
+)
 
 // Row is one row of the table, or the record of its removal.
 type Row struct {
@@ -16,6 +21,11 @@
 	// changed is the version of the row's last change to a value that is not
 	// equivalent to the one before.
 	changed uint64
+	// origin is the version under which the value was written, as far as is known. It is of
+	// an earlier era than Version while the store has an older value. held counts the
+	// versions since.
+	origin uint64
+	held   int
 }
 
 // Batch holds the rows that changed after some version or, if Snapshot is set,
@@ -35,27 +45,49 @@
 	return size
 }
 
+// WithoutEras returns the batch with the store's own commit numbers for versions.
+func (b *Batch) WithoutEras() Batch {
+	bare := Batch{Version: platform.CommitOf(b.Version), Snapshot: b.Snapshot, Rows: make([]Row, len(b.Rows))}
+	for i, row := range b.Rows {
+		row.Version = platform.CommitOf(row.Version)
+		bare.Rows[i] = row
+	}
+	return bare
+}
+
 // maxTombstones bounds the removed rows whose versions are kept for Since.
 const maxTombstones = 2048
 
+// Policy says what the values of a table's rows mean. The zero value makes no use of them:
+// the store's word holds.
+type Policy struct {
+	// Same reports whether two values of a row mean the same; nil: none do. Such a change
+	// is stored, but Apply does not report it and Since returns it only in a snapshot:
+	// heartbeats change a row every second and would otherwise be most of the traffic
+	// between processes.
+	Same func(old, new []byte) bool
+	// Older reports whether a row's writer wrote value before known, by what it says in
+	// them. In a new era a copy keeps the known value then, and a row that had ended stays
+	// removed, for maxHeld versions at most.
+	Older func(key string, known, value []byte) bool
+	// Lasting: the writer removes no rows and Older always holds, without that limit.
+	Lasting bool
+}
+
 // Copy is a copy of one table. The zero value is empty, at version 0.
 type Copy struct {
 	rows       map[string]Row
-	tombstones map[string]uint64
+	tombstones map[string]tombstone
 	version    uint64
 	// prunedAt is the version up to which removals are not known, as tombstones were
 	// pruned or a snapshot was applied, which lists no removals. Since cannot list the
 	// changes after an older version and returns a snapshot.
 	prunedAt uint64
-	// equivalent reports whether two values of a row mean the same; nil: none do.
-	equivalent func(old, new []byte) bool
+	policy   Policy
 }
 
-// NewCopy returns an empty copy. equivalent reports whether two values of a row
-// mean the same. Such a change is stored, but Apply does not report it and Since
-// returns it only in a snapshot: heartbeats change a row every second and would
-// otherwise be most of the traffic between processes.
-func NewCopy(equivalent func(old, new []byte) bool) Copy { return Copy{equivalent: equivalent} }
+// NewCopy returns an empty copy.
+func NewCopy(policy Policy) Copy { return Copy{policy: policy} }
 
 // Version returns the newest version that the copy covers; 0: none yet.
 func (c *Copy) Version() uint64 { return c.version }
@@ -74,19 +106,23 @@
 }
 
 // Apply applies a batch and returns the rows that it changed. A row never goes
-// back to an older version, and a snapshot older than the copy is ignored: its
-// source may lag behind.
+// back to an older version. The source of a batch older than the copy lags behind, or has
+// not heard of the store's era yet; it adds only values that are newer by the policy.
 func (c *Copy) Apply(batch Batch) []Row {
 	if c.rows == nil {
-		c.rows, c.tombstones = map[string]Row{}, map[string]uint64{}
+		c.rows, c.tombstones = map[string]Row{}, map[string]tombstone{}
 	}
-	if batch.Snapshot && batch.Version < c.version {
+	lagging := batch.Version < c.version && (batch.Snapshot || platform.EraOf(batch.Version) < platform.EraOf(c.version))
+	if lagging && c.policy.Older == nil {
 		return nil
 	}
 	var changed []Row
 	listed := make(map[string]bool, len(batch.Rows))
 	for _, row := range batch.Rows {
 		listed[row.Key] = true
+		if lagging && !c.knows(row.Key) {
+			continue
+		}
 		if c.applyRow(row) {
 			changed = append(changed, row)
 		}
@@ -100,35 +136,60 @@
 	return changed
 }
 
+// knows reports whether a row of a batch that lags behind may be applied: one that the copy
+// does not have was probably removed since.
+func (c *Copy) knows(key string) bool {
+	_, known := c.rows[key]
+	return known || c.policy.Lasting
+}
+
 func (c *Copy) applyRow(row Row) bool {
-	if row.Version <= c.rows[row.Key].Version || row.Version <= c.tombstones[row.Key] {
+	old, existed := c.rows[row.Key]
+	switch {
+	case row.Removed:
+		return c.applyRemoval(row, old, existed)
+	case existed && row.Version <= old.Version:
+		return c.correct(row, old)
+	case !existed && c.staysRemoved(row):
+		return false
+	case existed && c.keeps(row, old):
+		old.Version, old.held = row.Version, old.held+1
+		c.rows[row.Key] = old
 		return false
 	}
-	old, existed := c.rows[row.Key]
-	if !row.Removed {
-		delete(c.tombstones, row.Key)
-		row.changed = row.Version
-		unchanged := existed && c.equivalent != nil && c.equivalent(old.Value, row.Value)
-		if unchanged {
-			row.changed = old.changed
-		}
-		c.rows[row.Key] = row
-		return !unchanged
+	delete(c.tombstones, row.Key)
+	row.changed, row.origin = row.Version, row.Version
+	same := existed && c.policy.Same != nil && c.policy.Same(old.Value, row.Value)
+	if same {
+		row.changed = old.changed
+	}
+	if existed && string(old.Value) == string(row.Value) {
+		row.origin = old.origin
+	}
+	c.rows[row.Key] = row
+	return !same
+}
+
+func (c *Copy) applyRemoval(row, old Row, existed bool) bool {
+	if row.Version <= old.Version || row.Version <= c.tombstones[row.Key].version {
+		return false
 	}
 	delete(c.rows, row.Key)
-	c.tombstones[row.Key] = row.Version
+	c.tombstones[row.Key] = tombstone{version: row.Version, origin: row.Version, last: old.Value, ended: existed}
 	return existed
 }
 
-// removeUnlisted removes the rows that a snapshot does not list.
+// removeUnlisted removes the rows that a snapshot does not list, unless they are newer. What
+// the store lost with a new era has not ended, and stays if the table's rows are lasting.
 func (c *Copy) removeUnlisted(listed map[string]bool, version uint64) []Row {
 	var removed []Row
-	for key := range c.rows {
-		if listed[key] {
+	for key, row := range c.rows {
+		lost := platform.EraOf(row.origin) < platform.EraOf(version)
+		if listed[key] || row.Version > version || lost && c.policy.Lasting {
 			continue
 		}
 		delete(c.rows, key)
-		c.tombstones[key] = version
+		c.tombstones[key] = tombstone{version: version, origin: version, last: row.Value, ended: !lost}
 		removed = append(removed, Row{Key: key, Version: version, Removed: true})
 	}
 	sort.Slice(removed, func(i, j int) bool { return removed[i].Key < removed[j].Key })
@@ -142,7 +203,7 @@
 		return
 	}
 	c.prunedAt = c.version
-	c.tombstones = map[string]uint64{}
+	c.tombstones = map[string]tombstone{}
 }
 
 // Covers reports whether Since can list the changes after a version.
@@ -160,9 +221,9 @@
 	if batch.Snapshot {
 		return batch
 	}
-	for key, version := range c.tombstones {
-		if version > after {
-			batch.Rows = append(batch.Rows, Row{Key: key, Version: version, Removed: true})
+	for key, t := range c.tombstones {
+		if t.version > after {
+			batch.Rows = append(batch.Rows, Row{Key: key, Version: t.version, Removed: true})
 		}
 	}
 	return batch
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -59,7 +59,7 @@
 }
 
 func TestAHeartbeatIsNotPassedOn(t *testing.T) {
-	c := mirror.NewCopy(func(old, new []byte) bool { return old[0] == new[0] })
+	c := mirror.NewCopy(mirror.Policy{Same: func(old, new []byte) bool { return old[0] == new[0] }})
 	c.Apply(mirror.Batch{Rows: []mirror.Row{{Key: "a", Value: []byte{1, 1}, Version: 1}}, Version: 1, Snapshot: true})
 	assert.Empty(t, c.Apply(mirror.Batch{Rows: []mirror.Row{{Key: "a", Value: []byte{1, 2}, Version: 2}}, Version: 2}))
 	assert.Empty(t, c.Since(1).Rows)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,9 +22,9 @@
 	ErrNotFound = errors.New("not found on the platform")
 )
 
-// Row is a row of the table. Version is the commit number of its last write.
-// Commit numbers increase over the whole table, so versions can serve as fencing
-// tokens.
+// Row is a row of the table. Version identifies the commit of its last write; see
+// VersionOf. Versions increase over the whole table, also when it comes back from an older
+// copy, so they can serve as fencing tokens.
 type Row struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
@@ -59,7 +59,7 @@
 // TxnResult is the platform's answer to a transaction.
 type TxnResult struct {
 	Committed bool `json:"committed"`
-	// Commit is the commit number, which is the version of every row written.
+	// Commit is the version of every row written.
 	Commit uint64 `json:"commit"`
 	// Failed holds the current rows of the conditions that were not met. A row
 	// that does not exist has Version 0.
