--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -273,6 +273,16 @@
 	return nil
 }
 
+// RemoveEnded removes a server that is known to have ended, without a grace period. gone is
+// the removed backend, nil if none was.
+func (l *List) RemoveEnded(instance string) (gone *Backend) {
+	b := l.byName[instance]
+	if b != nil {
+		l.removeServer(b)
+	}
+	return b
+}
+
 // Tick removes servers whose grace period is over and applies registrations that
 // have persisted for the confirmation period. It returns the backends removed and
 // those listed as a result; a server that is in both has a new incarnation.
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -125,6 +125,13 @@
 	return f.copy.Since(after)
 }
 
+// known returns the complete table with the removals that the copy remembers.
+func (f *feed) known() mirror.Batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.copy.Known()
+}
+
 // covers reports whether the changes after a version can be listed.
 func (f *feed) covers(after uint64) bool {
 	f.mu.Lock()
@@ -200,15 +207,15 @@
 			sleep(ctx, g.pauseAfterFailure(f))
 			continue
 		}
-		sleep(ctx, f.pauseAfterRead())
+		sleep(ctx, g.pauseAfterRead(f))
 	}
 }
 
 // pauseAfterRead returns the pause after a read from the store. A store that never has the
-// history is not read without a pause.
-func (f *feed) pauseAfterRead() time.Duration {
+// history is read no more often than the list of servers.
+func (g *Gateway) pauseAfterRead(f *feed) time.Duration {
 	if f.historyGone > 1 {
-		return max(f.pause, otherTablesRetryPause)
+		return max(f.pause, g.backendPause(), minRelayPause)
 	}
 	return f.pause
 }
@@ -247,7 +254,7 @@
 		begin = firstReadTimeout
 	}
 	for _, relay := range relays {
-		batch, err := g.peers.table(ctx, begin, relay, f.table, f.version())
+		batch, err := g.peers.table(ctx, begin, relay, f.table, changesAfter(f.version()))
 		// While an entry starts, its relays may start as well.
 		starting := f.version() == 0 && errors.Is(err, syscall.ECONNREFUSED)
 		if err != nil && ctx.Err() == nil && !starting {
@@ -361,7 +368,7 @@
 			return
 		}
 		for _, f := range g.feeds {
-			batch, peer, err := g.peers.pull(ctx, peerTimeout, f.table, f.version())
+			batch, peer, err := g.peers.pull(ctx, f.table, changesAfter(f.version()))
 			if err != nil {
 				klog.V(1).InfoS("Table could not be read from any other entry", "table", f.table, "err", err)
 				continue
@@ -403,7 +410,7 @@
 	unreadable := 0
 	for _, row := range rows {
 		if row.Removed {
-			changes = append(changes, backendChange{removed: row.Key})
+			changes = append(changes, backendChange{removed: row.Key, ended: row.Ended})
 			continue
 		}
 		b, err := g.ports.Decoder.Backend(row.Key, row.Value)
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -24,10 +24,11 @@
 }
 
 // backendChange is a registration that was added or changed, or the name of a server whose
-// registration was removed.
+// registration was removed; ended: the server is known to have ended.
 type backendChange struct {
 	backend *fleet.Backend
 	removed string
+	ended   bool
 }
 
 // changeBackends applies changes of the list. It updates the members once for all changes:
@@ -42,7 +43,7 @@
 			s.putLocked(now, change.backend)
 			continue
 		}
-		if gone := s.list.Remove(now, change.removed); gone != nil {
+		if gone := s.removeLocked(now, change); gone != nil {
 			s.forgetIncarnationLocked(now, gone, "list")
 		}
 	}
@@ -53,6 +54,14 @@
 	s.listReady = true
 }
 
+// removeLocked removes a server from the list; nil: it stays for now.
+func (s *state) removeLocked(now time.Time, change backendChange) *fleet.Backend {
+	if change.ended {
+		return s.list.RemoveEnded(change.removed)
+	}
+	return s.list.Remove(now, change.removed)
+}
+
 func (s *state) putLocked(now time.Time, b *fleet.Backend) {
 	old, change := s.list.Put(now, b)
 	switch change {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -68,18 +68,28 @@
 	AgeMS int64 `json:"age_ms"`
 }
 
-// table reads the changes of a table from one entry, whose response must begin within the
-// given time.
-func (p *peers) table(ctx context.Context, begin time.Duration, address, table string, after uint64) (tableResponse, error) {
+// tableQuery says which part of a table to read. Entries of builds that know no eras send
+// no eras=1.
+type tableQuery string
+
+// wholeTable reads a table with the removals that the entry remembers.
+const wholeTable tableQuery = "eras=1&removals=1&after=0"
+
+func changesAfter(version uint64) tableQuery {
+	return tableQuery("eras=1&after=" + strconv.FormatUint(version, 10))
+}
+
+// table reads a table from one entry, whose response must begin within the given time.
+func (p *peers) table(ctx context.Context, begin time.Duration, address, table string, query tableQuery) (tableResponse, error) {
 	var batch tableResponse
-	path := "/v1/tables/" + url.PathEscape(table) + "?eras=1&after=" + strconv.FormatUint(after, 10)
+	path := "/v1/tables/" + url.PathEscape(table) + "?" + string(query)
 	err := p.callWithin(ctx, begin, http.MethodGet, address, path, nil, &batch)
 	return batch, err
 }
 
-// pull reads the changes of a table from other entries, in random order; the response of
-// each must begin within the given time. It returns the address of the one that answered.
-func (p *peers) pull(ctx context.Context, begin time.Duration, table string, after uint64) (mirror.Batch, string, error) {
+// pull reads a table from other entries, in random order. It returns the address of the one
+// that answered.
+func (p *peers) pull(ctx context.Context, table string, query tableQuery) (mirror.Batch, string, error) {
 	all := p.addresses()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	err := eris.New("no other entry known: no rows and no seeds")
@@ -88,7 +98,7 @@
 			break
 		}
 		var batch tableResponse
-		if batch, err = p.table(ctx, begin, address, table, after); err == nil {
+		if batch, err = p.table(ctx, peerTimeout, address, table, query); err == nil {
 			return batch.Batch, address, nil
 		}
 	}
@@ -170,8 +180,11 @@
 	for _, f := range g.feeds {
 		if f.table == c.Param("table") {
 			respond := g.respondTable
-			if c.QueryParam("eras") == "" {
+			switch {
+			case c.QueryParam("eras") == "":
 				respond = g.respondWithoutEras
+			case c.QueryParam("removals") != "":
+				respond = g.respondKnown
 			}
 			err := respond(c, f, after)
 			g.load.tablesServed.add(int(c.Response().Size))
@@ -200,6 +213,11 @@
 	return err
 }
 
+// respondKnown sends the complete table with the removals that this entry remembers.
+func (g *Gateway) respondKnown(c echo.Context, f *feed, _ uint64) error {
+	return c.JSON(http.StatusOK, tableResponse{Batch: f.known(), AgeMS: g.tableAge(time.Now(), f).Milliseconds()})
+}
+
 // respondWithoutEras is respondTable for entries of builds that know no eras: they compare
 // versions with the store's commit numbers.
 func (g *Gateway) respondWithoutEras(c echo.Context, f *feed, after uint64) error {
--- a/internal/gateway/storeera.go
+++ b/internal/gateway/storeera.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,9 +15,10 @@
 // What an entry does when the store comes back from an older copy of its rows, in a new era.
 
 const (
-	// peerRounds is how often an entry asks another one for what it knows in a new era,
-	// with peerRoundPause between: the others may not have read the store yet, or start.
+	// peerRounds is how often an entry asks askedPeers others for what they know in a new
+	// era, with peerRoundPause between: they may not have read the store yet, or start.
 	peerRounds     = 3
+	askedPeers     = 3
 	peerRoundPause = time.Second
 )
 
@@ -48,33 +51,53 @@
 // know better. An entry that starts knows nothing yet and asks before it applies the batch:
 // otherwise it could serve by an older configuration until they answer.
 func (g *Gateway) enterEra(ctx context.Context, f *feed, batch mirror.Batch) {
-	var known mirror.Batch
-	var peer string
+	var known []peerBatch
 	if f.version() == 0 {
-		known, peer = g.askPeer(ctx, firstReadTimeout, f)
+		known = g.askPeers(ctx, firstReadTimeout, f)
 	}
 	g.applyBatch(f, batch, sourceStore)
-	if known.Version > 0 {
-		g.applyBatch(f, known, peer)
-	}
+	g.applyKnown(f, known)
 	g.spawn(func() {
 		for range peerRounds {
-			if known, peer := g.askPeer(ctx, peerTimeout, f); known.Version > 0 {
-				g.applyBatch(f, known, peer)
-			}
+			g.applyKnown(f, g.askPeers(ctx, peerTimeout, f))
 			sleep(ctx, peerRoundPause)
 		}
 	})
 }
 
-// askPeer returns the complete table of another entry; its version is 0 if none answered.
-func (g *Gateway) askPeer(ctx context.Context, begin time.Duration, f *feed) (batch mirror.Batch, peer string) {
-	batch, peer, err := g.peers.pull(ctx, begin, f.table, 0)
-	if err != nil {
-		klog.V(1).InfoS("Table could not be read from any other entry", "table", f.table, "err", err)
-		return mirror.Batch{}, ""
+// peerBatch is what another entry knows of a table.
+type peerBatch struct {
+	mirror.Batch
+	peer string
+}
+
+// askPeers asks some other entries at once for what they know of a table; the responses must
+// begin within the given time.
+func (g *Gateway) askPeers(ctx context.Context, begin time.Duration, f *feed) []peerBatch {
+	addresses := g.peers.addresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	known := make([]peerBatch, min(len(addresses), askedPeers))
+	var asked sync.WaitGroup
+	for i := range known {
+		asked.Go(func() {
+			response, err := g.peers.table(ctx, begin, addresses[i], f.table, wholeTable)
+			if err != nil {
+				klog.V(1).InfoS("Table could not be read from another entry", "table", f.table, "entry", addresses[i], "err", err)
+				return
+			}
+			known[i] = peerBatch{response.Batch, addresses[i]}
+		})
+	}
+	asked.Wait()
+	return known
+}
+
+func (g *Gateway) applyKnown(f *feed, known []peerBatch) {
+	for _, batch := range known {
+		if batch.Version > 0 {
+			g.applyBatch(f, batch.Batch, batch.peer)
+		}
 	}
-	return batch, peer
 }
 
 // interruptOtherPolls ends the blocking reads of the other tables.
--- a/internal/mirror/eras.go
+++ b/internal/mirror/eras.go
@@ -13,6 +13,8 @@
 	// version is the newest version under which the row is known to be removed, origin that
 	// of its removal.
 	version, origin uint64
+	// changed is the version after which readers of the copy have to hear of it.
+	changed uint64
 	// last is the row's last value. ended: the row was removed, rather than lost with the
 	// store's era.
 	last  []byte
@@ -21,6 +23,21 @@
 	held int
 }
 
+// row returns the record of the removal.
+func (t tombstone) row(key string) Row { return Row{Key: key, Version: t.version, Removed: true} }
+
+// Known returns a snapshot with the removals that the copy remembers, for a copy that has
+// just entered an era.
+func (c *Copy) Known() Batch {
+	batch := c.Since(0)
+	for key, t := range c.tombstones {
+		if t.ended {
+			batch.Rows = append(batch.Rows, t.row(key))
+		}
+	}
+	return batch
+}
+
 // keeps reports whether the known value of a row stays, as the store has an older one under
 // a newer version.
 func (c *Copy) keeps(row, known Row) bool {
@@ -42,10 +59,14 @@
 		return true
 	}
 	restored := platform.EraOf(t.origin) < platform.EraOf(row.Version) && t.held < maxHeld
-	if !restored || !t.ended || c.policy.Older == nil || c.policy.Lasting || c.policy.Older(row.Key, row.Value, t.last) {
+	if !restored || !t.ended || c.policy.Older == nil || c.policy.Lasting {
 		return false
 	}
-	t.version, t.held = row.Version, t.held+1
+	// The first version may be the store's older copy of a value that was never read here.
+	if t.held > 0 && c.policy.Older(row.Key, row.Value, t.last) {
+		return false
+	}
+	t.version, t.changed, t.held = row.Version, row.Version, t.held+1
 	c.tombstones[row.Key] = t
 	return true
 }
@@ -53,8 +74,7 @@
 // correct takes the value of a row from another copy that knows a newer one, under the same
 // version or one of an earlier era. It reports whether the row has changed.
 func (c *Copy) correct(row, known Row) bool {
-	comparable := row.Version == known.Version || platform.EraOf(row.Version) < platform.EraOf(known.Version) || c.policy.Lasting
-	if c.policy.Older == nil || !comparable || string(row.Value) == string(known.Value) || !c.policy.Older(row.Key, row.Value, known.Value) {
+	if c.policy.Older == nil || !c.policy.Lasting && !mayCorrect(row, known) || string(row.Value) == string(known.Value) || !c.policy.Older(row.Key, row.Value, known.Value) {
 		return false
 	}
 	known.Value, known.held = row.Value, 0
@@ -65,3 +85,20 @@
 	c.rows[row.Key] = known
 	return true
 }
+
+// mayCorrect reports whether the version of a row leaves open which value is newer.
+func mayCorrect(row, known Row) bool {
+	return row.Version == known.Version || platform.EraOf(row.Version) < platform.EraOf(known.Version)
+}
+
+// correctRemoval removes a row of the store's older copy that another copy knows to have
+// ended. It reports whether the row has changed.
+func (c *Copy) correctRemoval(row, known Row) bool {
+	if c.policy.Older == nil || c.policy.Lasting || !mayCorrect(row, known) || known.Version > c.began {
+		return false
+	}
+	delete(c.rows, row.Key)
+	// Readers of this copy may have asked for changes up to its version already.
+	c.tombstones[row.Key] = tombstone{version: known.Version, changed: c.version + 1, origin: row.Version, last: known.Value, ended: true, held: 1}
+	return true
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -18,6 +18,9 @@
 	Value   []byte `json:"value,omitempty"`
 	Version uint64 `json:"version"`
 	Removed bool   `json:"removed,omitempty"`
+	// Ended: another copy knows that the removed row had ended, rather than expired or lost
+	// with the store's era. Set by Apply.
+	Ended bool `json:"-"`
 	// changed is the version of the row's last change to a value that is not
 	// equivalent to the one before.
 	changed uint64
@@ -83,7 +86,10 @@
 	// pruned or a snapshot was applied, which lists no removals. Since cannot list the
 	// changes after an older version and returns a snapshot.
 	prunedAt uint64
-	policy   Policy
+	// began is the version of the batch with which the copy entered its era. Rows up to it
+	// may be of the store's older copy.
+	began  uint64
+	policy Policy
 }
 
 // NewCopy returns an empty copy.
@@ -116,14 +122,17 @@
 	if lagging && c.policy.Older == nil {
 		return nil
 	}
+	if platform.EraOf(batch.Version) > platform.EraOf(c.version) {
+		c.began = batch.Version
+	}
 	var changed []Row
 	listed := make(map[string]bool, len(batch.Rows))
 	for _, row := range batch.Rows {
 		listed[row.Key] = true
-		if lagging && !c.knows(row.Key) {
+		if c.wasRemoved(row) {
 			continue
 		}
-		if c.applyRow(row) {
+		if c.applyRow(&row) {
 			changed = append(changed, row)
 		}
 	}
@@ -136,23 +145,24 @@
 	return changed
 }
 
-// knows reports whether a row of a batch that lags behind may be applied: one that the copy
-// does not have was probably removed since.
-func (c *Copy) knows(key string) bool {
-	_, known := c.rows[key]
-	return known || c.policy.Lasting
+// wasRemoved reports whether a row is missing in the copy though its version is covered. The
+// copy may have lost the record of the removal, or have had the table from another copy.
+func (c *Copy) wasRemoved(row Row) bool {
+	_, known := c.rows[row.Key]
+	return !known && row.Version <= c.version && !c.policy.Lasting
 }
 
-func (c *Copy) applyRow(row Row) bool {
+// applyRow applies a row and reports whether that changed the copy.
+func (c *Copy) applyRow(row *Row) bool {
 	old, existed := c.rows[row.Key]
 	switch {
 	case row.Removed:
 		return c.applyRemoval(row, old, existed)
 	case existed && row.Version <= old.Version:
-		return c.correct(row, old)
-	case !existed && c.staysRemoved(row):
+		return c.correct(*row, old)
+	case !existed && c.staysRemoved(*row):
 		return false
-	case existed && c.keeps(row, old):
+	case existed && c.keeps(*row, old):
 		old.Version, old.held = row.Version, old.held+1
 		c.rows[row.Key] = old
 		return false
@@ -166,21 +176,26 @@
 	if existed && string(old.Value) == string(row.Value) {
 		row.origin = old.origin
 	}
-	c.rows[row.Key] = row
+	c.rows[row.Key] = *row
 	return !same
 }
 
-func (c *Copy) applyRemoval(row, old Row, existed bool) bool {
-	if row.Version <= old.Version || row.Version <= c.tombstones[row.Key].version {
+func (c *Copy) applyRemoval(row *Row, old Row, existed bool) bool {
+	if existed && row.Version <= old.Version {
+		row.Ended = c.correctRemoval(*row, old)
+		return row.Ended
+	}
+	if row.Version <= c.tombstones[row.Key].version {
 		return false
 	}
 	delete(c.rows, row.Key)
-	c.tombstones[row.Key] = tombstone{version: row.Version, origin: row.Version, last: old.Value, ended: existed}
+	c.tombstones[row.Key] = tombstone{version: row.Version, changed: row.Version, origin: row.Version, last: old.Value, ended: true}
 	return existed
 }
 
 // removeUnlisted removes the rows that a snapshot does not list, unless they are newer. What
-// the store lost with a new era has not ended, and stays if the table's rows are lasting.
+// the store lost with a new era has not ended, and stays if the table's rows are lasting. A
+// row of the store's older copy that another copy of this era lacks has ended.
 func (c *Copy) removeUnlisted(listed map[string]bool, version uint64) []Row {
 	var removed []Row
 	for key, row := range c.rows {
@@ -189,8 +204,9 @@
 			continue
 		}
 		delete(c.rows, key)
-		c.tombstones[key] = tombstone{version: version, origin: version, last: row.Value, ended: !lost}
-		removed = append(removed, Row{Key: key, Version: version, Removed: true})
+		c.tombstones[key] = tombstone{version: version, changed: version, origin: version, last: row.Value, ended: !lost}
+		ended := !lost && row.Version <= c.began && c.policy.Older != nil
+		removed = append(removed, Row{Key: key, Version: version, Removed: true, Ended: ended})
 	}
 	sort.Slice(removed, func(i, j int) bool { return removed[i].Key < removed[j].Key })
 	return removed
@@ -222,8 +238,8 @@
 		return batch
 	}
 	for key, t := range c.tombstones {
-		if t.version > after {
-			batch.Rows = append(batch.Rows, Row{Key: key, Version: t.version, Removed: true})
+		if t.changed > after {
+			batch.Rows = append(batch.Rows, t.row(key))
 		}
 	}
 	return batch
