Leases hold over a store that comes back from a copy

What callers saw: after a drill of the store, orders to servers under a fencing number below one that the servers have seen, or from two entries; or no orders any more.

Cause: the lease trusted its row. A row that is gone, or released, was taken at once, though the holder whose write the copy lacks may act until its lease ends. A contender that knew the row never took the lease again once it was gone: it dropped the answer as older than the one before, and wrote over a version that the store doesn't have. A write sent to the era before could be taken for a renewal.

Change: versions carry the era in their high bits (platform.EraOf; the store's client makes them). A contender acts only from the TTL after it first saw the era; a release counts only in the era of its fencing number; a holder that sees a newer era gives the lease up and takes it anew; a row that is gone is read as gone. Nothing changes in era 0.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -6,6 +6,12 @@
 // a holder stops acting before the TTL has passed since it sent its last
 // successful write. The fencing number is the commit number of the write that took
 // the lease.
+//
+// The table may come back from a copy, in a new era, without its latest writes. What the
+// row says then is no proof: the holder of the era before may have lost its row, and a
+// write sent to the era before may be carried out in the new one. A holder stops when it
+// sees a new era, and a lease is held only by a write of the current era, from the TTL
+// after the contender first saw that era.
 package lease
 
 import (
@@ -99,7 +105,13 @@
 	seen    bool
 	current record
 
-	// inherited: the row existed when this contender took the lease.
+	// era is the newest era of the table that this contender has seen, eraSeenAt when it
+	// first saw it: a holder of the era before may act until the TTL has passed since
+	// then. It is zero in era 0, before which nothing was lost.
+	era       uint64
+	eraSeenAt time.Time
+
+	// inherited: there may have been a holder before this one.
 	inherited bool
 	// fence is this holder's fencing number, until the time at which it must stop
 	// acting, writes the number of its writes so far.
@@ -131,10 +143,22 @@
 // each action that requires the lease: the process may have been paused since the
 // last call.
 func (l *Lease) Held(now time.Time) (fence uint64, ok bool) {
-	if l.state != stateHeld && l.state != stateRenewing {
+	if !l.owned() {
 		return 0, false
 	}
-	return l.fence, now.Before(l.until)
+	return l.fence, now.Before(l.until) && !now.Before(l.actsFrom())
+}
+
+// owned reports whether this contender has taken the lease and not lost it, though it
+// may not act yet or any more.
+func (l *Lease) owned() bool { return l.state == stateHeld || l.state == stateRenewing }
+
+// actsFrom returns the time before which a holder of the era before may still act.
+func (l *Lease) actsFrom() time.Time {
+	if l.eraSeenAt.IsZero() {
+		return time.Time{}
+	}
+	return l.eraSeenAt.Add(l.settings.TTL)
 }
 
 // Idle reports whether the lease is not held, with no action in flight and no
@@ -159,13 +183,11 @@
 
 // Tick returns the action that is due, nil if there is none or one is in flight.
 func (l *Lease) Tick(now time.Time) *Action {
-	if l.state == stateHeld || l.state == stateRenewing {
-		if !now.Before(l.until) {
-			// The lease has expired, for example during a pause of the process. It is
-			// not renewed: another contender may have held it in the meantime.
-			l.fire(eventExpire)
-			l.fence = 0
-		}
+	if l.owned() && !now.Before(l.until) {
+		// The lease has expired, for example during a pause of the process. It is
+		// not renewed: another contender may have held it in the meantime.
+		l.fire(eventExpire)
+		l.fence = 0
 	}
 	if l.inFlight || now.Before(l.nextStep) {
 		return nil
@@ -184,13 +206,20 @@
 	return nil
 }
 
-// lapsed reports whether the lease can be taken: it does not exist, was released,
-// or its row has not changed for the TTL on this contender's clock.
+// lapsed reports whether the lease can be taken: it does not exist, was released in
+// this era, or its row has not changed for the TTL on this contender's clock.
 func (l *Lease) lapsed(now time.Time) bool {
 	if !l.seen {
 		return false
 	}
-	return l.version == 0 || l.current.Free || now.Sub(l.seenAt) >= l.settings.TTL
+	return l.version == 0 || l.released() || now.Sub(l.seenAt) >= l.settings.TTL
+}
+
+// released reports whether the row's holder has released the lease in the row's era. A
+// copy may bring a released row back that another holder has taken since, and a release
+// sent in the era before may be carried out over the row of a later holder.
+func (l *Lease) released() bool {
+	return l.current.Free && platform.EraOf(l.current.Fence) == platform.EraOf(l.version)
 }
 
 func (l *Lease) take(now time.Time) *Action {
@@ -256,6 +285,7 @@
 		l.fence = version
 	}
 	l.until = l.sentAt.Add(l.settings.TTL - l.settings.Margin)
+	l.inherited = l.inherited || !l.eraSeenAt.IsZero()
 	l.fire(eventWon)
 }
 
@@ -273,10 +303,15 @@
 		}
 		version = row.Version
 	}
-	if version < l.version {
+	if row != nil && version < l.version {
 		// This answer is older than one already processed.
 		return nil
 	}
+	if l.version != 0 && platform.EraOf(version) > platform.EraOf(l.version) {
+		// Even a row with this holder's name is no proof: it may be from the copy, or a late
+		// write over the row of a holder with a higher fencing number.
+		l.lose(now)
+	}
 	l.observe(now, version, value)
 	l.resolve(now, version, value)
 	if l.state == stateWatching && l.lapsed(now) {
@@ -289,6 +324,9 @@
 	if !l.seen || version != l.version {
 		l.seenAt = now
 	}
+	if era := platform.EraOf(version); era > l.era {
+		l.era, l.eraSeenAt = era, now
+	}
 	l.seen, l.version, l.current = true, version, value
 }
 
