An entry whose row the store lost before it was read registers again

What callers saw: an entry that registered shortly before a drill of the store stays unknown to the others: it owns nothing, is no relay and is left out of shared caps.

Cause: an entry counts as registered once the store has accepted its row. The copy of the table reports rows that it had and that are gone; a row that was lost before it was read is not among them.

Change: the roster keeps the version under which the store accepted the row. When the rows were read up to it, in whatever era, and the row is not there, it is written again.

--- a/internal/feedsource/start_sim_test.go
+++ b/internal/feedsource/start_sim_test.go
@@ -151,7 +151,7 @@
 	s.writeFree = later(s.writeFree, s.now).Add(time.Second / writesPerS)
 	s.after(s.writeFree.Sub(s.now)+readTime, func() {
 		s.rows[e.node] = e.row
-		e.roster.Confirm()
+		e.roster.Confirm(0)
 		then()
 	})
 }
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -66,10 +66,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	txn := platform.Txn{Puts: []platform.Put{{Key: entryPrefix + g.settings.Node, Value: value}}}
-	if _, err := g.ports.Table.Commit(ctx, txn); err != nil {
+	result, err := g.ports.Table.Commit(ctx, txn)
+	if err != nil {
 		return err
 	}
-	g.peers.confirmRegistered()
+	g.peers.confirmRegistered(result.Commit)
 	g.applyRoster()
 	return nil
 }
@@ -87,7 +88,9 @@
 // entriesRead reports whether the rows of the entries were read.
 func (g *Gateway) entriesRead() bool { return g.entries.version() > 0 }
 
+// applyEntries applies changed rows of the entries. The lock of their feed is held.
 func (g *Gateway) applyEntries(_ time.Time, rows []mirror.Row, source string) {
+	g.peers.rowsRead(g.entries.copy.Version(), g.entries.copy.RowVersion(g.settings.Node) > 0)
 	if len(rows) == 0 && g.peers.registered() {
 		return // Most reads from a relay bring no change.
 	}
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -20,15 +20,16 @@
 	"github.com/jayproxy/jayproxy/internal/roster"
 )
 
-// rowStore accepts rows and counts the transactions.
+// rowStore accepts rows and counts the transactions. commit is the version that it answers.
 type rowStore struct {
 	platform.Table
+	commit  uint64
 	commits atomic.Int64
 }
 
 func (s *rowStore) Commit(context.Context, platform.Txn) (platform.TxnResult, error) {
 	s.commits.Add(1)
-	return platform.TxnResult{Committed: true}, nil
+	return platform.TxnResult{Committed: true, Commit: s.commit}, nil
 }
 
 // newStartingEntry returns an entry that keeps itself registered in the store.
--- a/internal/gateway/peerroster.go
+++ b/internal/gateway/peerroster.go
@@ -31,11 +31,18 @@
 	return p.roster.Registered()
 }
 
-// confirmRegistered records that the store has accepted this entry's row.
-func (p *peers) confirmRegistered() {
+// confirmRegistered records that the store has accepted this entry's row under a version.
+func (p *peers) confirmRegistered(version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.roster.Confirm()
+	p.roster.Confirm(version)
+}
+
+// rowsRead records that the rows were read up to a version, this entry's listed or not.
+func (p *peers) rowsRead(version uint64, listed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.Read(version, listed)
 }
 
 // addresses returns the control addresses of all other entries, each once.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -44,6 +44,9 @@
 	self  Row
 	seeds []string
 	rows  map[string]Row
+	// confirmed is the version under which the store accepted this entry's row; 0: it was
+	// read, or is not confirmed.
+	confirmed uint64
 	// order holds all entries, this one included, by rank; nil: to be sorted anew.
 	order []ranked
 	// maxFlat is the number of entries up to which each data centre has readers of its own.
@@ -80,8 +83,22 @@
 	return ok && row == r.self
 }
 
-// Confirm records that the store has accepted this entry's row.
-func (r *Roster) Confirm() { r.Put(r.node, r.self) }
+// Confirm records that the store has accepted this entry's row under a version.
+func (r *Roster) Confirm(version uint64) {
+	r.Put(r.node, r.self)
+	r.confirmed = version
+}
+
+// Read records that the rows were read up to a version, with this entry's row listed or not.
+// A row that the store accepted and lost before it was read is not reported as removed.
+func (r *Roster) Read(version uint64, listed bool) {
+	if r.confirmed == 0 || version < r.confirmed {
+		return
+	}
+	if r.confirmed = 0; !listed {
+		r.Remove(r.node)
+	}
+}
 
 // Count returns the number of entries with a row, at least 1.
 func (r *Roster) Count() int { return max(1, len(r.rows)) }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -113,7 +113,7 @@
 	assert.Len(t, relaysOf(r, now), 2)
 	assert.Equal(t, -1, r.Rank(), "it does no work for others yet")
 	assert.False(t, r.Registered())
-	r.Confirm()
+	r.Confirm(0)
 	assert.True(t, r.Registered())
 	assert.NotEqual(t, -1, r.Rank())
 }
