Entries write lost rows again over time, not all at once

What callers saw: nothing yet; 810 entries whose rows a drill of the store has lost would write them within a second, where the store accepts 300 transactions, and be refused.

Cause: an entry writes its row as soon as it hears that it is missing, and all hear of it at the same read. The number of entries counted then is 1.

Change: the write waits for a share, by the node's hash, of the time in which 200 entries a second write, by the largest number of entries seen.

Evidence: TestRowsOfAFleetAreWrittenAgainOverTime; without the delay 810 in the first second.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -20,6 +20,9 @@
 	// registerRetryPause is the least pause after a row was not accepted, the longest is
 	// twice that.
 	registerRetryPause = time.Second
+	// rewritesPerSecond is how many entries write their rows again in a second when the
+	// store has lost them, so that other writes are not refused.
+	rewritesPerSecond = 200
 	// rosterTimeout is how long a process that starts waits for the rows of the entries
 	// before it reads other tables, or registers, without knowing them.
 	rosterTimeout = 250 * time.Millisecond
@@ -46,6 +49,7 @@
 			select {
 			case <-ctx.Done():
 			case <-g.unregistered:
+				sleep(ctx, rewriteDelay(g.settings.Node, g.peers.mostEntries()))
 			}
 			continue
 		}
@@ -57,6 +61,12 @@
 	}
 }
 
+// rewriteDelay returns how long after its row was lost an entry writes it again. The store may
+// have lost the rows of all entries.
+func rewriteDelay(node string, entries int) time.Duration {
+	return time.Duration(hashFraction(node) * float64(entries) / rewritesPerSecond * float64(time.Second))
+}
+
 // register writes this entry's row.
 func (g *Gateway) register(ctx context.Context) error {
 	value, err := json.Marshal(entryRow(g.settings))
--- a/internal/gateway/peerroster.go
+++ b/internal/gateway/peerroster.go
@@ -65,6 +65,13 @@
 	return p.roster.Count()
 }
 
+// mostEntries returns the largest number of entries with a row so far, at least 1.
+func (p *peers) mostEntries() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Most()
+}
+
 // markUnresponsive keeps an entry that did not answer from being used as a relay for a while.
 func (p *peers) markUnresponsive(now time.Time, address string) {
 	p.mu.Lock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -44,6 +44,8 @@
 	self  Row
 	seeds []string
 	rows  map[string]Row
+	// most is the largest number of rows so far.
+	most int
 	// confirmed is the version under which the store accepted this entry's row; 0: it was
 	// read, or is not confirmed.
 	confirmed uint64
@@ -68,6 +70,7 @@
 // Put records an entry's row.
 func (r *Roster) Put(node string, row Row) {
 	r.rows[node] = row
+	r.most = max(r.most, len(r.rows))
 	r.order = nil
 }
 
@@ -103,6 +106,10 @@
 // Count returns the number of entries with a row, at least 1.
 func (r *Roster) Count() int { return max(1, len(r.rows)) }
 
+// Most returns the largest number of entries with a row so far, at least 1. After the store
+// has lost rows, Count is smaller than the number of entries that write theirs again.
+func (r *Roster) Most() int { return max(1, r.most) }
+
 // Addresses returns the control addresses of all other entries, each once.
 func (r *Roster) Addresses() []string {
 	seen := map[string]bool{r.self.Address: true}
