Rows of ended entries that come back are probed first, and only their own version removed

What callers saw: nothing yet. A drill of the store brings back the rows of entries that ended a moment before; for up to 14 minutes at 810 entries they would be counted in what entries share. And the removal of a lost entry's row could hit a row written meanwhile.

Cause: the holder of the lease probes all entries in turn, one a second. The row's version was read after the probe, which had gone to the address in the row before; probes of an earlier row counted for a later one.

Change: entries that appear are probed before the others, by whoever holds the lease then. Probes count for one version of the row, and that version is the condition of the removal.

--- a/internal/gateway/entriesdrill_test.go
+++ b/internal/gateway/entriesdrill_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +13,8 @@
 
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
+	"github.com/jayproxy/jayproxy/internal/platform/platformtest"
+	"github.com/jayproxy/jayproxy/internal/roster"
 )
 
 // readEntries applies a batch of the entries' rows.
@@ -71,3 +76,34 @@
 	assert.Equal(t, 1, g.peers.count())
 	assert.Equal(t, 810, g.peers.mostEntries())
 }
+
+// Guards against the removal of a row that is written again while the entry is probed at its
+// address before.
+func TestRowWrittenDuringTheProbeStays(t *testing.T) {
+	g, _ := newStartingEntry(t)
+	table := platformtest.New()
+	g.ports.Table = table
+	write := func(address string) {
+		row := roster.Row{Address: address, DataCentre: "a"}
+		batch := entryBatch(t, 1, row, false)
+		result, err := table.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: entryPrefix + "gw2", Value: batch.Rows[0].Value}}})
+		require.NoError(t, err)
+		batch.Version, batch.Rows[0].Version, batch.Rows[0].Key = result.Commit, result.Commit, "gw2"
+		readEntries(g, batch)
+	}
+	probed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		write("10.0.0.2:1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer probed.Close()
+	write(strings.TrimPrefix(probed.URL, "http://"))
+	lost := roster.NewLost()
+	lost.List([]string{"gw2"})
+	for probe := range 3 {
+		lost.Silent(time.Now().Add(time.Duration(probe-4)*time.Minute), "gw2", g.entries.rowVersion("gw2"))
+	}
+	g.probeEntry(t.Context(), lost, "gw2")
+	rows, err := table.Get(t.Context(), entryPrefix+"gw2")
+	require.NoError(t, err)
+	assert.Len(t, rows, 1)
+}
--- a/internal/gateway/lostentries.go
+++ b/internal/gateway/lostentries.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -20,35 +22,37 @@
 func (g *Gateway) removeLostEntries(ctx context.Context) {
 	lost := roster.NewLost()
 	g.every(ctx, lostProbeInterval, func(now time.Time) {
+		lost.List(slices.Collect(maps.Keys(g.peers.others())))
 		if _, holds := g.keeper.Held(); !holds {
-			lost = roster.NewLost()
+			lost.Forget()
 			return
 		}
-		rows := g.peers.others()
-		nodes := make([]string, 0, len(rows))
-		for node := range rows {
-			nodes = append(nodes, node)
-		}
-		node, ok := lost.Next(now, nodes)
-		if !ok {
-			return
-		}
-		if err := g.peers.call(ctx, http.MethodGet, rows[node].Address, "/v1/weights", nil, nil); err == nil {
-			lost.Answered(node)
-			return
-		}
-		if lost.Silent(time.Now(), node, len(nodes)+1) {
-			g.removeEntry(ctx, node)
+		if node, ok := lost.Next(now); ok {
+			g.probeEntry(ctx, lost, node)
 		}
 	})
 }
 
-// removeEntry removes the row of another entry, unless it has changed.
-func (g *Gateway) removeEntry(ctx context.Context, node string) {
+// probeEntry calls an entry and removes its row if it is gone for good. The row may be
+// written again while the entry is probed at the address in the row before, so its version
+// is read first.
+func (g *Gateway) probeEntry(ctx context.Context, lost *roster.Lost, node string) {
 	version := g.entries.rowVersion(node)
-	if version == 0 {
+	row, listed := g.peers.others()[node]
+	if version == 0 || !listed {
 		return
 	}
+	if err := g.peers.call(ctx, http.MethodGet, row.Address, "/v1/weights", nil, nil); err == nil {
+		lost.Answered(node)
+		return
+	}
+	if lost.Silent(time.Now(), node, version) {
+		g.removeEntry(ctx, node, version)
+	}
+}
+
+// removeEntry removes the row of another entry, unless it has changed since the version.
+func (g *Gateway) removeEntry(ctx context.Context, node string, version uint64) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	key := entryPrefix + node
