Entries whose rows the store lost count until they can have written them again

What callers saw: nothing yet. After a drill each entry would take the others, whose rows the copy lacks, for gone, until these have written them again: it would own all shards and use the whole of each shared cap.

Cause: a row that is missing in the first read of a new era was taken for a removal.

Change: the roster keeps such an entry for 15 s, unless its row is written or removed in the new era; an entry's own row counts as missing at once. The delay by which entries spread their writes goes by that count, so the largest number seen is not kept any more.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -49,7 +49,7 @@
 			select {
 			case <-ctx.Done():
 			case <-g.unregistered:
-				sleep(ctx, rewriteDelay(g.settings.Node, g.peers.mostEntries(), rewritesPerSecond))
+				sleep(ctx, rewriteDelay(g.settings.Node, g.peers.count(), rewritesPerSecond))
 			}
 			continue
 		}
@@ -99,12 +99,17 @@
 func (g *Gateway) entriesRead() bool { return g.entries.version() > 0 }
 
 // applyEntries applies changed rows of the entries. The lock of their feed is held.
-func (g *Gateway) applyEntries(_ time.Time, rows []mirror.Row, source string) {
+func (g *Gateway) applyEntries(now time.Time, rows []mirror.Row, source string) {
+	restored := g.entriesEra.enter(platform.EraOf(g.entries.copy.Version()))
 	g.peers.rowsRead(g.entries.copy.Version(), g.entries.copy.RowVersion(g.settings.Node) > 0)
 	if len(rows) == 0 && g.peers.registered() {
 		return // Most reads from a relay bring no change.
 	}
 	for _, row := range rows {
+		if row.Removed && restored {
+			g.peers.lose(now, row.Key)
+			continue
+		}
 		if row.Removed {
 			g.peers.remove(row.Key)
 			continue
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 	// entries is the feed of the entries' rows. unregistered signals that this entry's own
 	// row is missing in it.
 	entries      *feed
+	entriesEra   tableEra
 	unregistered chan struct{}
 	// suspected is the feed of the rows of suspects.
 	suspected *feed
--- a/internal/gateway/peerroster.go
+++ b/internal/gateway/peerroster.go
@@ -24,6 +24,21 @@
 	p.roster.Remove(node)
 }
 
+// lose records that the store has lost an entry's row.
+func (p *peers) lose(now time.Time, node string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.roster.Lose(now, node)
+}
+
+// expireLost removes the entries that did not write their lost rows again, and reports
+// whether there were any.
+func (p *peers) expireLost(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Expire(now)
+}
+
 // registered reports whether the store has this entry's row.
 func (p *peers) registered() bool {
 	p.mu.Lock()
@@ -65,13 +80,6 @@
 	return p.roster.Count()
 }
 
-// mostEntries returns the largest number of entries with a row so far, at least 1.
-func (p *peers) mostEntries() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.roster.Most()
-}
-
 // markUnresponsive keeps an entry that did not answer from being used as a relay for a while.
 func (p *peers) markUnresponsive(now time.Time, address string) {
 	p.mu.Lock()
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -40,10 +40,9 @@
 	// (true) or deleted there (false).
 	unwrittenRows map[string]bool
 	// changes holds the latest changes of rows, in case the store loses them. era is that of
-	// the rows read last; eraKnown: there were any.
-	changes  *rewrite.Log
-	era      uint64
-	eraKnown bool
+	// the rows read last.
+	changes *rewrite.Log
+	era     tableEra
 }
 
 // maxUnwrittenRows bounds the rows that wait for the store. Records beyond it
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -67,6 +67,9 @@
 func (g *Gateway) tick(now time.Time) {
 	g.state.tick(now)
 	g.pool.CloseExpired(now)
+	if g.peers.expireLost(now) {
+		g.applyRoster()
+	}
 	_, holder := g.keeper.Held()
 	g.state.suspects.tick(now, holder)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,6 +26,9 @@
 	// The row of an entry that crashed remains; trying it first each time would delay every
 	// read by a timeout.
 	unresponsiveSkipTime = 5 * time.Second
+	// lostRowTime is how long an entry counts whose row the store has lost. Without it, the
+	// entries that remain would take over its shards and its part of shared caps.
+	lostRowTime = 15 * time.Second
 )
 
 // Row is the value of an entry's row in the store.
@@ -44,8 +47,8 @@
 	self  Row
 	seeds []string
 	rows  map[string]Row
-	// most is the largest number of rows so far.
-	most int
+	// keptUntil is the time until which an entry whose row the store has lost counts.
+	keptUntil map[string]time.Time
 	// confirmed is the version under which the store accepted this entry's row; 0: it was
 	// read, or is not confirmed.
 	confirmed uint64
@@ -61,7 +64,7 @@
 // New returns the roster of the entry whose row has the given key and value. Fleets of
 // more than maxFlat entries have storeReaders readers of the store in all.
 func New(node string, self Row, seeds []string, maxFlat int) *Roster {
-	return &Roster{node: node, self: self, seeds: seeds, rows: map[string]Row{}, maxFlat: maxFlat, skipUntil: map[string]time.Time{}}
+	return &Roster{node: node, self: self, seeds: seeds, rows: map[string]Row{}, keptUntil: map[string]time.Time{}, maxFlat: maxFlat, skipUntil: map[string]time.Time{}}
 }
 
 // SetSeeds replaces the configured addresses of other entries.
@@ -70,16 +73,40 @@
 // Put records an entry's row.
 func (r *Roster) Put(node string, row Row) {
 	r.rows[node] = row
-	r.most = max(r.most, len(r.rows))
+	delete(r.keptUntil, node)
 	r.order = nil
 }
 
 // Remove records that an entry has no row any more.
 func (r *Roster) Remove(node string) {
 	delete(r.rows, node)
+	delete(r.keptUntil, node)
 	r.order = nil
 }
 
+// Lose records that the store has lost an entry's row. Another entry counts for lostRowTime,
+// in which it writes its row again; this one has no row from now on.
+func (r *Roster) Lose(now time.Time, node string) {
+	if _, ok := r.rows[node]; ok && node != r.node {
+		r.keptUntil[node] = now.Add(lostRowTime)
+		return
+	}
+	r.Remove(node)
+}
+
+// Expire removes the entries that did not write their lost rows again in time, and reports
+// whether there were any.
+func (r *Roster) Expire(now time.Time) bool {
+	expired := false
+	for node, until := range r.keptUntil {
+		if !now.Before(until) {
+			r.Remove(node)
+			expired = true
+		}
+	}
+	return expired
+}
+
 // Registered reports whether the store has this entry's row, with its present value.
 func (r *Roster) Registered() bool {
 	row, ok := r.rows[r.node]
@@ -106,10 +133,6 @@
 // Count returns the number of entries with a row, at least 1.
 func (r *Roster) Count() int { return max(1, len(r.rows)) }
 
-// Most returns the largest number of entries with a row so far, at least 1. After the store
-// has lost rows, Count is smaller than the number of entries that write theirs again.
-func (r *Roster) Most() int { return max(1, r.most) }
-
 // Addresses returns the control addresses of all other entries, each once.
 func (r *Roster) Addresses() []string {
 	seen := map[string]bool{r.self.Address: true}
