Claims are completed and released over a copy of the table

What callers saw: after the table came back from a copy, a keyed call that ended was not recorded as done: its key could be claimed again and the call ran twice, or it stayed refused as still running.

Cause: the row of the claim is gone then, or has a new version, and the write that completes it expected the version at which it was claimed.

Change: such a write is made again over a row that is gone, or still the claim's own and not completed. A row of another claim is not touched.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -60,6 +60,8 @@
 	windowShrink = 0.99
 	maxWindow    = 60 * time.Millisecond
 	keyPrefix    = "claim/"
+	// maxUpdates bounds the attempts to change a claim's row whose version changes.
+	maxUpdates = 3
 )
 
 func (o Options) withDefaults() Options {
@@ -172,12 +174,31 @@
 	return l.update(ctx, claim, &record)
 }
 
+// update changes the claim's row. The table may have come back from a copy since: the row
+// is gone then, or has a new version.
 func (l *Ledger) update(ctx context.Context, claim *Claim, record *Record) error {
-	result, err := l.write(ctx, claim.key, claim.version, record)
-	if err == nil && result.Outcome != Written {
-		err = eris.Wrapf(ErrUnavailable, "claim row %s was not changed", claim.key)
+	version := claim.version
+	for range maxUpdates {
+		result, err := l.write(ctx, claim.key, version, record)
+		if err != nil || result.Outcome == Written {
+			return err
+		}
+		if result.Outcome != Conflict || !claim.restored(result.Row) {
+			break
+		}
+		version = result.Row.Version
+	}
+	return eris.Wrapf(ErrUnavailable, "claim row %s was not changed", claim.key)
+}
+
+// restored reports whether a row is that of the claim in a copy of the table, which may
+// lack it.
+func (c *Claim) restored(row platform.Row) bool {
+	if row.Version == 0 {
+		return true
 	}
-	return err
+	record, err := decode(row.Value)
+	return err == nil && record.Token == c.record.Token && record.State == StateClaimed
 }
 
 // rowKey returns the key of the claim's row. The caller's key is encoded, because
