Streams: one that ended inside an event is not complete without that event

Callers of a resumable stream got two of five events and an end in good order: the first server broke off inside the third event, the second had nothing to add. Cause: the second server's word alone ended the stream, though the entry had seen the beginning of a further event. Change: where a server broke off inside an event, the stream ends only after an event of another one; else it is broken off.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,7 +22,12 @@
 	eventReaderBytes = 4 << 10
 )
 
-var errEventTooLong = errors.New("event longer than 1 MiB")
+var (
+	errEventTooLong = errors.New("event longer than 1 MiB")
+	// errNothingAfterTornEvent: a server ends a stream in order where another broke off
+	// inside the next event.
+	errNothingAfterTornEvent = errors.New("the stream ends before an event that another server had begun to send")
+)
 
 // streamState is how much of a streamed response the caller has received.
 type streamState struct {
@@ -36,6 +41,8 @@
 	// two: callers limit the wait for the next event as well as for the first.
 	lastAt     time.Time
 	longestGap time.Duration
+	// torn: a server broke off inside an event, so that at least that one is due.
+	torn bool
 }
 
 // recordEvent updates lastAt and longestGap for an event sent now.
@@ -104,6 +111,7 @@
 			return j.streamEnded(choice, response)
 		}
 		if err != nil {
+			j.stream.torn = j.stream.torn || len(ev.text) > 0
 			return j.responseInterrupted(choice, err)
 		}
 		if first {
@@ -129,6 +137,9 @@
 		// A stream without an event is no response.
 		return indeterminate
 	}
+	if j.stream.torn {
+		return j.responseInterrupted(choice, errNothingAfterTornEvent)
+	}
 	j.ended, j.complete, j.succeeded = true, true, true
 	j.outcome = "streamed"
 	return delivered
@@ -169,6 +180,7 @@
 		return err
 	}
 	j.stream.delivered++
+	j.stream.torn = false
 	j.stream.recordEvent(time.Now())
 	if ev.id != "" {
 		j.stream.lastID = ev.id
