--- a/internal/gateway/storeera_test.go
+++ b/internal/gateway/storeera_test.go
@@ -153,6 +153,25 @@
 	assert.Nil(t, g.state.list.Named("i-1"), "it did not register again")
 }
 
+// Guards against a server that stays for the grace period though another entry knows that it
+// had ended: only registrations that the store lost may come back.
+func TestAServerThatAnotherEntryKnowsEndedIsRemovedAtOnce(t *testing.T) {
+	g, _ := newRelayedEntry(t, 1, 0)
+	g.ports.Decoder.Backend = func(id string, _ []byte) (*fleet.Backend, error) {
+		return &fleet.Backend{Incarnation: fleet.Incarnation{Instance: id}, Service: "s", Address: "10.0.0.1:1"}, nil
+	}
+	older := func(string, []byte, []byte) bool { return false }
+	f := &feed{table: "servers", copy: mirror.NewCopy(mirror.Policy{Older: older}), apply: g.applyBackends}
+	g.feeds = []*feed{f}
+	g.applyBatch(f, mirror.Batch{Version: 400, Snapshot: true}, sourceStore)
+	restored := mirror.Row{Key: "i-1", Version: versionAt(t, 1, 40)}
+	g.applyBatch(f, mirror.Batch{Version: versionAt(t, 1, 45), Snapshot: true, Rows: []mirror.Row{restored}}, sourceStore)
+	require.NotNil(t, g.state.list.Named("i-1"))
+	known := mirror.Batch{Version: 401, Snapshot: true, Rows: []mirror.Row{{Key: "i-1", Version: 399, Removed: true}}}
+	g.applyKnown(f, []peerBatch{{known, "10.0.0.2:1"}})
+	assert.Nil(t, g.state.list.Named("i-1"))
+}
+
 // Guards against entries of builds without eras that get versions which the store never gave.
 func TestEntriesWithoutErasGetTheStoresVersions(t *testing.T) {
 	g, _ := newRelayedEntry(t, 1, 0)
--- a/internal/mirror/drill_sim_test.go
+++ b/internal/mirror/drill_sim_test.go
@@ -177,7 +177,6 @@
 	failures   map[string]string
 	calls      []time.Time
 	maxCalls   int
-	ended      bool
 }
 
 func (s *drillSim) after(d time.Duration, do func()) { s.queue.Add(s.now.Add(d), do) }
--- a/internal/mirror/eras_test.go
+++ b/internal/mirror/eras_test.go
@@ -118,6 +118,17 @@
 	assert.Len(t, c.Apply(changes(at(1, 70), valued("b", "71:ready", at(1, 70)))), 1)
 }
 
+// Guards against a server that had ended coming back because the store's copy holds a later
+// value of its row than this copy had read.
+func TestFirstVersionOfAnEndedRowIsNotAccepted(t *testing.T) {
+	c := servers()
+	c.Apply(snapshot(400, valued("ended", "5:ready", 390)))
+	c.Apply(snapshot(410))
+	assert.Empty(t, c.Apply(snapshot(at(1, 405), valued("ended", "6:ready", at(1, 395)))))
+	assert.Equal(t, "none", valueOf(&c, "ended"))
+	assert.Len(t, c.Apply(changes(at(1, 406), valued("ended", "8:ready", at(1, 406)))), 1, "it writes on: it is alive")
+}
+
 // Guards against an entry that starts in the drill and keeps what the store's older copy says.
 func TestAnEntryThatStartsLearnsFromAnother(t *testing.T) {
 	other, started := servers(), servers()
