Logs and metrics of retries: what each decision rests on

Each decision on a retry now logs what is available, counted requests and retries, the number of entries and its age, the age of the process and the time left; counters retries_allowed and retries_refused by service.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -140,8 +140,7 @@
 // mayResendRefused decides whether to send again after a server refused the
 // request. Refused sends count against the retry budget.
 func (j *job) mayResendRefused(reason string) bool {
-	now := time.Now()
-	if j.ctx.Err() == nil && j.sends < maxSends && j.gateway.state.takeRetry(now, j.service.Name, j.deadline) {
+	if j.ctx.Err() == nil && j.sends < maxSends && j.takeRetry(reason) {
 		return true
 	}
 	j.giveUp(reason + ", not sent again")
@@ -154,7 +153,7 @@
 // mayRepeat decides whether to send a request again that may have run.
 func (j *job) mayRepeat() bool {
 	allowed := j.route.Repeatable() && j.indeterminateSends < j.route.MaxAttempts && j.ctx.Err() == nil && j.mayGoOn() && j.crashesAllowRepeat()
-	if allowed && j.sends < maxSends && j.gateway.state.takeRetry(time.Now(), j.service.Name, j.deadline) {
+	if allowed && j.sends < maxSends && j.takeRetry("outcome unknown") {
 		j.chargeRepeat()
 		return true
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,10 +53,11 @@
 
 // Gateway is one running entry process. Stop it with Shutdown.
 type Gateway struct {
-	settings Settings
-	ports    Ports
-	state    *state
-	pool     *upstream.Pool
+	settings  Settings
+	startedAt time.Time
+	ports     Ports
+	state     *state
+	pool      *upstream.Pool
 	// endChecks are the checks whether servers still run when their responses end.
 	endChecks *endproof.Checks
 	metrics   *metrics.Registry
@@ -101,7 +102,7 @@
 	started := time.Now()
 	pool := upstream.NewPool(connectTimeout, ackTimeout)
 	g := &Gateway{
-		settings: settings, ports: ports, pool: pool,
+		settings: settings, startedAt: started, ports: ports, pool: pool,
 		state: newState(settings, pool.CloseIdle), metrics: metrics.New(maxMetricLabels),
 		unregistered: make(chan struct{}, 1), endChecks: endproof.NewChecks(),
 	}
--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -19,12 +19,37 @@
 	s.retryBudgetLocked(service).Request(now)
 }
 
-// takeRetry takes one retry from the service's budget. It returns false if the budget is
-// used up or too little time is left before the deadline.
-func (s *state) takeRetry(now time.Time, service string, deadline time.Time) bool {
+// retryDecision is a decision on a retry, with what it rests on.
+type retryDecision struct {
+	allowed bool
+	// usage is what the service's budget counted before the decision, entries the number of
+	// entries that share it.
+	usage   retry.Usage
+	entries int
+}
+
+// takeRetry takes one retry from the service's budget, unless the budget is used up or too
+// little time is left before the deadline.
+func (s *state) takeRetry(now time.Time, service string, deadline time.Time) retryDecision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.retryBudgetLocked(service).Allow(now, deadline, minResendTime)
+	budget := s.retryBudgetLocked(service)
+	usage := budget.Usage(now)
+	return retryDecision{allowed: budget.Allow(now, deadline, minResendTime), usage: usage, entries: s.entryCount}
+}
+
+// takeRetry decides whether the request may be sent once more, and logs why.
+func (j *job) takeRetry(reason string) bool {
+	g, now := j.gateway, time.Now()
+	d := g.state.takeRetry(now, j.service.Name, j.deadline)
+	message, counter := "Retry allowed", "retries_allowed"
+	if !d.allowed {
+		message, counter = "Retry refused: budget used up, or no time left", "retries_refused"
+	}
+	g.metrics.Count(counter, j.service.Name, 1)
+	klog.InfoS(message, "request", j.head.ID, "service", j.service.Name, "reason", reason, "available", d.usage.Available, "requests", d.usage.Requests, "retries", d.usage.Retries,
+		"entries", d.entries, "entriesAgeMS", g.tableAge(now, g.entries).Milliseconds(), "upMS", now.Sub(g.startedAt).Milliseconds(), "leftMS", j.deadline.Sub(now).Milliseconds())
+	return d.allowed
 }
 
 func (s *state) retryBudgetLocked(service string) *retry.Window {
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -56,23 +56,34 @@
 // Request records a request.
 func (w *Window) Request(now time.Time) { w.slot(now).requests++ }
 
-// Available returns how many retries are allowed now.
-func (w *Window) Available(now time.Time) float64 {
+// Usage is what a Window counts.
+type Usage struct {
+	// Requests and Retries in the window; Available retries are allowed now.
+	Requests, Retries int
+	Available         float64
+}
+
+// Usage returns what is in the window that ends now.
+func (w *Window) Usage(now time.Time) Usage {
 	newest := w.numberAt(now)
-	requests, retries := 0, 0
+	var u Usage
 	for _, s := range w.slots {
 		age := newest - s.number
 		if age < 0 || age >= windowSlots {
 			continue
 		}
-		retries += s.retries
+		u.Retries += s.retries
 		if age < windowSlots-1 {
-			requests += s.requests
+			u.Requests += s.requests
 		}
 	}
-	return w.limits.Ratio*float64(requests) + w.limits.Slack - float64(retries)
+	u.Available = w.limits.Ratio*float64(u.Requests) + w.limits.Slack - float64(u.Retries)
+	return u
 }
 
+// Available returns how many retries are allowed now.
+func (w *Window) Available(now time.Time) float64 { return w.Usage(now).Available }
+
 // Allow reports whether a retry is allowed, and records it in the window if so. A
 // retry that could not end before the deadline is not allowed; need is the minimum
 // duration of an attempt.
