Retry budget: a token bucket that starts empty, so that starts forget nothing that counts

Callers saw requests repeated beyond what the fleet may send while entries were killed and started: each life of an entry had its part of the slack anew, and its share of the ratio over requests whose retries an earlier life had sent already. The reserve of 0.3 paid for a few starts only.

A retry now takes a token. A bucket starts empty, so whatever a window holds was saved before it or earned in it, whatever the number and order of lives; no process needs to know what others or its own earlier lives have used. Times are those since boot: the slots were numbered by the time of day, so that a step back hid the newest.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -228,7 +228,7 @@
 	g.metrics.Gauge("backend_servers", "switching", int64(len(s.switches)))
 	g.metrics.Gauge("prefix_survival_ms", "estimate", s.router.Retention().Milliseconds())
 	for service, budget := range s.retryBudgets {
-		g.metrics.Gauge("retry_budget", service, int64(budget.Available(now)))
+		g.metrics.Gauge("retry_budget", service, int64(budget.Usage(lease.BootClock()).Available))
 	}
 	for _, model := range s.targets.Models() {
 		g.metrics.Gauge("weights_named", model, int64(s.targets.Newest(model))) //nolint:gosec // a count
--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -5,68 +5,67 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/retry"
 )
 
-// retryBudgetShare is the share of the permitted retries that all entries together
-// use. The rest is kept for entries that restart and lose their counts.
-const retryBudgetShare = 0.7
-
-// recordArrival counts a caller's request for a service, which adds to its retry budget.
+// recordArrival counts a caller's request for a service, which adds to its retry budget. now
+// is the time since boot, as for all retry budgets: the time of day may be set.
 func (s *state) recordArrival(now time.Time, service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retryBudgetLocked(service).Request(now)
+	s.retryBudgetLocked(now, service).Request(now)
 }
 
 // retryDecision is a decision on a retry, with what it rests on.
 type retryDecision struct {
 	allowed bool
-	// usage is what the service's budget counted before the decision, entries the number of
+	// usage is the state of the service's budget before the decision, entries the number of
 	// entries that share it.
 	usage   retry.Usage
 	entries int
 }
 
 // takeRetry takes one retry from the service's budget, unless the budget is used up or too
-// little time is left before the deadline.
-func (s *state) takeRetry(now time.Time, service string, deadline time.Time) retryDecision {
+// little time is left.
+func (s *state) takeRetry(now time.Time, service string, left time.Duration) retryDecision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	budget := s.retryBudgetLocked(service)
+	budget := s.retryBudgetLocked(now, service)
 	usage := budget.Usage(now)
-	return retryDecision{allowed: budget.Allow(now, deadline, minResendTime), usage: usage, entries: s.entryCount}
+	return retryDecision{allowed: budget.Allow(now, left, minResendTime), usage: usage, entries: s.entryCount}
 }
 
 // takeRetry decides whether the request may be sent once more, and logs why.
 func (j *job) takeRetry(reason string) bool {
 	g, now := j.gateway, time.Now()
-	d := g.state.takeRetry(now, j.service.Name, j.deadline)
+	left := j.deadline.Sub(now)
+	d := g.state.takeRetry(lease.BootClock(), j.service.Name, left)
 	message, counter := "Retry allowed", "retries_allowed"
 	if !d.allowed {
 		message, counter = "Retry refused: budget used up, or no time left", "retries_refused"
 	}
 	g.metrics.Count(counter, j.service.Name, 1)
-	klog.InfoS(message, "request", j.head.ID, "service", j.service.Name, "reason", reason, "available", d.usage.Available, "requests", d.usage.Requests, "retries", d.usage.Retries,
-		"entries", d.entries, "entriesAgeMS", g.tableAge(now, g.entries).Milliseconds(), "upMS", now.Sub(g.startedAt).Milliseconds(), "leftMS", j.deadline.Sub(now).Milliseconds())
+	klog.InfoS(message, "request", j.head.ID, "service", j.service.Name, "reason", reason, "available", d.usage.Available, "capacity", d.usage.Capacity, "requests", d.usage.Requests,
+		"entries", d.entries, "entriesAgeMS", g.tableAge(now, g.entries).Milliseconds(), "upMS", now.Sub(g.startedAt).Milliseconds(), "leftMS", left.Milliseconds())
 	return d.allowed
 }
 
-func (s *state) retryBudgetLocked(service string) *retry.Window {
+func (s *state) retryBudgetLocked(now time.Time, service string) *retry.Bucket {
 	b, ok := s.retryBudgets[service]
 	if !ok {
-		b = retry.NewWindow(s.retryLimits())
+		b = retry.NewBucket(now, s.retryLimits())
 		s.retryBudgets[service] = b
 	}
 	return b
 }
 
-// retryLimits returns this entry's share of the permitted retries.
+// retryLimits returns this entry's part of the permitted retries.
 func (s *state) retryLimits() retry.Limits {
 	return retry.Limits{
 		Span:  s.settings.RetryWindow,
-		Ratio: s.settings.RetryRatio * retryBudgetShare,
-		Slack: s.settings.RetrySlack * retryBudgetShare / float64(max(s.entryCount, 1)),
+		Ratio: s.settings.RetryRatio,
+		Slack: s.settings.RetrySlack / float64(max(s.entryCount, 1)),
 	}
 }
 
@@ -81,6 +80,6 @@
 	s.entryCount = n
 	s.router.SetEntries(n)
 	for _, b := range s.retryBudgets {
-		b.SetLimits(s.retryLimits())
+		b.SetLimits(lease.BootClock(), s.retryLimits())
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/jayproxy/jayproxy/internal/call"
+	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/quarantine"
 	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/streamorigin"
@@ -166,7 +167,7 @@
 		return false
 	}
 	j.hashes.Identity = j.identity()
-	g.state.recordArrival(j.arrived, j.service.Name)
+	g.state.recordArrival(lease.BootClock(), j.service.Name)
 	return true
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -53,7 +53,7 @@
 	orderedAt map[string]time.Time
 	// holderSeenAt is when another entry was last seen rolling out weights.
 	holderSeenAt time.Time
-	retryBudgets map[string]*retry.Window
+	retryBudgets map[string]*retry.Bucket
 	entryCount   int
 	// waitQueue holds the requests that wait for engine memory, waiters their jobs by
 	// request ID.
@@ -107,7 +107,7 @@
 		shards:   shard.NewMap(),
 		versions: map[versionKey]uint64{},
 		switches: map[string]weightSwitch{}, orderedAt: map[string]time.Time{},
-		retryBudgets: map[string]*retry.Window{},
+		retryBudgets: map[string]*retry.Bucket{},
 		entryCount:   1, kvStoresDown: map[string]bool{},
 		waitQueue: waitqueue.New(), waiters: map[string]*waiter{},
 		suspects: newSuspects(), limits: serverlimit.New(), rests: serverlimit.NewRests(),
