Retry budget: a retry that waits for a server counts until it is sent

A retry was counted when it was allowed, and sent when a server had memory or a permit for it, up to 15 s later. Retries of two windows could reach the servers in one.

What a waiting retry took now counts as saved up, so the bucket fills only beside it. A retry that reaches no server goes on waiting, and one that is never sent is put back.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,6 +76,7 @@
 	if !j.findOrigin() {
 		return
 	}
+	defer j.returnRetry()
 	for {
 		choice, err := j.chooseServer()
 		if errors.Is(err, errRejected) {
@@ -231,6 +232,7 @@
 func (j *job) send(choice *routing.DirectChoice) sendOutcome {
 	g := j.gateway
 	server := choice.Server
+	isRetry := j.spendRetry()
 	j.sends++
 	j.tried = append(j.tried, server.ID)
 	options := j.forwardOptions(choice)
@@ -242,7 +244,11 @@
 		"version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "prefix", strconv.FormatUint(uint64(choice.Prefix), 36), "source", choice.Source.String(), "fetch", choice.FetchFrom, "save", choice.SaveTo, "priority", options.Priority, "tokens", j.head.InputTokens, "output", j.head.OutputTokens, "candidates", choice.Candidates)
 	response, err := g.pool.Send(j.ctx, server.Address, &j.outbound, j.reusePolicy(), j.matchesRequest)
 	if err != nil {
-		return j.sendFailed(choice, err)
+		outcome := j.sendFailed(choice, err)
+		if outcome == notSent && isRetry {
+			j.keepRetry()
+		}
+		return outcome
 	}
 	defer response.Close()
 	head := g.ports.Dialect.DecodeResponse(response.Status, response.Header)
--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -33,7 +33,7 @@
 	defer s.mu.Unlock()
 	budget := s.retryBudgetLocked(now, service)
 	usage := budget.Usage(now)
-	return retryDecision{allowed: budget.Allow(now, left, minResendTime), usage: usage, slackPart: s.slackPart}
+	return retryDecision{allowed: budget.Take(now, left, minResendTime), usage: usage, slackPart: s.slackPart}
 }
 
 // takeRetry decides whether the request may be sent once more, and logs why.
@@ -46,11 +46,44 @@
 		message, counter = "Retry refused: budget used up, or no time left", "retries_refused"
 	}
 	g.metrics.Count(counter, j.service.Name, 1)
-	klog.InfoS(message, "request", j.head.ID, "service", j.service.Name, "reason", reason, "available", d.usage.Available, "capacity", d.usage.Capacity, "requests", d.usage.Requests,
+	klog.InfoS(message, "request", j.head.ID, "service", j.service.Name, "reason", reason, "available", d.usage.Available, "capacity", d.usage.Capacity, "waiting", d.usage.Waiting, "requests", d.usage.Requests,
 		"slackPart", d.slackPart, "entriesAgeMS", g.tableAge(now, g.entries).Milliseconds(), "upMS", now.Sub(g.startedAt).Milliseconds(), "leftMS", left.Milliseconds())
+	j.retryWaits = d.allowed
 	return d.allowed
 }
 
+// spendRetry records that the send which begins now is the retry that was allowed. It
+// returns false if it is none.
+func (j *job) spendRetry() bool {
+	if !j.retryWaits {
+		return false
+	}
+	j.retryWaits = false
+	j.withRetryBudget(func(b *retry.Bucket) { b.Sent() })
+	return true
+}
+
+// keepRetry records that a retry reached no server, and may be sent to another one.
+func (j *job) keepRetry() {
+	j.retryWaits = true
+	j.withRetryBudget(func(b *retry.Bucket) { b.Unsent() })
+}
+
+// returnRetry puts a retry back that was allowed and never sent.
+func (j *job) returnRetry() {
+	if j.retryWaits {
+		j.retryWaits = false
+		j.withRetryBudget(func(b *retry.Bucket) { b.Return(lease.BootClock()) })
+	}
+}
+
+func (j *job) withRetryBudget(do func(b *retry.Bucket)) {
+	s := j.gateway.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do(s.retryBudgetLocked(lease.BootClock(), j.service.Name))
+}
+
 func (s *state) retryBudgetLocked(now time.Time, service string) *retry.Bucket {
 	b, ok := s.retryBudgets[service]
 	if !ok {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -99,6 +99,8 @@
 	// load is what the last server reported with its response.
 	load    call.Load
 	hasLoad bool
+	// retryWaits: a retry was allowed, and waits for a server.
+	retryWaits bool
 	// serverFailure is a server's 5xx response, passed on if no other send
 	// succeeds.
 	serverFailure *bufferedResponse
--- a/internal/retry/bucket.go
+++ b/internal/retry/bucket.go
@@ -17,6 +17,9 @@
 // burstShare of what the last window allows is saved up, so that retries can follow at once
 // when a server fails while it runs many requests.
 //
+// A retry that was allowed may wait for a server. Until it is sent, what it took counts as
+// saved up, so that the retries of two windows are not sent in one.
+//
 // Guarantee. A Bucket starts empty. Whatever was used in a window was saved up before it or
 // earned in it, and a process that ends loses what it had. So over all processes, in any
 // number of lives with any pauses between them, a window holds at most
@@ -24,12 +27,15 @@
 //	burstShare x (Ratio x requests of the window before + Slack)
 //	+ rateShare x (Ratio x requests of the window + Slack)
 //
-// retries, as long as the Slack of all processes at one time adds up to the whole. No process
-// needs to know what others, or its own earlier lives, have used.
+// retries, as long as the Slack of all processes at one time adds up to the whole, and the
+// requests did not decrease while retries waited. No process needs to know what others, or
+// its own earlier lives, have used.
 type Bucket struct {
 	limits Limits
-	// level is the number of tokens at the time at.
+	// level is the number of tokens at the time at, waiting the number of retries that were
+	// allowed and not sent yet.
 	level    float64
+	waiting  int
 	at       time.Time
 	requests requestCount
 }
@@ -45,8 +51,9 @@
 
 // Usage is the state of a Bucket.
 type Usage struct {
-	// Requests in the window; Available retries are allowed now, Capacity can be saved up.
-	Requests            int
+	// Requests in the window, and Waiting retries that were allowed and not sent yet.
+	Requests, Waiting int
+	// Available retries are allowed now, Capacity can be saved up.
 	Available, Capacity float64
 }
 
@@ -74,21 +81,37 @@
 	b.clip()
 }
 
-// Allow reports whether a retry is allowed, and takes it from the bucket if so. A retry that
-// could not end in the time left is not allowed; need is the minimum duration of a send.
-func (b *Bucket) Allow(now time.Time, left, need time.Duration) bool {
+// Take reports whether a retry is allowed, and takes it from the bucket if so. It waits until
+// Sent or Return is called. A retry that could not end in the time left is not allowed; need
+// is the minimum duration of a send.
+func (b *Bucket) Take(now time.Time, left, need time.Duration) bool {
 	b.advance(now)
 	if left < need || b.level < 1 {
 		return false
 	}
 	b.level--
+	b.waiting++
 	return true
 }
 
+// Sent records that a waiting retry is sent.
+func (b *Bucket) Sent() { b.waiting-- }
+
+// Unsent records that a retry reached no server after all, and waits for another one.
+func (b *Bucket) Unsent() { b.waiting++ }
+
+// Return puts a waiting retry back that will not be sent.
+func (b *Bucket) Return(now time.Time) {
+	b.advance(now)
+	b.waiting--
+	b.level++
+	b.clip()
+}
+
 // Usage returns the state of the bucket.
 func (b *Bucket) Usage(now time.Time) Usage {
 	b.advance(now)
-	return Usage{Requests: b.requests.sum, Available: b.level, Capacity: b.capacity()}
+	return Usage{Requests: b.requests.sum, Waiting: b.waiting, Available: b.level, Capacity: b.capacity()}
 }
 
 // advance adds what was earned since the last call. A clock that goes back earns nothing.
@@ -103,7 +126,8 @@
 	b.clip()
 }
 
-func (b *Bucket) clip() { b.level = min(b.level, b.capacity()) }
+// clip drops what is beyond the capacity.
+func (b *Bucket) clip() { b.level = min(b.level, max(b.capacity()-float64(b.waiting), 0)) }
 
 // capacity returns how many tokens can be saved up.
 func (b *Bucket) capacity() float64 {
--- a/internal/retry/bucket_test.go
+++ b/internal/retry/bucket_test.go
@@ -27,7 +27,8 @@
 
 // takeAll takes all retries that are allowed now.
 func takeAll(b *retry.Bucket, now time.Time) (taken int) {
-	for b.Allow(now, time.Minute, 0) {
+	for b.Take(now, time.Minute, 0) {
+		b.Sent()
 		taken++
 	}
 	return taken
@@ -40,7 +41,7 @@
 	b, now := filledBucket(requests)
 	window := 0.2*requests + 12
 	assert.InDelta(t, 0.3*window, takeAll(b, now), 2)
-	assert.False(t, b.Allow(now, time.Minute, 0))
+	assert.False(t, b.Take(now, time.Minute, 0))
 	taken := 0
 	for i := range requests {
 		at := now.Add(time.Duration(i) * 10 * time.Second / requests)
@@ -52,8 +53,8 @@
 
 func TestNoRetryThatCannotEndInTime(t *testing.T) {
 	b, now := filledBucket(240)
-	assert.False(t, b.Allow(now, time.Second, 2*time.Second))
-	assert.True(t, b.Allow(now, time.Second, time.Millisecond))
+	assert.False(t, b.Take(now, time.Second, 2*time.Second))
+	assert.True(t, b.Take(now, time.Second, time.Millisecond))
 }
 
 // Guards against a process that may use its part of the budget again after each start.
@@ -72,6 +73,41 @@
 	assert.Zero(t, takeAll(b, now))
 }
 
+// Guards against retries of two windows in one: those that wait for a server are sent together
+// with those that were allowed later.
+func TestRetriesThatWaitAreNotSavedUpAgain(t *testing.T) {
+	b, now := filledBucket(240)
+	waiting := 0
+	for b.Take(now, time.Minute, 0) {
+		waiting++
+	}
+	for range 240 {
+		now = now.Add(10 * time.Second / 240)
+		b.Request(now)
+	}
+	assert.Zero(t, takeAll(b, now), "%d retries wait", waiting)
+	for range waiting {
+		b.Sent()
+	}
+	for i := range 240 {
+		b.Request(now.Add(time.Duration(i) * 10 * time.Second / 240))
+	}
+	assert.Positive(t, takeAll(b, now.Add(10*time.Second)))
+}
+
+// Guards against retries that are lost to the budget without a send.
+func TestARetryThatIsNotSentIsAvailableAgain(t *testing.T) {
+	b, now := filledBucket(240)
+	before := b.Usage(now).Available
+	assert.True(t, b.Take(now, time.Minute, 0))
+	b.Sent()
+	b.Unsent()
+	assert.InDelta(t, before-1, b.Usage(now).Available, 1e-9)
+	b.Return(now)
+	assert.InDelta(t, before, b.Usage(now).Available, 1e-9)
+	assert.Zero(t, b.Usage(now).Waiting)
+}
+
 // mostRetries returns the most retries that a window may hold: what was saved up before it, and
 // what was earned in it.
 func mostRetries(l retry.Limits, before, within int) float64 {
@@ -93,7 +129,8 @@
 			case n < 20:
 				b.Request(now)
 				requests = append(requests, now)
-			case b.Allow(now, time.Minute, 0):
+			case b.Take(now, time.Minute, 0):
+				b.Sent()
 				retries = append(retries, now)
 			}
 		}
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -34,11 +34,12 @@
 	bucket                      *retry.Bucket
 	sharing                     retry.Sharing
 	// listed and count are what it read at readAt; zero: it has not read the list.
-	listed  bool
-	count   int
-	readAt  time.Time
-	nextAt  time.Time
-	started time.Time
+	listed bool
+	count  int
+	readAt time.Time
+	nextAt time.Time
+	// waiting is the number of retries that were allowed and wait for a server.
+	waiting int
 }
 
 // fleet simulates processes that share a retry budget. All decisions are those of the
@@ -49,8 +50,8 @@
 	processes []*fleetProcess
 	rows      map[string]bool
 	storeDown time.Time
-	// failing: every request needs maxRetries retries.
-	failing           time.Time
+	// failing: every request needs maxRetries retries. full: retries wait for servers.
+	failing, full     time.Time
 	rate              float64
 	requests, retries []time.Time
 }
@@ -71,7 +72,7 @@
 
 // newLife starts a process, which forgets everything.
 func (f *fleet) newLife(p *fleetProcess) *fleetProcess {
-	*p = fleetProcess{name: p.name, down: p.down, cut: p.cut, started: f.now, nextAt: f.now.Add(time.Duration(f.random.Int64N(int64(readPause))))}
+	*p = fleetProcess{name: p.name, down: p.down, cut: p.cut, nextAt: f.now.Add(time.Duration(f.random.Int64N(int64(readPause))))}
 	p.bucket = retry.NewBucket(f.now, f.limits(0))
 	return p
 }
@@ -101,7 +102,7 @@
 
 // disturb plays one random disturbance.
 func (f *fleet) disturb() {
-	switch f.random.IntN(9) {
+	switch f.random.IntN(10) {
 	case 0, 1:
 		for _, p := range f.group() {
 			f.kill(p, f.seconds(0.2, 2))
@@ -127,6 +128,8 @@
 			}
 		}
 	case 7:
+		f.full = f.now.Add(f.seconds(1, 12))
+	case 8:
 		f.rate = callerRate * []float64{0.1, 1, 1, 3}[f.random.IntN(4)]
 	default:
 		f.failing = f.now.Add(f.seconds(1, 15))
@@ -186,10 +189,14 @@
 	for n := f.arrivals(); n > 0; n-- {
 		p.bucket.Request(f.now)
 		f.requests = append(f.requests, f.now)
-		for k := 0; k < maxRetries && f.now.Before(f.failing) && p.bucket.Allow(f.now, time.Minute, 0); k++ {
-			f.retries = append(f.retries, f.now)
+		for k := 0; k < maxRetries && f.now.Before(f.failing) && p.bucket.Take(f.now, time.Minute, 0); k++ {
+			p.waiting++
 		}
 	}
+	for ; p.waiting > 0 && !f.now.Before(f.full); p.waiting-- {
+		p.bucket.Sent()
+		f.retries = append(f.retries, f.now)
+	}
 	listing := retry.Listing{Listed: p.listed && p.stopping.IsZero(), Processes: p.count, Age: f.now.Sub(p.readAt)}
 	p.bucket.SetLimits(f.now, f.limits(p.sharing.Part(f.now, listing)))
 }
@@ -243,7 +250,8 @@
 }
 
 // Guards against more retries than the budget of the whole fleet, in which processes are
-// killed, stopped, frozen, cut off from the list and added, alone and together.
+// killed, stopped, frozen, cut off from the list and added, alone and together, and whose
+// retries wait for servers.
 func TestNoWindowOfAFleetHoldsTooManyRetries(t *testing.T) {
 	for count, seeds := range map[int]uint64{4: 200, 103: 6, 810: 2} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
