Entries that stop count until they have drained

Callers of a workspace with a usage cap were rejected without exception while all entries were stopped together: 2,760 of 2,760 requests in 2.5 s, though the cap was not used. An entry removes its row when it is told to stop and serves on; with no row left no entry had a lender, and none knew how many share the cap. The number of entries was the number of rows, which is the cause of the undivided slack of the retry budget, too; it also divides the servers' connections.

The roster keeps an entry that has removed its row for the grace period in Serving, by whose number shared amounts are divided. Entries with rows do the work for others as before; if there are none, those that drain lend.

Signatures of roster.New and Remove changed in tests.

--- a/internal/feedsource/start_sim_test.go
+++ b/internal/feedsource/start_sim_test.go
@@ -92,7 +92,7 @@
 			e.row.Cores = 1.6
 		}
 		e.gone = i < f.dead
-		e.roster = roster.New(e.node, e.row, nil, maxFlat)
+		e.roster = roster.New(e.node, e.row, nil, maxFlat, 0)
 		s.all[e.row.Address] = e
 		if !f.bootstrap {
 			s.rows[e.node] = e.row
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		if row.Removed {
-			g.peers.remove(row.Key)
+			g.peers.remove(now, row.Key)
 			continue
 		}
 		var value roster.Row
@@ -132,11 +132,11 @@
 
 // applyRoster passes the entries on to all that depend on them.
 func (g *Gateway) applyRoster() {
-	entries := g.peers.shardEntries()
-	g.state.setEntryCount(g.peers.count())
+	entries, serving := g.peers.shardEntries(), g.peers.servingEntries()
+	g.state.setEntryCount(max(len(serving), 1))
 	g.state.setOwners(entries)
-	g.usage.setEntries(entries)
-	g.limits.setEntries(entries)
+	g.usage.setEntries(entries, serving)
+	g.limits.setEntries(entries, serving)
 	g.origins.setEntries(entries)
 	g.hints.setTargets(g.peers.addresses())
 }
--- a/internal/gateway/entriesdrill_test.go
+++ b/internal/gateway/entriesdrill_test.go
@@ -117,8 +117,8 @@
 	again := batch.Rows[2]
 	again.Version = entryVersion(t, 2, 31)
 	readEntries(g, mirror.Batch{Version: again.Version, Rows: []mirror.Row{again}})
-	assert.False(t, g.peers.expireLost(time.Now().Add(10*time.Second)))
-	assert.True(t, g.peers.expireLost(time.Now().Add(time.Minute)))
+	assert.False(t, g.peers.expire(time.Now().Add(10*time.Second)))
+	assert.True(t, g.peers.expire(time.Now().Add(time.Minute)))
 	assert.Len(t, g.peers.others(), 2, "one did not write its row again")
 	again.Version, again.Removed = entryVersion(t, 2, 32), true
 	readEntries(g, mirror.Batch{Version: again.Version, Rows: []mirror.Row{again}})
--- a/internal/gateway/peerroster.go
+++ b/internal/gateway/peerroster.go
@@ -17,11 +17,11 @@
 	p.roster.Put(node, row)
 }
 
-// remove records that an entry has no row any more.
-func (p *peers) remove(node string) {
+// remove records that an entry has removed its row.
+func (p *peers) remove(now time.Time, node string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.roster.Remove(node)
+	p.roster.Remove(now, node)
 }
 
 // lose records that the store has lost an entry's row.
@@ -31,9 +31,9 @@
 	p.roster.Lose(now, node)
 }
 
-// expireLost removes the entries that did not write their lost rows again, and reports
-// whether there were any.
-func (p *peers) expireLost(now time.Time) bool {
+// expire removes the entries that did not write their lost rows again, and those that have
+// left. It reports whether there were any.
+func (p *peers) expire(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.roster.Expire(now)
@@ -130,6 +130,13 @@
 	return p.roster.ShardEntries()
 }
 
+// servingEntries returns all entries that serve callers, with or without a row.
+func (p *peers) servingEntries() []shard.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Serving()
+}
+
 // strongCount returns the number of entries that do work for others, at least 1.
 func (p *peers) strongCount() int { return max(1, len(shard.Eligible(p.shardEntries()))) }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -57,7 +57,7 @@
 		DisableCompression:  true,
 	}
 	return &peers{
-		roster: roster.New(settings.Node, entryRow(settings), settings.Seeds, maxUnshardedEntries),
+		roster: roster.New(settings.Node, entryRow(settings), settings.Seeds, maxUnshardedEntries, settings.Grace),
 		http:   &http.Client{Transport: transport},
 	}
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -37,7 +37,7 @@
 		s.setOwners([]shard.Entry{{Name: "owner", Cores: 1}})
 		assert.Equal(t, want, g.receivesOrders(now), node)
 		for i := range 40 {
-			g.peers.remove(fmt.Sprint("gw", i))
+			g.peers.remove(time.Now(), fmt.Sprint("gw", i))
 		}
 		assert.True(t, g.receivesOrders(now), "in a small fleet every entry is sent the orders")
 		cancel()
--- a/internal/gateway/serverlimits_test.go
+++ b/internal/gateway/serverlimits_test.go
@@ -59,7 +59,8 @@
 	g.state.changeBackends(now, []backendChange{{backend: server}}, "test")
 	g.state.observeResponse(now, now, "i-0", "", &call.ResponseHead{HasLimit: true, Limit: 1.5})
 	g.limits = newSharedQuota(g, serverLimitSource(g))
-	g.limits.setEntries([]shard.Entry{{Name: "gw1", Address: "10.0.0.2:1"}})
+	entries := []shard.Entry{{Name: "gw1", Address: "10.0.0.2:1"}}
+	g.limits.setEntries(entries, entries)
 	g.limits.source.capOf = func(account quota.Account) quota.Cap {
 		g.state.observeResponse(now.Add(2*time.Millisecond), now.Add(time.Millisecond), "i-0", "", &call.ResponseHead{})
 		return g.state.limitOf(account)
--- a/internal/gateway/sharedquota.go
+++ b/internal/gateway/sharedquota.go
@@ -71,19 +71,24 @@
 	}
 }
 
-// setEntries sets the entries that have rows. An entry that has not read its own row yet
-// counts itself among the others. While it knows of none at all, it admits nothing: it
-// can't tell whether it is the only one.
-func (u *sharedQuota) setEntries(entries []shard.Entry) {
+// setEntries sets the entries that have rows, and all that serve callers. Entries that have
+// rows lend. If all entries stop none has one, and those that still serve lend. An entry that
+// has not read its own row yet counts itself among the others. While it knows of none at all,
+// it admits nothing: it can't tell whether it is the only one.
+func (u *sharedQuota) setEntries(listed, serving []shard.Entry) {
 	self := shard.Entry{Name: u.gateway.settings.Node, Address: u.gateway.settings.ControlAddress, Cores: u.gateway.settings.Cores}
-	if len(entries) > 0 && !slices.ContainsFunc(entries, func(e shard.Entry) bool { return e.Name == self.Name }) {
-		entries = append(entries, self)
+	isSelf := func(e shard.Entry) bool { return e.Name == self.Name }
+	lenders := listed
+	if len(listed) == 0 {
+		lenders = serving
+	} else if !u.gateway.stopping.Load() && !slices.ContainsFunc(listed, isSelf) {
+		lenders = append(lenders, self)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.entries = len(entries)
-	u.others = slices.DeleteFunc(slices.Clone(entries), func(e shard.Entry) bool { return e.Name == self.Name })
-	u.directory.SetEntries(entries)
+	u.entries = max(len(serving), len(lenders))
+	u.others = slices.DeleteFunc(slices.Clone(lenders), isSelf)
+	u.directory.SetEntries(lenders)
 	u.lender.SetEntries(u.entries)
 	u.borrower.SetEntries(u.entries)
 }
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -67,7 +67,7 @@
 func (g *Gateway) tick(now time.Time) {
 	g.state.tick(now)
 	g.pool.CloseExpired(now)
-	if g.peers.expireLost(now) {
+	if g.peers.expire(now) {
 		g.applyRoster()
 	}
 	g.shareRetrySlack()
--- a/internal/mirror/drill_sim_test.go
+++ b/internal/mirror/drill_sim_test.go
@@ -228,7 +228,7 @@
 		node := fmt.Sprint("gw", i)
 		row := roster.Row{Address: node, DataCentre: fmt.Sprint("dc", i%max(2, s.drillPlay.entries/160)), Cores: float64(1 + i%3)}
 		rows[node] = row
-		e := &simEntry{node: node, dc: row.DataCentre, roster: roster.New(node, row, nil, drillMaxFlat)}
+		e := &simEntry{node: node, dc: row.DataCentre, roster: roster.New(node, row, nil, drillMaxFlat, 0)}
 		s.entries = append(s.entries, e)
 		s.byAddress[node] = e
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -49,6 +49,10 @@
 	rows  map[string]Row
 	// keptUntil is the time until which an entry whose row the store has lost counts.
 	keptUntil map[string]time.Time
+	// leaving holds the entries that have removed their rows and may still serve.
+	leaving map[string]leavingEntry
+	// drainTime is how long an entry serves at most after it has removed its row.
+	drainTime time.Duration
 	// confirmed is the version under which the store accepted this entry's row; 0: it was
 	// read, or is not confirmed.
 	confirmed uint64
@@ -61,10 +65,20 @@
 	skipUntil map[string]time.Time
 }
 
+// leavingEntry is an entry that has removed its row.
+type leavingEntry struct {
+	row   Row
+	until time.Time
+}
+
 // New returns the roster of the entry whose row has the given key and value. Fleets of
-// more than maxFlat entries have storeReaders readers of the store in all.
-func New(node string, self Row, seeds []string, maxFlat int) *Roster {
-	return &Roster{node: node, self: self, seeds: seeds, rows: map[string]Row{}, keptUntil: map[string]time.Time{}, maxFlat: maxFlat, skipUntil: map[string]time.Time{}}
+// more than maxFlat entries have storeReaders readers of the store in all. An entry serves
+// for drainTime at most after it has removed its row.
+func New(node string, self Row, seeds []string, maxFlat int, drainTime time.Duration) *Roster {
+	return &Roster{
+		node: node, self: self, seeds: seeds, maxFlat: maxFlat, drainTime: drainTime,
+		rows: map[string]Row{}, keptUntil: map[string]time.Time{}, leaving: map[string]leavingEntry{}, skipUntil: map[string]time.Time{},
+	}
 }
 
 // SetSeeds replaces the configured addresses of other entries.
@@ -74,11 +88,19 @@
 func (r *Roster) Put(node string, row Row) {
 	r.rows[node] = row
 	delete(r.keptUntil, node)
+	delete(r.leaving, node)
 	r.order = nil
 }
 
-// Remove records that an entry has no row any more.
-func (r *Roster) Remove(node string) {
+// Remove records that an entry has removed its row, since it stops.
+func (r *Roster) Remove(now time.Time, node string) {
+	if row, ok := r.rows[node]; ok {
+		r.leaving[node] = leavingEntry{row: row, until: now.Add(r.drainTime)}
+	}
+	r.drop(node)
+}
+
+func (r *Roster) drop(node string) {
 	delete(r.rows, node)
 	delete(r.keptUntil, node)
 	r.order = nil
@@ -91,16 +113,22 @@
 		r.keptUntil[node] = now.Add(lostRowTime)
 		return
 	}
-	r.Remove(node)
+	r.drop(node)
 }
 
-// Expire removes the entries that did not write their lost rows again in time, and reports
-// whether there were any.
+// Expire removes the entries that did not write their lost rows again in time, and those that
+// have left. It reports whether there were any.
 func (r *Roster) Expire(now time.Time) bool {
 	expired := false
 	for node, until := range r.keptUntil {
 		if !now.Before(until) {
-			r.Remove(node)
+			r.drop(node)
+			expired = true
+		}
+	}
+	for node, entry := range r.leaving {
+		if !now.Before(entry.until) {
+			delete(r.leaving, node)
 			expired = true
 		}
 	}
@@ -126,7 +154,7 @@
 		return
 	}
 	if r.confirmed = 0; !listed {
-		r.Remove(r.node)
+		r.drop(r.node)
 	}
 }
 
@@ -284,7 +312,22 @@
 func (r *Roster) ShardEntries() []shard.Entry {
 	entries := make([]shard.Entry, 0, len(r.rows))
 	for node, row := range r.rows {
-		entries = append(entries, shard.Entry{Name: node, Address: row.Address, Cores: row.Cores})
+		entries = append(entries, shardEntry(node, row))
 	}
 	return entries
 }
+
+// Serving returns all entries that serve callers: those with a row, and those that have
+// removed theirs and may still drain. Amounts that all entries share are divided by their
+// number.
+func (r *Roster) Serving() []shard.Entry {
+	entries := r.ShardEntries()
+	for node, entry := range r.leaving {
+		entries = append(entries, shardEntry(node, entry.row))
+	}
+	return entries
+}
+
+func shardEntry(node string, row Row) shard.Entry {
+	return shard.Entry{Name: node, Address: row.Address, Cores: row.Cores}
+}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -13,7 +13,10 @@
 
 var now = time.Unix(1000, 0)
 
-const maxFlat = 26
+const (
+	maxFlat   = 26
+	drainTime = 8 * time.Second
+)
 
 // row returns the row of the i-th entry; the entries are in two data centres by turns.
 func row(i int) roster.Row {
@@ -22,7 +25,7 @@
 
 // newRoster returns the roster of the i-th of n entries, all registered.
 func newRoster(i, n int) *roster.Roster {
-	r := roster.New(fmt.Sprint("gw", i), row(i), nil, maxFlat)
+	r := roster.New(fmt.Sprint("gw", i), row(i), nil, maxFlat, drainTime)
 	for k := range n {
 		r.Put(fmt.Sprint("gw", k), row(k))
 	}
@@ -65,7 +68,7 @@
 	assert.ElementsMatch(t, []string{row(3).Address, row(5).Address}, relaysOf(r, now), "the entries with the most cores in its data centre")
 	strongest := row(6)
 	strongest.Cores = 0.8
-	r = roster.New("gw6", strongest, nil, maxFlat)
+	r = roster.New("gw6", strongest, nil, maxFlat, drainTime)
 	for k := range 40 {
 		r.Put(fmt.Sprint("gw", k), row(k))
 	}
@@ -105,7 +108,7 @@
 // Guards against a new entry that reads whole tables from the store because its own row is
 // not written yet.
 func TestEntryWithoutRowUsesRelays(t *testing.T) {
-	r := roster.New("new", row(9), nil, maxFlat)
+	r := roster.New("new", row(9), nil, maxFlat, drainTime)
 	assert.Nil(t, relaysOf(r, now), "no other entry is known")
 	for k := range 40 {
 		r.Put(fmt.Sprint("gw", k), row(k))
@@ -124,7 +127,7 @@
 	assert.True(t, r.Registered())
 	r.Put("gw1", roster.Row{Address: "10.0.0.99:1", DataCentre: "b"})
 	assert.False(t, r.Registered())
-	r.Remove("gw1")
+	r.Remove(now, "gw1")
 	assert.False(t, r.Registered())
 }
 
@@ -134,7 +137,7 @@
 	const entries = 60
 	reads := map[string][]string{}
 	for i := range entries {
-		r := roster.New(fmt.Sprint("gw", i), row(i), nil, maxFlat)
+		r := roster.New(fmt.Sprint("gw", i), row(i), nil, maxFlat, drainTime)
 		for k := range i {
 			r.Put(fmt.Sprint("gw", (k*7)%entries), row((k*7)%entries))
 		}
@@ -153,3 +156,19 @@
 		visit(address, nil)
 	}
 }
+
+// Guards against entries that take over the part of one that has removed its row and still
+// serves, and against one that counts only itself while all stop.
+func TestEntriesThatStopCountUntilTheyHaveDrained(t *testing.T) {
+	r := newRoster(0, 4)
+	for k := range 4 {
+		r.Remove(now, fmt.Sprint("gw", k))
+	}
+	assert.Empty(t, r.ShardEntries(), "they do no work for others")
+	assert.Len(t, r.Serving(), 4)
+	r.Put("gw2", row(2))
+	assert.Len(t, r.Serving(), 4, "one that has started again counts once")
+	assert.False(t, r.Expire(now.Add(drainTime-time.Second)))
+	assert.True(t, r.Expire(now.Add(drainTime)))
+	assert.Len(t, r.Serving(), 1)
+}
