Weights: when versions were named is recorded in the store

Callers' requests began on weights up to 13.6 s after newer ones were named (bound 8 to 10 s), when all entries had started since: when a version was named stood in the memory of entries only, and one that starts asked one other, which may have started just before.

One row a model holds when its versions were named, on the store's steady clock. Entries merge what they know with it when they start and when a version is named; of two ages the greater one holds. In fleets above 26 entries the first two write, the others read once. Nothing is written while no version is named.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -236,11 +236,7 @@
 }
 
 func (g *Gateway) handleWeights(c echo.Context) error {
-	s := g.state
-	s.mu.Lock()
-	steps := s.targets.History(time.Now())
-	s.mu.Unlock()
-	return c.JSON(http.StatusOK, steps)
+	return c.JSON(http.StatusOK, g.state.weightHistory(time.Now()))
 }
 
 // fetchWeightHistory gets from another entry when versions were named, once after the
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -88,6 +88,16 @@
 	Changes(ctx context.Context, address string, since uint64) (call.KVStoreChanges, error)
 }
 
+// WeightAges records how long ago versions of a model's weights were named, for entries that
+// start.
+type WeightAges interface {
+	// Ages returns what is recorded of a model.
+	Ages(ctx context.Context, model string) ([]weights.VersionAge, error)
+	// Record merges ages into the record and returns the result. Of two ages of a version the
+	// greater one holds.
+	Record(ctx context.Context, model string, ages []weights.VersionAge) ([]weights.VersionAge, error)
+}
+
 // Ports are the external systems that a Gateway uses.
 type Ports struct {
 	Dialect Dialect
@@ -100,6 +110,8 @@
 	// Table holds the entries' own rows: leases, the entries' addresses and the
 	// requests under which servers crashed.
 	Table platform.Table
+	// WeightAges may be nil.
+	WeightAges WeightAges
 	// HistoryGone is the error of Tables.Changes for a version that is too old.
 	HistoryGone error
 }
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -41,6 +41,7 @@
 	g.spawn(func() { g.readFromPeersDuringOutage(ctx, backends) })
 	g.spawn(func() { g.keepRegistered(ctx) })
 	g.spawn(func() { g.fetchWeightHistory(ctx) })
+	g.spawn(func() { g.keepWeightAges(ctx) })
 	g.spawn(func() { g.every(ctx, waitQueueInterval, g.serveWaitQueue) })
 	g.spawn(func() { g.watchKVStores(ctx) })
 	g.spawn(func() { g.usage.run(ctx) })
--- /dev/null
+++ b/internal/gateway/weightages.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/jayproxy/jayproxy/internal/weights"
+)
+
+// weightAgesInterval is the pause between two looks for versions that are not recorded.
+const weightAgesInterval = 250 * time.Millisecond
+
+// weightAgeRecord keeps the store's record of when versions of weights were named in step
+// with what this entry knows. Entries know it in memory only, and all of them may start
+// while old weights are still in use.
+type weightAgeRecord struct {
+	gateway *Gateway
+	// synced holds the newest version of each model at which this entry and the record were
+	// last merged.
+	synced map[string]uint64
+}
+
+func (g *Gateway) keepWeightAges(ctx context.Context) {
+	if g.ports.WeightAges == nil {
+		return
+	}
+	r := weightAgeRecord{gateway: g, synced: map[string]uint64{}}
+	g.every(ctx, weightAgesInterval, func(now time.Time) {
+		for model, ages := range g.state.weightHistory(now) {
+			r.sync(ctx, now, model, ages)
+		}
+	})
+}
+
+// sync merges the record of one model, unless it has been merged at its newest version. The
+// time is that before the call, so that ages are rather too great.
+func (r *weightAgeRecord) sync(ctx context.Context, now time.Time, model string, ages []weights.VersionAge) {
+	newest := ages[len(ages)-1].Version
+	if r.synced[model] == newest {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	merged, err := r.merge(ctx, model, ages)
+	if err != nil {
+		klog.InfoS("Ages of weights not merged with the store's record, will retry", "model", model, "version", newest, "err", err)
+		return
+	}
+	r.synced[model] = newest
+	r.gateway.state.mergeWeightHistory(now, map[string][]weights.VersionAge{model: merged})
+	klog.InfoS("Ages of weights merged with the store's record", "model", model, "version", newest, "ageMS", ages[len(ages)-1].Age.Milliseconds(), "recordedAgeMS", ageOf(merged, newest).Milliseconds())
+}
+
+// merge returns the record of a model. In large fleets only the first entries write it, and
+// the others read it once, after their start.
+func (r *weightAgeRecord) merge(ctx context.Context, model string, ages []weights.VersionAge) ([]weights.VersionAge, error) {
+	g := r.gateway
+	if rank := g.peers.rank(); !g.sharded() || rank >= 0 && rank < ordinaryContenders {
+		return g.ports.WeightAges.Record(ctx, model, ages)
+	}
+	if r.synced[model] != 0 {
+		return nil, nil
+	}
+	return g.ports.WeightAges.Ages(ctx, model)
+}
+
+func ageOf(ages []weights.VersionAge, version uint64) time.Duration {
+	for _, age := range ages {
+		if age.Version == version {
+			return age.Age
+		}
+	}
+	return 0
+}
+
+// weightHistory returns when the versions of all models were named, as far as this entry
+// knows.
+func (s *state) weightHistory(now time.Time) map[string][]weights.VersionAge {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.History(now)
+}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -70,14 +70,25 @@
 // History returns the history of every model.
 func (t *Targets) History(now time.Time) map[string][]VersionAge {
 	all := make(map[string][]VersionAge, len(t.models))
-	for name, h := range t.models {
-		for _, s := range h.steps {
-			all[name] = append(all[name], VersionAge{Version: s.version, Age: now.Sub(s.at)})
-		}
+	for name := range t.models {
+		all[name] = t.Ages(now, name)
 	}
 	return all
 }
 
+// Ages returns the history of one model.
+func (t *Targets) Ages(now time.Time, model string) []VersionAge {
+	h := t.models[model]
+	if h == nil {
+		return nil
+	}
+	ages := make([]VersionAge, 0, len(h.steps))
+	for _, s := range h.steps {
+		ages = append(ages, VersionAge{Version: s.version, Age: now.Sub(s.at)})
+	}
+	return ages
+}
+
 // MergeHistory merges the history of a model from another process into this one. A
 // process that has just started knows only the newest version and when it read it:
 // without the history, older weights would count as replaced just now and be used for
@@ -108,6 +119,30 @@
 	h.Since = merged[h.Version]
 }
 
+// MergeAges returns the newest maxSteps versions of two records with the greater age of each,
+// oldest version first. changed: the result differs from recorded by more than ageTolerance.
+func MergeAges(recorded, other []VersionAge) (merged []VersionAge, changed bool) {
+	ages := map[uint64]time.Duration{}
+	for _, r := range recorded {
+		ages[r.Version] = r.Age
+	}
+	for _, o := range other {
+		age, known := ages[o.Version]
+		if !known || o.Age > age+ageTolerance {
+			ages[o.Version], changed = o.Age, true
+		}
+	}
+	for version, age := range ages {
+		merged = append(merged, VersionAge{Version: version, Age: age})
+	}
+	sort.Slice(merged, func(i, j int) bool { return merged[i].Version < merged[j].Version })
+	return merged[max(0, len(merged)-maxSteps):], changed
+}
+
+// ageTolerance is the difference between two records of one age that is not worth a write:
+// they are taken milliseconds apart.
+const ageTolerance = 200 * time.Millisecond
+
 // Newest returns the target version of the model; 0 if none was named.
 func (t *Targets) Newest(model string) uint64 {
 	if h := t.models[model]; h != nil {
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -47,3 +47,15 @@
 	fresh.MergeHistory(now, "m", []weights.VersionAge{{Version: 9, Age: time.Hour}})
 	assert.Equal(t, uint64(3), fresh.Newest("m"), "a history does not set a newer target")
 }
+
+// Guards against a record that an entry which has just started makes younger, and against a
+// write for each entry.
+func TestMergedAgesAreTheGreaterOnes(t *testing.T) {
+	recorded := []weights.VersionAge{{Version: 2, Age: 5 * time.Second}, {Version: 3, Age: time.Second}}
+	merged, changed := weights.MergeAges(recorded, []weights.VersionAge{{Version: 3, Age: 1100 * time.Millisecond}})
+	assert.False(t, changed)
+	assert.Equal(t, recorded, merged)
+	merged, changed = weights.MergeAges(recorded, []weights.VersionAge{{Version: 2, Age: 0}, {Version: 3, Age: 2 * time.Second}, {Version: 4}})
+	assert.True(t, changed)
+	assert.Equal(t, []weights.VersionAge{{Version: 2, Age: 5 * time.Second}, {Version: 3, Age: 2 * time.Second}, {Version: 4}}, merged)
+}
