--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -81,8 +81,6 @@
 	return retry.Limits{Span: fleetSpan, Ratio: fleetRatio, Slack: fleetSlack * part}
 }
 
-func (f *fleet) draw() *fleetProcess { return f.processes[f.random.IntN(len(f.processes))] }
-
 func (f *fleet) seconds(least, most float64) time.Duration {
 	return time.Duration((least + f.random.Float64()*(most-least)) * float64(time.Second))
 }
