Retry budget: a system that starts for the first time may retry at once

With bootstrap in the settings, which holds for the first start of the whole system only, an entry has its part of the slack as soon as it is listed, and buckets start full.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -139,4 +139,5 @@
 	g.limits.setEntries(entries, serving)
 	g.origins.setEntries(entries)
 	g.hints.setTargets(g.peers.addresses())
+	g.shareRetrySlack()
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -146,6 +146,9 @@
 	return f.copy.RowVersion(key)
 }
 
+// answered reports whether the store has answered a read of the table.
+func (f *feed) answered() bool { return f.lastResponse.Load() > 0 }
+
 // age returns the time since the store last answered.
 func (f *feed) age(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, f.lastResponse.Load()))
--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -87,13 +87,21 @@
 func (s *state) retryBudgetLocked(now time.Time, service string) *retry.Bucket {
 	b, ok := s.retryBudgets[service]
 	if !ok {
-		// Nobody has used this entry's part of the service's slack.
-		b = retry.NewBucket(earlier(now, s.slackPartSince), s.retryLimits())
+		b = s.newRetryBudget(now)
 		s.retryBudgets[service] = b
 	}
 	return b
 }
 
+// newRetryBudget returns the budget of a service of which this process has served no request.
+func (s *state) newRetryBudget(now time.Time) *retry.Bucket {
+	if s.settings.Bootstrap {
+		return retry.NewFullBucket(now, s.retryLimits())
+	}
+	// Nobody has used this entry's part of the service's slack.
+	return retry.NewBucket(earlier(now, s.slackPartSince), s.retryLimits())
+}
+
 // earlier returns the earlier of two times, or now if there is no other.
 func earlier(now, other time.Time) time.Time {
 	if other.IsZero() || other.After(now) {
@@ -107,6 +115,13 @@
 	return retry.Limits{Span: s.settings.RetryWindow, Ratio: s.settings.RetryRatio, Slack: s.settings.RetrySlack * s.slackPart}
 }
 
+func newSlackSharing(settings Settings) retry.Sharing {
+	if settings.Bootstrap {
+		return retry.NewFirstSharing()
+	}
+	return retry.Sharing{}
+}
+
 // shareRetrySlack updates this entry's part of the slack.
 func (s *state) shareRetrySlack(now time.Time, listing retry.Listing) {
 	s.mu.Lock()
@@ -122,10 +137,11 @@
 	}
 }
 
-// shareRetrySlack updates this entry's part of the slack of the retry budgets.
+// shareRetrySlack updates this entry's part of the slack of the retry budgets. It may be
+// called while the lock of the entries' feed is held.
 func (g *Gateway) shareRetrySlack() {
 	g.state.shareRetrySlack(lease.BootClock(), retry.Listing{
-		Listed: g.entriesRead() && g.peers.registered() && !g.stopping.Load(), Processes: g.peers.count(), Age: g.tableAge(time.Now(), g.entries),
+		Listed: g.entries.answered() && g.peers.registered() && !g.stopping.Load(), Processes: g.peers.count(), Age: g.tableAge(time.Now(), g.entries),
 	})
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -112,8 +112,8 @@
 		shards:   shard.NewMap(),
 		versions: map[versionKey]uint64{},
 		switches: map[string]weightSwitch{}, orderedAt: map[string]time.Time{},
-		retryBudgets: map[string]*retry.Bucket{},
-		entryCount:   1, kvStoresDown: map[string]bool{},
+		retryBudgets: map[string]*retry.Bucket{}, slackSharing: newSlackSharing(settings),
+		entryCount: 1, kvStoresDown: map[string]bool{},
 		waitQueue: waitqueue.New(), waiters: map[string]*waiter{},
 		suspects: newSuspects(), limits: serverlimit.New(), rests: serverlimit.NewRests(),
 	}
--- a/internal/retry/bucket.go
+++ b/internal/retry/bucket.go
@@ -65,6 +65,14 @@
 	return b
 }
 
+// NewFullBucket returns a bucket with all that can be saved up, for a process that starts for
+// the first time: no earlier life has used anything.
+func NewFullBucket(now time.Time, limits Limits) *Bucket {
+	b := NewBucket(now, limits)
+	b.level = b.capacity()
+	return b
+}
+
 // SetLimits changes the Ratio and the Slack, for example when the number of processes that
 // share the slack changes.
 func (b *Bucket) SetLimits(now time.Time, limits Limits) {
--- a/internal/retry/bucket_test.go
+++ b/internal/retry/bucket_test.go
@@ -65,6 +65,17 @@
 	assert.Equal(t, 1, takeAll(b, bucketStart.Add(2*time.Second)))
 }
 
+// Guards against a system that refuses the first failures after it has been set up, and
+// against one that has what it saved up again later.
+func TestAFirstLifeStartsWithWhatCanBeSavedUp(t *testing.T) {
+	b := retry.NewFullBucket(bucketStart, bucketLimits())
+	assert.Equal(t, 3, takeAll(b, bucketStart), "0.3 of the slack")
+	sharing, listing := retry.NewFirstSharing(), retry.Listing{Listed: true, Processes: 4}
+	assert.InDelta(t, 0.25, sharing.Part(bucketStart, listing), 1e-9)
+	assert.Zero(t, sharing.Part(bucketStart, retry.Listing{}))
+	assert.Zero(t, sharing.Part(bucketStart, listing), "it settles like any other")
+}
+
 // Guards against retries that a step of the clock allows again.
 func TestAClockThatGoesBackAllowsNothing(t *testing.T) {
 	b, now := filledBucket(240)
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -63,6 +63,12 @@
 	for range count {
 		f.add()
 	}
+	for _, p := range f.processes {
+		p.sharing, p.bucket = retry.NewFirstSharing(), retry.NewFullBucket(f.now, f.limits(0))
+	}
+	if seed%2 == 0 {
+		f.failing = f.now.Add(fleetSpan)
+	}
 	return f
 }
 
--- a/internal/retry/sharing.go
+++ b/internal/retry/sharing.go
@@ -23,19 +23,30 @@
 type Sharing struct {
 	// settling is when the process was listed as far as it knows; zero: it is not.
 	settling time.Time
+	// first: the process has used its part since its start, as all processes start for the
+	// first time.
+	first bool
 }
 
+// NewFirstSharing returns the Sharing of a process that starts for the first time together
+// with all others. Until it has read the list again it may count too few of them: the i-th
+// that is listed counts i at least.
+func NewFirstSharing() Sharing { return Sharing{first: true} }
+
 // Part returns the part of the slack that the process may use from now on, 0 to 1. It must be
 // called again well within shareSettleTime.
 func (s *Sharing) Part(now time.Time, l Listing) float64 {
 	if !l.Listed || l.Age > shareSettleTime {
+		if !s.settling.IsZero() {
+			s.first = false
+		}
 		s.settling = time.Time{}
 		return 0
 	}
 	if s.settling.IsZero() {
 		s.settling = now
 	}
-	if now.Sub(s.settling) < shareSettleTime {
+	if !s.first && now.Sub(s.settling) < shareSettleTime {
 		return 0
 	}
 	return 1 / float64(max(l.Processes, 1))
