--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -253,9 +253,8 @@
 	return used, allowed
 }
 
-// Guards against more retries than the budget of the whole fleet, in which processes are
-// killed, stopped, frozen, cut off from the list and added, alone and together, and whose
-// retries wait for servers.
+// Guards against more retries than the budget of a fleet whose processes are killed, stopped,
+// frozen, cut off from the list and added, and whose retries wait for servers.
 func TestNoWindowOfAFleetHoldsTooManyRetries(t *testing.T) {
 	for count, seeds := range map[int]uint64{4: 200, 103: 6, 810: 2} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
