--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -140,4 +140,20 @@
 	g.origins.setEntries(entries)
 	g.hints.setTargets(g.peers.addresses())
 	g.shareRetrySlack()
+	g.leaveStoreToRelays(time.Now())
+}
+
+// leaveStoreToRelays ends blocking reads of the store that began before this entry knew its
+// relays. Such a read may hang while the entry is cut off from the store. The entry's list of
+// servers, read through a relay, is recent meanwhile, so others would take its old copy of
+// the table for a recent one.
+func (g *Gateway) leaveStoreToRelays(now time.Time) {
+	if relays, _ := g.peers.relays(now); len(relays) == 0 {
+		return
+	}
+	for _, f := range g.feeds {
+		if f.blocking.Load() {
+			f.interruptPoll()
+		}
+	}
 }
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -93,6 +93,8 @@
 	// the next read then does not block.
 	interrupt   atomic.Pointer[context.CancelFunc]
 	interrupted atomic.Bool
+	// blocking: the current read blocks at the store.
+	blocking atomic.Bool
 }
 
 // pollTimeout returns how long the next read blocks for changes. After a failure it does
@@ -291,7 +293,9 @@
 	var batch mirror.Batch
 	err := g.ports.HistoryGone
 	if after > 0 {
+		f.blocking.Store(wait > 0)
 		batch, err = g.readChanges(callCtx, f.table, after, wait)
+		f.blocking.Store(false)
 	}
 	if !errors.Is(err, g.ports.HistoryGone) {
 		f.historyGone = 0
