Tables: ages are measured with the time since boot

Cause: the time of the store's last answer was kept as a time of day. After the clock of an entry goes back by x seconds, its tables look x seconds younger than they are: cut off from the store it keeps its part of the retry slack for x seconds longer, and passes its old tables on to other entries as recent ones. Change: the last answer is kept in nanoseconds since boot, as the retry budgets and caps are; a table that the store has not answered for has no age instead of the time since 1970. Two tests take the time since boot where they took the time of day, with the same bounds.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"github.com/jayproxy/jayproxy/internal/call"
 	"github.com/jayproxy/jayproxy/internal/feedsource"
+	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
 )
@@ -83,8 +85,8 @@
 	ignoredLoggedAt time.Time
 	historyGone     int
 
-	// lastResponse is when the store last answered this entry or its relay, in Unix
-	// nanoseconds.
+	// lastResponse is when the store last answered this entry or its relay, in nanoseconds
+	// since boot: the time of day may be set.
 	lastResponse atomic.Int64
 	failing      atomic.Bool
 	// refused: the store refused the last call because it had too many.
@@ -148,19 +150,28 @@
 	return f.copy.RowVersion(key)
 }
 
+// neverAnswered is the age of a table that the store has not answered for: the machine may
+// have booted just now.
+const neverAnswered = time.Duration(math.MaxInt64)
+
 // answered reports whether the store has answered a read of the table.
 func (f *feed) answered() bool { return f.lastResponse.Load() > 0 }
 
-// age returns the time since the store last answered.
+// age returns the time since the store last answered. now is the time since boot.
 func (f *feed) age(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, f.lastResponse.Load()))
+	last := f.lastResponse.Load()
+	if last == 0 {
+		return neverAnswered
+	}
+	return now.Sub(time.Unix(0, last))
 }
 
 // tableAge returns the maximum age of a table. A blocking read gets a response only when
 // its table changes, and hangs while this entry is cut off from the store. The list of
 // servers is read at short intervals, so its age shows whether the store is reachable.
 // Without that check an entry that is cut off would relay an old configuration as current.
-func (g *Gateway) tableAge(now time.Time, f *feed) time.Duration {
+func (g *Gateway) tableAge(f *feed) time.Duration {
+	now := lease.BootClock()
 	age := f.age(now)
 	for _, other := range g.feeds {
 		if other.table == g.ports.Decoder.BackendTable && f.wait > 0 {
@@ -349,19 +360,19 @@
 // grace period. Other feeds may still block on connections whose responses were lost, so
 // their reads are interrupted.
 func (g *Gateway) feedSucceeded(f *feed, age time.Duration) {
-	now := time.Now().Add(-age)
-	last := f.lastResponse.Swap(now.UnixNano())
+	answeredAt := lease.BootClock().Add(-age).UnixNano()
+	last := f.lastResponse.Swap(answeredAt)
 	if !f.failing.Swap(false) {
 		return
 	}
-	gap := time.Duration(now.UnixNano() - last)
+	gap := time.Duration(answeredAt - last)
 	version := f.version()
 	klog.InfoS("Store regained", "table", f.table, "era", platform.EraOf(version), "version", platform.CommitOf(version), "gapMS", gap.Milliseconds())
 	if f.table != g.ports.Decoder.BackendTable {
 		return
 	}
 	if last > 0 && gap > minOutage {
-		g.state.listRestored(now)
+		g.state.listRestored(time.Now().Add(-age))
 	}
 	g.interruptOtherPolls(f)
 }
--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/metrics"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/roster"
@@ -94,20 +95,31 @@
 	g.runFor(t, 600*time.Millisecond)
 	assert.Zero(t, store.calls.Load())
 	assert.False(t, g.feeds[0].failing.Load())
-	assert.Greater(t, g.feeds[0].age(time.Now()), 90*time.Millisecond, "the age of the relay's data is included")
+	assert.Greater(t, g.feeds[0].age(lease.BootClock()), 90*time.Millisecond, "the age of the relay's data is included")
+}
+
+// Guards against an old copy of a table counting as recent after the time of day went back.
+func TestTableAgeRestsOnTheTimeSinceBoot(t *testing.T) {
+	g, _ := newRelayedEntry(t, 100, 0)
+	list := &feed{table: "servers"}
+	g.feeds = []*feed{list}
+	assert.Greater(t, g.tableAge(list), 24*time.Hour, "the store has not answered yet")
+	before := lease.BootClock()
+	g.feedSucceeded(list, 2*time.Second)
+	assert.Equal(t, 4*time.Second, list.age(before.Add(2*time.Second)).Round(time.Second))
 }
 
 // Guards against an entry that is cut off from the store, and hangs in a blocking read,
 // relaying an old configuration as current.
 func TestTableAgeFollowsListDuringBlockingRead(t *testing.T) {
 	g, _ := newRelayedEntry(t, 100, 0)
-	now := time.Now()
+	now := lease.BootClock()
 	list := &feed{table: "servers"}
 	list.lastResponse.Store(now.Add(-3 * time.Second).UnixNano())
 	waiting := &feed{table: "op", wait: longPollWait}
 	waiting.lastResponse.Store(now.Add(-10 * time.Second).UnixNano())
 	g.feeds = []*feed{waiting, list}
-	assert.InDelta(t, 3000, g.tableAge(now, waiting).Milliseconds(), 1, "the old list shows that the store is unreachable")
+	assert.InDelta(t, 3000, g.tableAge(waiting).Milliseconds(), 1, "the old list shows that the store is unreachable")
 	list.lastResponse.Store(now.Add(-100 * time.Millisecond).UnixNano())
-	assert.Less(t, g.tableAge(now, waiting), time.Second, "the recent list shows that the store is reachable")
+	assert.Less(t, g.tableAge(waiting), time.Second, "the recent list shows that the store is reachable")
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -219,7 +219,7 @@
 		version := f.version()
 		g.metrics.Gauge("store_era", f.table, int64(platform.EraOf(version)))         //nolint:gosec // a count
 		g.metrics.Gauge("belief_version", f.table, int64(platform.CommitOf(version))) //nolint:gosec // a count
-		g.metrics.Gauge("belief_age_ms", f.table, g.tableAge(now, f).Milliseconds())
+		g.metrics.Gauge("belief_age_ms", f.table, g.tableAge(f).Milliseconds())
 	}
 	s := g.state
 	s.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -198,9 +198,9 @@
 func (g *Gateway) respondTable(c echo.Context, f *feed, after uint64) error {
 	now := time.Now()
 	if f.version() == 0 || f.covers(after) {
-		return c.JSON(http.StatusOK, tableResponse{Batch: f.since(after), AgeMS: g.tableAge(now, f).Milliseconds()})
+		return c.JSON(http.StatusOK, tableResponse{Batch: f.since(after), AgeMS: g.tableAge(f).Milliseconds()})
 	}
-	prefix, rest, err := f.snapshots.get(now, func() (any, time.Duration) { return f.since(0), g.tableAge(now, f) })
+	prefix, rest, err := f.snapshots.get(now, func() (any, time.Duration) { return f.since(0), g.tableAge(f) })
 	if err != nil {
 		return err
 	}
@@ -215,7 +215,7 @@
 
 // respondKnown sends the complete table with the removals that this entry remembers.
 func (g *Gateway) respondKnown(c echo.Context, f *feed, _ uint64) error {
-	return c.JSON(http.StatusOK, tableResponse{Batch: f.known(), AgeMS: g.tableAge(time.Now(), f).Milliseconds()})
+	return c.JSON(http.StatusOK, tableResponse{Batch: f.known(), AgeMS: g.tableAge(f).Milliseconds()})
 }
 
 // respondWithoutEras is respondTable for entries of builds that know no eras: they compare
@@ -232,7 +232,7 @@
 		}
 	}
 	batch := f.since(after)
-	return c.JSON(http.StatusOK, tableResponse{Batch: batch.WithoutEras(), AgeMS: g.tableAge(time.Now(), f).Milliseconds()})
+	return c.JSON(http.StatusOK, tableResponse{Batch: batch.WithoutEras(), AgeMS: g.tableAge(f).Milliseconds()})
 }
 
 func (g *Gateway) handleWeights(c echo.Context) error {
--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -47,7 +47,7 @@
 	}
 	g.metrics.Count(counter, j.service.Name, 1)
 	klog.InfoS(message, "request", j.head.ID, "service", j.service.Name, "reason", reason, "available", d.usage.Available, "capacity", d.usage.Capacity, "waiting", d.usage.Waiting, "requests", d.usage.Requests,
-		"slackPart", d.slackPart, "entriesAgeMS", g.tableAge(now, g.entries).Milliseconds(), "upMS", now.Sub(g.startedAt).Milliseconds(), "leftMS", left.Milliseconds())
+		"slackPart", d.slackPart, "entriesAgeMS", g.tableAge(g.entries).Milliseconds(), "upMS", now.Sub(g.startedAt).Milliseconds(), "leftMS", left.Milliseconds())
 	j.retryWaits = d.allowed
 	return d.allowed
 }
@@ -141,7 +141,7 @@
 // called while the lock of the entries' feed is held.
 func (g *Gateway) shareRetrySlack() {
 	g.state.shareRetrySlack(lease.BootClock(), retry.Listing{
-		Listed: g.entries.answered() && g.peers.registered() && !g.stopping.Load(), Processes: g.peers.count(), Age: g.tableAge(time.Now(), g.entries),
+		Listed: g.entries.answered() && g.peers.registered() && !g.stopping.Load(), Processes: g.peers.count(), Age: g.tableAge(g.entries),
 	})
 }
 
