Weights: an unavailable store's record is called once a second

Cause: an entry whose store can't be read called it each 250 ms for each model whose newest version is not recorded, with a log line each time; all entries do so in an outage. Change: after a failure the record waits for as long as the other tables do (1 s), over all models.

--- a/internal/gateway/weightages.go
+++ b/internal/gateway/weightages.go
@@ -20,6 +20,8 @@
 	// synced holds the newest version of each model at which this entry and the record were
 	// last merged.
 	synced map[string]uint64
+	// retryAt is when the store is called again after it has failed.
+	retryAt time.Time
 }
 
 func (g *Gateway) keepWeightAges(ctx context.Context) {
@@ -27,11 +29,16 @@
 		return
 	}
 	r := weightAgeRecord{gateway: g, synced: map[string]uint64{}}
-	g.every(ctx, weightAgesInterval, func(now time.Time) {
-		for model, ages := range g.state.weightHistory(now) {
-			r.sync(ctx, now, model, ages)
+	g.every(ctx, weightAgesInterval, func(now time.Time) { r.syncAll(ctx, now) })
+}
+
+func (r *weightAgeRecord) syncAll(ctx context.Context, now time.Time) {
+	for model, ages := range r.gateway.state.weightHistory(now) {
+		if now.Before(r.retryAt) {
+			return
 		}
-	})
+		r.sync(ctx, now, model, ages)
+	}
 }
 
 // sync merges the record of one model, unless it has been merged at its newest version. The
@@ -45,7 +52,8 @@
 	defer cancel()
 	merged, err := r.merge(ctx, model, ages)
 	if err != nil {
-		klog.InfoS("Ages of weights not merged with the store's record, will retry", "model", model, "version", newest, "err", err)
+		r.retryAt = now.Add(otherTablesRetryPause)
+		klog.InfoS("Ages of weights not merged with the store's record, will retry", "model", model, "version", newest, "retryMS", otherTablesRetryPause.Milliseconds(), "err", err)
 		return
 	}
 	r.synced[model] = newest
