Tests of the ages of tables: bounds that a late process keeps

Cause: since tables' ages are read from the clock itself, a check of 1 ms around 3 s fails where the test's process stands still for a moment; it was given the time before. Found when the change was read again; it has not failed. Change: the checks allow exactly the time that has passed in the test, which is less than the 1 ms and the 1 s of before unless the process stands still.

--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -98,6 +98,13 @@
 	assert.Greater(t, g.feeds[0].age(lease.BootClock()), 90*time.Millisecond, "the age of the relay's data is included")
 }
 
+// assertAge checks an age that was want at a time since boot and has grown until now.
+func assertAge(t *testing.T, want, age time.Duration, since time.Time) {
+	t.Helper()
+	assert.GreaterOrEqual(t, age, want)
+	assert.LessOrEqual(t, age, want+lease.BootClock().Sub(since))
+}
+
 // Guards against an old copy of a table counting as recent after the time of day went back.
 func TestTableAgeRestsOnTheTimeSinceBoot(t *testing.T) {
 	g, _ := newRelayedEntry(t, 100, 0)
@@ -106,7 +113,7 @@
 	assert.Greater(t, g.tableAge(list), 24*time.Hour, "the store has not answered yet")
 	before := lease.BootClock()
 	g.feedSucceeded(list, 2*time.Second)
-	assert.Equal(t, 4*time.Second, list.age(before.Add(2*time.Second)).Round(time.Second))
+	assertAge(t, 2*time.Second, list.age(lease.BootClock()), before)
 }
 
 // Guards against an entry that is cut off from the store, and hangs in a blocking read,
@@ -119,7 +126,9 @@
 	waiting := &feed{table: "op", wait: longPollWait}
 	waiting.lastResponse.Store(now.Add(-10 * time.Second).UnixNano())
 	g.feeds = []*feed{waiting, list}
-	assert.InDelta(t, 3000, g.tableAge(waiting).Milliseconds(), 1, "the old list shows that the store is unreachable")
+	// The old list shows that the store is unreachable.
+	assertAge(t, 3*time.Second, g.tableAge(waiting), now)
 	list.lastResponse.Store(now.Add(-100 * time.Millisecond).UnixNano())
-	assert.Less(t, g.tableAge(waiting), time.Second, "the recent list shows that the store is reachable")
+	// The recent list shows that the store is reachable.
+	assertAge(t, 100*time.Millisecond, g.tableAge(waiting), now)
 }
