Tests of offers by datagram: an offer that comes late is given back

By the design an entry that gets no offer in time chooses a server itself, and gives a late offer back. Change: both tests ask again after an offer that came late, ten times at most, and check that each late one arrives and is given back, so that a lost ask or offer still fails them. Their other checks are as they were. No product code changed.

--- a/internal/gateway/shardowner_test.go
+++ b/internal/gateway/shardowner_test.go
@@ -148,13 +148,37 @@
 	return one, open("gw2", net.JoinHostPort("127.0.0.2", port))
 }
 
+// askInTime asks an owner until an offer comes before the timeout. Each offer that comes
+// later must be given back.
+func askInTime(t *testing.T, g *Gateway, owner shard.Entry) *jayv1.PlacementOffer {
+	t.Helper()
+	const maxLate = 10
+	for late := range maxLate {
+		if offer := g.placements.askOwner(t.Context(), owner, newAsk(uint64(late+1), "aa")); offer != nil {
+			return offer
+		}
+		require.Eventually(t, func() bool { return countOf(g, "placement_late") == int64(late+1) }, time.Second, time.Millisecond, "no offer at all")
+	}
+	require.Fail(t, "no offer before the timeout", "%d came later", maxLate)
+	return nil
+}
+
+// countOf returns the sum of a counter over its labels.
+func countOf(g *Gateway, counter string) (n int64) {
+	for _, sample := range g.metrics.Samples() {
+		if sample.Name == counter {
+			n += sample.Count
+		}
+	}
+	return n
+}
+
 // An ask, its offer and the report of the request's end must reach the right process and
 // request.
 func TestAskAndOfferByDatagram(t *testing.T) {
 	one, other := datagramPair(t)
 	owner := shard.Entry{Name: "gw2", Address: "127.0.0.2:1"}
-	offer := one.placements.askOwner(context.Background(), owner, newAsk(7, "aa"))
-	require.NotNil(t, offer)
+	offer := askInTime(t, one, owner)
 	require.Equal(t, jayv1.PlacementOffer_OUTCOME_SERVER, offer.GetOutcome())
 	running := func() int { return runningAt(other.state, offer) }
 	assert.Equal(t, 1, running())
@@ -173,8 +197,7 @@
 func TestOfferOfARejectedRequestIsReturned(t *testing.T) {
 	one, other := datagramPair(t)
 	owner, now := shard.Entry{Name: "gw2", Address: "127.0.0.2:1"}, time.Now()
-	offer := one.placements.askOwner(context.Background(), owner, newAsk(8, "aa"))
-	require.NotNil(t, offer)
+	offer := askInTime(t, one, owner)
 	w := &waiter{granted: make(chan grant, 1), offer: &ownerOffer{owner: owner, PlacementOffer: offer}}
 	one.state.waiters["r"] = w
 	_, ok := one.state.waitQueue.Add(now, waitqueue.Request{ID: "r", Arrived: now, Deadline: now.Add(time.Minute), WaitUntil: now})
