Gateway: a stop does not wait for the store

Cause: Shutdown released the rollout lease and removed the entry's row before it closed callers' connections and the listener. The write that releases the lease had no time limit (no deadline in the command's context, none in Keeper.Close or platform.Store), so the stop hung there.

Change: both calls are made beside the drain, within the deadline of the grace period, since callers need neither of them. A SIGTERM during the start ends the process before it accepts callers.

--- a/cmd/jay-gateway/main.go
+++ b/cmd/jay-gateway/main.go
@@ -96,11 +96,15 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	stopCtx, ignoreStop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer ignoreStop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	g, err := gateway.Start(ctx, settingsOf(settings, price), platform.Ports(settings))
+	g, err := gateway.Start(stopCtx, settingsOf(settings, price), platform.Ports(settings))
+	if errors.Is(err, gateway.ErrStopped) {
+		klog.InfoS("Stopped while starting")
+		return nil
+	}
 	if err != nil {
 		klog.ErrorS(err, "Gateway not started")
 		return err
@@ -115,7 +119,7 @@
 			}
 			settings = again
 			g.Reload(settingsOf(settings, price))
-		case <-stop:
+		case <-stopCtx.Done():
 			return g.Shutdown(ctx)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -98,8 +99,13 @@
 	tasks  sync.WaitGroup
 }
 
-// Start opens the process's addresses and begins to follow the store's tables.
-func Start(ctx context.Context, settings Settings, ports Ports) (*Gateway, error) {
+// ErrStopped is returned by Start when its context ends before callers are accepted.
+var ErrStopped = errors.New("stopped before callers were accepted")
+
+// Start opens the process's addresses and begins to follow the store's tables. It returns
+// ErrStopped when startCtx ends before callers are accepted; after that only Shutdown ends the
+// gateway.
+func Start(startCtx context.Context, settings Settings, ports Ports) (*Gateway, error) {
 	started := time.Now()
 	pool := upstream.NewPool(connectTimeout, ackTimeout)
 	g := &Gateway{
@@ -113,14 +119,19 @@
 	g.placements, g.hints = newPlacementClient(g), newHints(g)
 	g.origins = newStreamOrigins(g)
 	g.usage, g.limits = newSharedQuota(g, usageSource(g)), newSharedQuota(g, serverLimitSource(g))
-	ctx, g.cancel = context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(startCtx))
+	g.cancel = cancel
 	if err := g.listenInternal(); err != nil {
 		return nil, err
 	}
 	g.startDatagrams(ctx)
 	g.startHints(ctx)
 	g.startBackgroundTasks(ctx)
-	g.awaitConfig(ctx)
+	g.awaitConfig(startCtx)
+	if startCtx.Err() != nil {
+		g.abandonStart(ctx)
+		return nil, ErrStopped
+	}
 	if err := g.listenCallers(); err != nil {
 		return nil, err
 	}
@@ -128,6 +139,16 @@
 	return g, nil
 }
 
+// abandonStart ends a gateway that accepts no callers yet.
+func (g *Gateway) abandonStart(ctx context.Context) {
+	g.stopping.Store(true)
+	<-g.leaveStore(ctx)
+	g.cancel()
+	for _, server := range g.internalServers {
+		_ = server.Close()
+	}
+}
+
 // spawn runs task in a goroutine that g.tasks counts.
 func (g *Gateway) spawn(task func()) {
 	g.tasks.Add(1)
@@ -261,8 +282,8 @@
 }
 
 // Shutdown stops the process without interrupting requests. It reports not
-// ready, keeps serving until the load balancer has noticed, closes the listener
-// and idle connections, and waits for running requests until the grace period
+// ready, tells callers to close their connections, keeps serving until the load balancer has
+// noticed, closes the listener and idle connections, and waits for running requests until the grace period
 // ends. It does not wait for a moment without requests before it closes the
 // listener: while other entries stop too, callers may keep arriving until the
 // end, and the last requests would be cut off.
@@ -271,20 +292,21 @@
 	end := started.Add(g.settings.Grace - shutdownReserve)
 	klog.InfoS("Stopping", "active", g.active.Load(), "until", end)
 	g.stopping.Store(true)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	left := g.leaveStore(ctx)
 	g.shareRetrySlack()
-	if g.keeper != nil {
-		g.keeper.Close(ctx)
-	}
-	g.unregister(ctx)
 	g.callerServer.SetKeepAlivesEnabled(false)
 	awaitUntil(ctx, started.Add(maxProbeWait), func() bool { return g.notReadyResponses.Load() >= minNotReadyProbes })
 	sleep(ctx, drainArrivalTime)
-	ctx, cancel := context.WithDeadline(ctx, end)
-	defer cancel()
 	err := g.callerServer.Shutdown(ctx)
 	// http.Server.Shutdown does not wait for connections whose Close a callerConn
 	// ignored.
 	awaitUntil(ctx, end, func() bool { return g.active.Load() == 0 })
+	select {
+	case <-left:
+	case <-ctx.Done():
+	}
 	klog.InfoS("Stopped", "active", g.active.Load(), "tookMS", time.Since(started).Milliseconds(), "err", err)
 	g.cancel()
 	for _, server := range g.internalServers {
@@ -293,6 +315,23 @@
 	return nil
 }
 
+// leaveStore releases the rollout lease and removes this entry's row, which callers do not
+// wait for: the store may be slow or give no answer. The channel is closed when both are
+// done or given up.
+func (g *Gateway) leaveStore(ctx context.Context) <-chan struct{} {
+	var calls sync.WaitGroup
+	if g.keeper != nil {
+		calls.Go(func() { g.keeper.Close(ctx) })
+	}
+	calls.Go(func() { g.unregister(ctx) })
+	done := make(chan struct{})
+	go func() {
+		calls.Wait()
+		close(done)
+	}()
+	return done
+}
+
 // Reload applies the settings that may change at run time: the seeds.
 func (g *Gateway) Reload(settings Settings) {
 	g.peers.setSeeds(settings.Seeds)
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -17,6 +17,9 @@
 	// A canceled renewal may still take effect and change the row's version, on
 	// which the write that releases the lease depends.
 	closeWait = 500 * time.Millisecond
+	// closeTimeout bounds Close: the waits for a call in flight, before and after it is
+	// canceled, a read and a write.
+	closeTimeout = 3*closeWait + tableTimeout
 )
 
 // Keeper contends for one lease and renews it until Close. It is safe for
@@ -67,10 +70,16 @@
 	return k.lease.Inherited()
 }
 
-// Close stops contending and releases the lease. The holder must not act any more
-// when it is called.
+// Close stops contending and releases the lease, within closeTimeout. A lease whose release
+// is not answered by then may be held until it expires. The holder must not act any more when
+// Close is called.
 func (k *Keeper) Close(ctx context.Context) {
-	k.finish(ctx)
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if !k.finish(ctx) {
+		klog.InfoS("Lease not released: a call on it has not returned", "lease", k.lease.name)
+		return
+	}
 	if k.uncertain() {
 		readCtx, cancel := context.WithTimeout(ctx, closeWait)
 		k.read(readCtx)
@@ -88,21 +97,27 @@
 	}
 }
 
-// finish ends the loop. It cancels the call in flight after closeWait, or when ctx
-// ends.
-func (k *Keeper) finish(ctx context.Context) {
+// finish ends the loop and reports whether it has ended. It cancels the call in flight after
+// closeWait, or when ctx ends.
+func (k *Keeper) finish(ctx context.Context) bool {
 	k.stopOnce.Do(func() { close(k.stop) })
 	defer k.cancel()
 	timer := time.NewTimer(closeWait)
 	defer timer.Stop()
 	select {
 	case <-k.done:
-		return
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	k.cancel()
-	<-k.done
+	timer.Reset(closeWait)
+	select {
+	case <-k.done:
+		return true
+	case <-timer.C:
+		return false
+	}
 }
 
 func (k *Keeper) uncertain() bool {
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -109,3 +109,50 @@
 	k.Close(ctx)
 	assert.Less(t, time.Since(begun), 2*time.Second)
 }
+
+// Guards against a Close that never returns because the write that releases the lease is not
+// answered.
+func TestCloseReturnsWhenTheReleaseIsNotAnswered(t *testing.T) {
+	table := &slowTable{Memory: platformtest.New(), commits: make(chan platform.Txn, 1)}
+	k := lease.Keep(t.Context(), table, "l", "a", shortSettings, lease.BootClock)
+	require.Eventually(t, heldBy(k), 2*time.Second, 5*time.Millisecond)
+	table.delay.Store(int64(time.Minute))
+	begun := time.Now()
+	k.Close(t.Context())
+	assert.Less(t, time.Since(begun), 5*time.Second)
+}
+
+// stuckTable ignores that the context of a commit ends.
+type stuckTable struct {
+	*platformtest.Memory
+	stuck atomic.Bool
+	end   chan struct{}
+}
+
+func (s *stuckTable) Commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if s.stuck.Load() {
+		<-s.end
+		return platform.TxnResult{}, platform.ErrUnknown
+	}
+	return s.Memory.Commit(ctx, txn)
+}
+
+// Guards against a Close that waits for a renewal which does not return when it is canceled.
+func TestCloseReturnsWhileARenewalIsStuck(t *testing.T) {
+	table := &stuckTable{Memory: platformtest.New(), end: make(chan struct{})}
+	defer close(table.end)
+	k := lease.Keep(t.Context(), table, "l", "a", shortSettings, lease.BootClock)
+	require.Eventually(t, heldBy(k), 2*time.Second, 5*time.Millisecond)
+	table.stuck.Store(true)
+	time.Sleep(2 * shortSettings.Renew)
+	closed := make(chan struct{})
+	go func() {
+		k.Close(t.Context())
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		assert.Fail(t, "Close has not returned")
+	}
+}
