Upstream: send a request at most once over each connection

Cause: responses were told apart by the request's ID, which is not unique on a connection when the request is sent to the same server again after a refusal (421 of a server with newer weights). A late second copy of the refusal was taken for the refusal of the second send. A response without an ID counted on a reused connection, too, if it said that the request did not run.

Change: the pool gives a request no connection over which it was sent before, so that its ID is unique there; the server is still asked again, over another one. On a reused connection a response without an ID belongs to no request. Requests without an ID, which servers can only refuse, get 400 at once.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -282,13 +282,13 @@
 	return time.Duration(float64(announced) * keepAliveShare)
 }
 
-// matchesRequest reports whether a response belongs to this request. On a
-// reused connection a response without an ID may be a late one to an earlier
-// request.
+// matchesRequest reports whether a response belongs to this request. On a reused
+// connection a response without an ID may be a late one to an earlier request, also
+// when it says that the request did not run.
 func (j *job) matchesRequest(h http.Header, reused bool) bool {
 	head := j.gateway.ports.Dialect.DecodeResponse(0, h)
 	if head.ID == "" {
-		return !reused || head.NotRun || j.head.ID == ""
+		return !reused
 	}
 	return head.ID == j.head.ID
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -165,6 +165,10 @@
 	if !j.chooseService() {
 		return j.respondUnavailable("no declared service for the route", notReadyRetryAfter)
 	}
+	if j.head.ID == "" {
+		// Backend servers refuse it, and their responses could not be told from others.
+		return j.respondClientError(http.StatusBadRequest, "the request has no ID")
+	}
 	j.setDeadline()
 	if !j.admitUsage() || !j.readBody() {
 		return false
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -58,8 +59,14 @@
 	// HeadTime bounds the time from the first byte of a response's head to its end; 0: it is
 	// not bounded.
 	HeadTime time.Duration
+	// sentOver are the numbers of the connections over which the request was sent. A late
+	// copy of an earlier response has the same ID as the response to a later send, so a
+	// request is sent once over each connection.
+	sentOver []int64
 }
 
+func (r *Request) wasSentOver(c *conn) bool { return slices.Contains(r.sentOver, c.number) }
+
 func (r *Request) bytes() []byte {
 	var b bytes.Buffer
 	b.Grow(len(r.Body) + 1024)
@@ -77,7 +84,9 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	// number is unique in the pool.
+	number int64
+	reader *bufio.Reader
 	// limited is what reader reads from.
 	limited *limitedReader
 	// used counts the exchanges so far; 0: a new connection.
@@ -173,6 +182,7 @@
 func (c *conn) exchange(ctx context.Context, r *Request, belongs func(http.Header) bool) (*Response, error) {
 	response := &Response{conn: c, Reused: c.used > 0, written: make(chan error, 1)}
 	c.used++
+	r.sentOver = append(r.sentOver, c.number)
 	// When the context ends, the closed connection makes the backend server stop
 	// working on the request.
 	response.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,10 +58,10 @@
 // Send sends a request to an address and returns the response once its header has been
 // read. belongs reports whether a header is that of a response to this request; reused
 // says whether the connection has carried other requests. The request is sent at most
-// once, and not at all if the error is ErrNotSent. When ctx ends, the connection is
-// closed.
+// once, and not at all if the error is ErrNotSent; when it is sent again later, another
+// connection is used. When ctx ends, the connection is closed.
 func (p *Pool) Send(ctx context.Context, address string, r *Request, reuse ReusePolicy, belongs func(h http.Header, reused bool) bool) (*Response, error) {
-	c, err := p.take(ctx, address, reuse)
+	c, err := p.take(ctx, address, r, reuse)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -74,11 +75,11 @@
 	return response, nil
 }
 
-// take returns an idle connection that may be reused, or a new one.
-func (p *Pool) take(ctx context.Context, address string, reuse ReusePolicy) (*conn, error) {
+// take returns an idle connection that may be reused for the request, or a new one.
+func (p *Pool) take(ctx context.Context, address string, r *Request, reuse ReusePolicy) (*conn, error) {
 	now := time.Now()
 	for reuse.MaxIdle > 0 {
-		c := p.pop(address)
+		c := p.pop(address, r)
 		if c == nil {
 			break
 		}
@@ -87,7 +88,7 @@
 		}
 		p.discard(c)
 	}
-	p.opened.Add(1)
+	number := p.opened.Add(1)
 	opened, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -96,21 +97,22 @@
 	p.open[address]++
 	p.mu.Unlock()
 	limited := &limitedReader{conn: opened}
-	return &conn{Conn: opened, address: address, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
+	return &conn{Conn: opened, address: address, number: number, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
 }
 
-// pop removes and returns the most recently used idle connection, nil if there is
-// none. It is the least likely to have been closed by the peer.
-func (p *Pool) pop(address string) *conn {
+// pop removes and returns the most recently used idle connection over which the request was
+// not sent, nil if there is none. It is the least likely to have been closed by the peer.
+func (p *Pool) pop(address string, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(idle) {
+		if !r.wasSentOver(c) {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return c
+	return nil
 }
 
 // put adds a connection to the idle ones, unless there are enough of them.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -89,6 +89,35 @@
 	assert.Equal(t, "right", text)
 }
 
+// Guards against a late copy of an earlier response that is taken for the response to a
+// second send of the same request, whose id it has.
+func TestARequestIsSentAgainOverAnotherConnection(t *testing.T) {
+	address := server(t, func(n int, r *http.Request, c net.Conn) bool {
+		if n > 1 {
+			reply(c, "1", "copy")
+		}
+		reply(c, r.Header.Get("Id"), "response")
+		return true
+	})
+	p := newPool()
+	request := &upstream.Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {"1"}}}
+	for range 3 {
+		response, err := p.Send(t.Context(), address, request, upstream.ReusePolicy{MaxIdle: time.Second},
+			func(h http.Header, _ bool) bool { return h.Get("Id") == "1" })
+		require.NoError(t, err)
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		assert.Equal(t, "response", string(text))
+		response.KeepFor(time.Second)
+		response.Close()
+	}
+	assert.Equal(t, int64(3), p.Opened())
+	text, _, err := send(p, address, "2", "")
+	require.NoError(t, err)
+	assert.Equal(t, "response", text)
+	assert.Equal(t, int64(3), p.Opened(), "other requests reuse the connections")
+}
+
 // Guards against the reuse of a connection whose server has answered before it has
 // read the whole body: it would take the next request for the rest of the body.
 func TestAnEarlyResponseEndsTheConnection(t *testing.T) {
