Gateway: bound the memory that bodies take

Cause: bodies were read with io.ReadAll (growing by copying) and copied once more for each send, without a bound over all requests.

Change: internal/bodymemory divides a third of the process's memory among bodies of requests and responses that are held whole. Claims are granted whole before a body is read; large bodies wait for each other, small ones pass them; who cannot get memory in time is rejected with 503 before anything ran, and the rest of the body is read so that the rejection arrives. Buffers have the body's length, sends do not copy it, and it is let go when it cannot be sent again.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -72,7 +72,7 @@
 // locked.
 func (j *job) routingRequest(s *state) routing.DirectRequest {
 	request := routing.DirectRequest{
-		ID: j.head.ID, SuspectKey: j.suspectKey, Software: uint32(j.origin), Service: j.service.Name, Bytes: len(j.outbound.Body),
+		ID: j.head.ID, SuspectKey: j.suspectKey, Software: uint32(j.origin), Service: j.service.Name, Bytes: j.bodyBytes,
 	}
 	if j.modelName() == "" {
 		return request
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -410,6 +410,7 @@
 				continue
 			}
 			g.state.adoptTable(table, source)
+			g.bodies.setLargest(g.state.table.Load().Limits.BodyBytes)
 			continue
 		}
 		target, ok, err := g.ports.Decoder.Target(row.Key, row.Value)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,7 @@
 	// usage enforces the usage caps of workspaces, limits those that servers name.
 	usage, limits *sharedQuota
 	origins       *streamOrigins
+	bodies        *bodyMemory
 	load          controlLoad
 	feeds         []*feed
 	// entries is the feed of the entries' rows. unregistered signals that this entry's own
@@ -117,7 +118,7 @@
 	g.ports.Table = countedTable{ports.Table, &g.load}
 	g.peers = newPeers(settings)
 	g.placements, g.hints = newPlacementClient(g), newHints(g)
-	g.origins = newStreamOrigins(g)
+	g.origins, g.bodies = newStreamOrigins(g), newBodyMemory(settings.MemoryBytes)
 	g.usage, g.limits = newSharedQuota(g, usageSource(g)), newSharedQuota(g, serverLimitSource(g))
 	ctx, cancel := context.WithCancel(context.WithoutCancel(startCtx))
 	g.cancel = cancel
@@ -264,6 +265,9 @@
 	g.metrics.Gauge("servers_limited", "known", int64(s.limits.Count()))
 	g.metrics.Gauge("requests_active", "all", g.active.Load())
 	g.metrics.Gauge("requests_waiting", "memory", int64(s.waitQueue.Len()))
+	heldBytes, askedBytes := g.bodies.sums()
+	g.metrics.Gauge("body_memory_bytes", "held", heldBytes)
+	g.metrics.Gauge("body_memory_bytes", "waited for", askedBytes)
 	g.metrics.Gauge("connections_opened", "all", g.pool.Opened())
 }
 
--- a/internal/gateway/locality.go
+++ b/internal/gateway/locality.go
@@ -165,6 +165,6 @@
 		}
 		label += " " + choice.Leaves.String()
 		j.gateway.metrics.Count("crossed_requests", label, 1)
-		j.gateway.metrics.Count("crossed_bytes", label, body.bytes+int64(len(j.outbound.Body)))
+		j.gateway.metrics.Count("crossed_bytes", label, body.bytes+int64(j.bodyBytes))
 	}
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -142,6 +142,8 @@
 	// Cores is the number of processor cores that the VM gives the process; 0:
 	// unknown.
 	Cores float64
+	// MemoryBytes is the memory of the process; 0: unknown.
+	MemoryBytes int64
 	// Grace is the time between the signal to stop and the forced end of the
 	// process.
 	Grace time.Duration
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -114,12 +114,13 @@
 // arrive.
 func (j *job) handleBuffered(choice *routing.DirectChoice, response *upstream.Response, head *call.ResponseHead) sendOutcome {
 	lift := response.BodyWithin(j.failedTime(choice, head))
-	body, err := readBuffered(response, head)
+	most := j.bufferBytes(response.Length)
+	body, err := readBuffered(response, head, most)
 	lift()
 	if err != nil {
 		return j.responseInterrupted(choice, err)
 	}
-	if len(body) == maxBufferedBytes {
+	if int64(len(body)) == most {
 		return j.forwardLong(choice, response, body)
 	}
 	if err := j.checkEnd(choice, response); err != nil {
@@ -189,6 +190,7 @@
 		j.writer.Header().Set("Content-Length", response.Header.Get("Content-Length"))
 	}
 	j.beginResponse(response.Status)
+	j.letBodyGo(response)
 	_, err := j.writer.Write(buffered)
 	if err == nil {
 		_, err = io.Copy(j.writer, response.Body)
--- a/internal/gateway/responselimits.go
+++ b/internal/gateway/responselimits.go
@@ -45,7 +45,7 @@
 
 // readBuffered reads a response to its end or to maxBufferedBytes. An unsigned response with
 // status 3xx to 5xx must be within its bound: none of a longer one is passed on.
-func readBuffered(response *upstream.Response, head *call.ResponseHead) ([]byte, error) {
+func readBuffered(response *upstream.Response, head *call.ResponseHead, most int64) ([]byte, error) {
 	unsigned := isUnsignedFailure(head)
 	switch {
 	case unsigned && response.Length < 0:
@@ -57,7 +57,7 @@
 	case unsigned && response.Length > responselimit.MaxFailedLength:
 		return nil, &responselimit.Error{Bound: responselimit.FailedBody, Limit: responselimit.MaxFailedLength}
 	}
-	return io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	return io.ReadAll(io.LimitReader(response.Body, most))
 }
 
 // countExceeded counts a response that exceeded a bound. It reports whether err says so.
--- a/internal/gateway/responselimits_test.go
+++ b/internal/gateway/responselimits_test.go
@@ -143,7 +143,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			response := &upstream.Response{Status: one.status, Length: one.length, Body: strings.NewReader(strings.Repeat("x", one.bytes))}
-			body, err := readBuffered(response, &call.ResponseHead{Status: one.status, Sealed: one.sealed})
+			body, err := readBuffered(response, &call.ResponseHead{Status: one.status, Sealed: one.sealed}, maxBufferedBytes)
 			bound, exceeded := responselimit.Exceeded(err)
 			assert.Equal(t, one.bound, bound)
 			assert.Equal(t, one.bound != "", exceeded)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/bodymemory"
 	"github.com/jayproxy/jayproxy/internal/call"
 	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/quarantine"
@@ -46,8 +46,14 @@
 	workspace *routetable.Workspace
 	table     *routetable.Table
 	outbound  upstream.Request
-	arrived   time.Time
-	deadline  time.Time
+	// bodyBytes is the length of the request's body, also once that was let go.
+	bodyBytes int
+	// held is the memory of the bodies of the request, first, and of its responses.
+	held []*memoryHold
+	// unread: the request was rejected before its body was read.
+	unread   bool
+	arrived  time.Time
+	deadline time.Time
 	// ctx ends when the caller disconnects or the deadline passes.
 	ctx context.Context
 
@@ -127,9 +133,11 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer j.releaseMemory()
 	defer j.settleUsage()
 	if !j.admit() {
 		j.logOutcome()
+		j.discardUnread()
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
@@ -247,20 +255,35 @@
 		r.Body = http.MaxBytesReader(j.writer, r.Body, limit)
 	}
 	control := http.NewResponseController(j.writer)
+	hold := j.newMemoryHold(func() { _ = control.SetReadDeadline(expiredDeadline) })
+	if verdict := hold.claim(j.memoryWait(), initialBodyBytes(r.ContentLength)); verdict != bodymemory.Granted {
+		return j.rejectUnread(verdict)
+	}
 	_ = control.SetReadDeadline(j.arrived.Add(max(j.deadline.Sub(j.arrived), minBodyTimeout)))
-	body, err := io.ReadAll(r.Body)
+	body, err := hold.read(r.Body, r.ContentLength, j.memoryWait)
 	_ = control.SetReadDeadline(time.Time{})
+	return j.bodyRead(hold, body, err)
+}
+
+// bodyRead keeps a body that was read, or responds to the error of reading it.
+func (j *job) bodyRead(hold *memoryHold, body []byte, err error) bool {
 	var tooLarge *http.MaxBytesError
+	var noMemory *noMemoryError
 	switch {
 	case errors.As(err, &tooLarge):
 		return j.respondClientError(http.StatusRequestEntityTooLarge, "request body larger than the configured limit")
+	case errors.As(err, &noMemory):
+		return j.rejectUnread(noMemory.verdict)
 	case err != nil:
 		// After a failed read, net/http cancels the context of every later request on
 		// the connection.
 		j.writer.Header().Set("Connection", "close")
+		if hold.mustGiveWay() {
+			return j.respondUnavailable("request body arrives too slowly while others wait for memory", spread(memoryRetryAfter, j.head.ID))
+		}
 		return j.respondClientError(http.StatusRequestTimeout, "request body not read: "+err.Error())
 	}
-	j.outbound.Body, j.outbound.HasBody = body, true
+	j.outbound.Body, j.outbound.HasBody, j.bodyBytes = body, true, len(body)
 	return true
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -175,6 +175,9 @@
 	if j.stream.delivered == 0 {
 		j.copyHeader(j.gateway.ports.Dialect.ResponseHeader(response.Header))
 		j.beginResponse(response.Status)
+		if !j.route.Repeatable() {
+			j.letBodyGo(response)
+		}
 	}
 	if _, err := j.writer.Write(ev.text); err != nil {
 		return err
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -67,17 +67,39 @@
 
 func (r *Request) wasSentOver(c *conn) bool { return slices.Contains(r.sentOver, c.number) }
 
-func (r *Request) bytes() []byte {
-	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1024)
+// joinedBytes is the size up to which a body is written together with the head.
+const joinedBytes = 32 << 10
+
+// writeTo writes the request. The body is not copied unless it is short.
+func (r *Request) writeTo(w io.Writer) error {
+	head := r.head()
+	if len(r.Body) <= joinedBytes {
+		head.Write(r.Body)
+		_, err := w.Write(head.Bytes())
+		return err
+	}
+	if _, err := w.Write(head.Bytes()); err != nil {
+		return err
+	}
+	_, err := w.Write(r.Body)
+	return err
+}
+
+// head returns the encoded head, in a buffer with room for a short body.
+func (r *Request) head() *bytes.Buffer {
+	b := &bytes.Buffer{}
+	room := len(r.Body)
+	if room > joinedBytes {
+		room = 0
+	}
+	b.Grow(room + 1024)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	_ = r.Header.Write(&b) // Writes to a bytes.Buffer don't fail.
+	_ = r.Header.Write(b) // Writes to a bytes.Buffer don't fail.
 	if r.HasBody || len(r.Body) > 0 {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	return b
 }
 
 // conn is one connection to a backend server. It carries one request at a time.
@@ -186,11 +208,8 @@
 	// When the context ends, the closed connection makes the backend server stop
 	// working on the request.
 	response.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	message := r.bytes()
-	go func() {
-		_, err := c.Write(message)
-		response.written <- err
-	}()
+	sent := *r // The caller may change the request for its next send.
+	go func() { response.written <- sent.writeTo(c) }()
 	if err := response.readHeader(r, belongs); err != nil {
 		response.stop()
 		_ = c.Close()
@@ -258,6 +277,17 @@
 	return r.wholeSent
 }
 
+// RequestSent reports, without waiting, whether the request was completely written.
+func (r *Response) RequestSent() bool {
+	select {
+	case err := <-r.written:
+		r.written <- err // For sent.
+		return err == nil
+	default:
+		return false
+	}
+}
+
 func (r *Response) awaitWritten() bool {
 	timer := time.NewTimer(writeDoneTimeout)
 	defer timer.Stop()
