Gateway: a stream goes on only at the version that was in service all along

Callers saw: text joined from two versions of a server's software, answered 200, after all entries were killed while the servers were replaced, or when the version that began a stream had left within its caller's time limit.

Cause: a caller that does not name the attempt that began its stream was given the only version listed now, whatever was in service when it began.

Change: internal/softwarehistory keeps when each version was last listed. A version counts as the stream's only if no other was in service for two time limits of the route. A record in the store, one row a service, tells entries that start what came before; the history is interrupted while the list of servers is older than 4 s.

TestARestartedServerHasAnUnknownSoftwareVersion asks the history now: it requires in addition that the new version does not count while a stream of the old one may be taken up.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,8 @@
 	bodies        *bodyMemory
 	load          controlLoad
 	feeds         []*feed
+	// backends is the feed of the list of servers.
+	backends *feed
 	// entries is the feed of the entries' rows. unregistered signals that this entry's own
 	// row is missing in it.
 	entries      *feed
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -15,6 +15,7 @@
 	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/quota"
 	"github.com/jayproxy/jayproxy/internal/routetable"
+	"github.com/jayproxy/jayproxy/internal/softwarehistory"
 	"github.com/jayproxy/jayproxy/internal/weights"
 )
 
@@ -98,6 +99,15 @@
 	Record(ctx context.Context, model string, ages []weights.VersionAge) ([]weights.VersionAge, error)
 }
 
+// SoftwareRecord records which versions of a service's software were in service, for entries
+// that start.
+type SoftwareRecord interface {
+	// Sightings returns what is recorded of a service.
+	Sightings(ctx context.Context, service string) ([]softwarehistory.Sighting, error)
+	// Record merges what an entry knows into the record and returns the result.
+	Record(ctx context.Context, service string, own []softwarehistory.Sighting) ([]softwarehistory.Sighting, error)
+}
+
 // Ports are the external systems that a Gateway uses.
 type Ports struct {
 	Dialect Dialect
@@ -112,6 +122,8 @@
 	Table platform.Table
 	// WeightAges may be nil.
 	WeightAges WeightAges
+	// Software may be nil.
+	Software SoftwareRecord
 	// HistoryGone is the error of Tables.Changes for a version that is too old.
 	HistoryGone error
 }
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -136,16 +136,20 @@
 // Guards against a server that started again under its name, perhaps at another version of its
 // software, and goes on with a stream as the one before.
 func TestARestartedServerHasAnUnknownSoftwareVersion(t *testing.T) {
+	const takeUp = time.Minute
 	now := time.Unix(1_000_000, 0)
-	s := newState(Settings{Node: "gw1"}, func(string) {})
+	s := newState(Settings{Node: "gw1", Bootstrap: true}, func(string) {})
+	only := func(at time.Time) streamorigin.Version {
+		s.observeServiceLocked(at, "s", true)
+		version, _ := s.software.services["s"].Only(at, takeUp)
+		return version
+	}
 	row := &fleet.Backend{Incarnation: fleet.Incarnation{Instance: "i-1", StartedMS: 1000}, Service: "s", Address: "10.0.0.1:80", Software: "v1"}
 	s.putBackend(now, row)
-	version, _ := s.onlyVersion("s")
-	assert.Equal(t, streamorigin.VersionOf("s", "v1"), version)
+	assert.Equal(t, streamorigin.VersionOf("s", "v1"), only(now))
 	s.reportIsCurrent(now, s.list.OfService("s")[0].ID, &call.Report{StartedMS: 2000})
-	version, source := s.onlyVersion("s")
-	assert.Zero(t, version, source)
+	assert.Zero(t, only(now))
 	s.putBackend(now, &fleet.Backend{Incarnation: fleet.Incarnation{Instance: "i-1", StartedMS: 2000}, Service: "s", Address: "10.0.0.1:80", Software: "v2"})
-	version, _ = s.onlyVersion("s")
-	assert.Equal(t, streamorigin.VersionOf("s", "v2"), version, "it has registered again")
+	assert.Zero(t, only(now), "a stream of the version before may still be taken up")
+	assert.Equal(t, streamorigin.VersionOf("s", "v2"), only(now.Add(takeUp)), "it has registered again")
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -17,6 +17,7 @@
 	"github.com/jayproxy/jayproxy/internal/serverlimit"
 	"github.com/jayproxy/jayproxy/internal/shard"
 	"github.com/jayproxy/jayproxy/internal/sharedfact"
+	"github.com/jayproxy/jayproxy/internal/softwarehistory"
 	"github.com/jayproxy/jayproxy/internal/waitqueue"
 	"github.com/jayproxy/jayproxy/internal/weights"
 )
@@ -36,9 +37,11 @@
 	settings Settings
 	table    atomic.Pointer[routetable.Table]
 
-	mu      sync.Mutex
-	list    *fleet.List
-	targets *weights.Targets
+	mu   sync.Mutex
+	list *fleet.List
+	// software is which versions of the servers' software were in service.
+	software softwareHistories
+	targets  *weights.Targets
 	// operatorsRead: the operator's rows have been read once since the start.
 	operatorsRead bool
 	members       *membership.Members
@@ -109,9 +112,10 @@
 	between := newCrossings(settings)
 	return &state{
 		settings: settings, closeIdle: closeIdle, crossings: between,
-		list:    fleet.NewList(listGrace),
-		targets: weights.NewTargets(),
-		members: membership.New(membership.DefaultSettings()),
+		list:     fleet.NewList(listGrace),
+		software: softwareHistories{services: map[string]*softwarehistory.History{}},
+		targets:  weights.NewTargets(),
+		members:  membership.New(membership.DefaultSettings()),
 		router: routing.NewDirect(routing.DirectOptions{
 			DataCentre: settings.DataCentre, MaxVersionAge: settings.VersionBound - versionMargin, Locality: between.policy(),
 		}),
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -164,11 +164,13 @@
 	g := j.gateway
 	started := time.Now()
 	source := ""
-	if j.head.Resumes == "" {
-		j.origin, source = g.state.onlyVersion(j.service.Name)
-	} else {
+	if j.head.Resumes != "" {
 		j.origin, source = g.origins.find(j.ctx, streamorigin.StreamOf(j.head.Resumes))
 	}
+	if j.origin == 0 {
+		// Nobody knows the stream, as after a loss of all entries, or the caller does not name it.
+		j.origin, source = g.onlyVersion(j.service.Name)
+	}
 	klog.InfoS("Stream taken up", "request", j.head.ID, "resumes", j.head.Resumes, "after", j.head.LastEventID,
 		"known", j.origin != 0, "source", source, "tookMS", time.Since(started).Milliseconds())
 	if j.origin != 0 {
@@ -180,21 +182,6 @@
 	return false
 }
 
-// onlyVersion returns the software version of a service's servers if all have the same, for
-// callers that do not name a first attempt; 0: they don't.
-func (s *state) onlyVersion(service string) (streamorigin.Version, string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	only := uint32(0)
-	for _, b := range s.list.OfService(service) {
-		if b.SoftwareHash == 0 || only != 0 && b.SoftwareHash != only {
-			return 0, "servers of several versions, and no first attempt named"
-		}
-		only = b.SoftwareHash
-	}
-	return streamorigin.Version(only), "the only version listed"
-}
-
 // recordOrigin records, before the caller gets the first event of a response, which
 // version must go on with the stream.
 func (j *job) recordOrigin(choice *routing.DirectChoice) {
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -21,10 +21,10 @@
 	operatorPolicy := mirror.Policy{Older: g.ports.Decoder.OlderOperatorRow, Lasting: true}
 	backendPolicy := mirror.Policy{Same: g.ports.Decoder.SameBackend, Older: g.ports.Decoder.OlderBackend}
 	operators := newFeed(&feed{copy: mirror.NewCopy(operatorPolicy), asksPeers: true, table: g.ports.Decoder.OperatorTable, wait: longPollWait, relayPause: g.relayPause(), apply: g.applyOperator})
-	backends := newFeed(&feed{copy: mirror.NewCopy(backendPolicy), asksPeers: true, table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: g.relayPause(), apply: g.applyBackends})
+	g.backends = newFeed(&feed{copy: mirror.NewCopy(backendPolicy), asksPeers: true, table: g.ports.Decoder.BackendTable, pause: g.backendPause(), relayPause: g.relayPause(), apply: g.applyBackends})
 	g.entries = newFeed(&feed{table: g.ports.Decoder.EntryTable, wait: longPollWait, pause: entriesPause, relayPause: g.relayPause(), apply: g.applyEntries})
 	g.suspected = newFeed(&feed{table: g.ports.Decoder.SuspectTable, wait: longPollWait, pause: entriesPause, relayPause: suspectRelayInterval, apply: g.applySuspects})
-	for _, f := range []*feed{operators, backends, g.suspected} {
+	for _, f := range []*feed{operators, g.backends, g.suspected} {
 		g.spawn(func() {
 			g.awaitRoster(ctx, start)
 			g.runFeed(ctx, f)
@@ -38,10 +38,11 @@
 	})
 	g.spawn(func() { g.publishSuspects(ctx) })
 	g.spawn(func() { g.persistSuspects(ctx) })
-	g.spawn(func() { g.readFromPeersDuringOutage(ctx, backends) })
+	g.spawn(func() { g.readFromPeersDuringOutage(ctx, g.backends) })
 	g.spawn(func() { g.keepRegistered(ctx) })
 	g.spawn(func() { g.fetchWeightHistory(ctx) })
 	g.spawn(func() { g.keepWeightAges(ctx) })
+	g.spawn(func() { g.keepSoftwareHistory(ctx) })
 	g.spawn(func() { g.every(ctx, waitQueueInterval, g.serveWaitQueue) })
 	g.spawn(func() { g.watchKVStores(ctx) })
 	g.spawn(func() { g.usage.run(ctx) })
