Gateway: a stopping entry gives its calls to the store 1.5 s

With a silent store a stop took 3.5 s though all callers had left after 1.4 s: the process waited for the release of the lease until its own bound, and its successor started that much later.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,7 +49,10 @@
 	maxProbeWait = 3500 * time.Millisecond
 	// shutdownReserve is the part of the grace period left for the end of the
 	// process.
-	shutdownReserve       = 700 * time.Millisecond
+	shutdownReserve = 700 * time.Millisecond
+	// leaveTimeout bounds the calls to the store of an entry that stops. It is less than the
+	// wait for probes usually takes, so that the entry is not away longer for these calls.
+	leaveTimeout          = 1500 * time.Millisecond
 	conditionPollInterval = 20 * time.Millisecond
 )
 
@@ -325,6 +328,7 @@
 // wait for: the store may be slow or give no answer. The channel is closed when both are
 // done or given up.
 func (g *Gateway) leaveStore(ctx context.Context) <-chan struct{} {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	var calls sync.WaitGroup
 	if g.keeper != nil {
 		calls.Go(func() { g.keeper.Close(ctx) })
@@ -333,6 +337,7 @@
 	done := make(chan struct{})
 	go func() {
 		calls.Wait()
+		cancel()
 		close(done)
 	}()
 	return done
