--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -141,7 +141,7 @@
 	s := newState(Settings{Node: "gw1", Bootstrap: true}, func(string) {})
 	only := func(at time.Time) streamorigin.Version {
 		s.observeServiceLocked(at, "s", true)
-		version, _ := s.software.services["s"].Only(at, takeUp)
+		version, _ := s.software["s"].Only(at, takeUp)
 		return version
 	}
 	row := &fleet.Backend{Incarnation: fleet.Incarnation{Instance: "i-1", StartedMS: 1000}, Service: "s", Address: "10.0.0.1:80", Software: "v1"}
--- a/internal/gateway/softwarehistory.go
+++ b/internal/gateway/softwarehistory.go
@@ -24,12 +24,6 @@
 	takeUpTimeouts = 2
 )
 
-// softwareHistories knows which versions of the software of services with resumable streams
-// were in service. The state's lock guards it.
-type softwareHistories struct {
-	services map[string]*softwarehistory.History
-}
-
 // softwareRecorder keeps the store's record of these versions in step with what this entry
 // knows.
 type softwareRecorder struct {
@@ -78,7 +72,7 @@
 	s := r.gateway.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if h := s.software.services[service]; h != nil {
+	if h := s.software[service]; h != nil {
 		h.Merge(lease.BootClock(), recorded)
 	}
 	klog.InfoS("Versions of a service's software merged with the store's record", "service", service, "own", len(own), "recorded", len(recorded))
@@ -91,7 +85,7 @@
 	defer s.mu.Unlock()
 	due := map[string][]softwarehistory.Sighting{}
 	now := lease.BootClock()
-	for service, h := range s.software.services {
+	for service, h := range s.software {
 		if h.NeedsMerge() || writes && h.RecordLacks(now) {
 			due[service] = h.Sightings(now)
 		}
@@ -123,13 +117,13 @@
 
 // observeServiceLocked notes the versions of one service. recent: the list of servers is.
 func (s *state) observeServiceLocked(now time.Time, service string, recent bool) {
-	h := s.software.services[service]
+	h := s.software[service]
 	switch {
 	case h == nil && !recent:
 		return
 	case h == nil:
 		h = softwarehistory.New()
-		s.software.services[service] = h
+		s.software[service] = h
 		if s.settings.Bootstrap {
 			h.Merge(now, nil) // No stream has begun before the first start.
 		}
@@ -154,7 +148,7 @@
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.software.services[service]
+	h := s.software[service]
 	if h == nil {
 		return 0, "versions in service are not known"
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -39,8 +39,9 @@
 
 	mu   sync.Mutex
 	list *fleet.List
-	// software is which versions of the servers' software were in service.
-	software softwareHistories
+	// software is, by service with resumable streams, which versions of its servers' software
+	// were in service.
+	software map[string]*softwarehistory.History
 	targets  *weights.Targets
 	// operatorsRead: the operator's rows have been read once since the start.
 	operatorsRead bool
@@ -113,7 +114,7 @@
 	return &state{
 		settings: settings, closeIdle: closeIdle, crossings: between,
 		list:     fleet.NewList(listGrace),
-		software: softwareHistories{services: map[string]*softwarehistory.History{}},
+		software: map[string]*softwarehistory.History{},
 		targets:  weights.NewTargets(),
 		members:  membership.New(membership.DefaultSettings()),
 		router: routing.NewDirect(routing.DirectOptions{
