KNOWN-RED rule: a package may fail for a listed subtest whose parent is not listed

Cause: a package was tolerated only if each failing test inside it is listed. A listed subtest fails together with its parent, which was tolerated itself but not looked up that way for the package. Subtests that failed were not counted either, as the name behind the last slash of a subtest has no dot.

Change: the package or parent of failing tests is tolerated if all of these are; the check of listed lines is as strict as before (another failing subtest, a parent without a listed test, and a package without a failing test still fail the run).

Both tests fail before the change.

--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -26,7 +26,8 @@
 
 // run is the outcome of a test run.
 type run struct {
-	output  map[string][]string
+	output map[string][]string
+	// failed has an entry for each test and package that failed: true for tests.
 	failed  map[string]bool
 	passed  map[string]bool
 	skipped int
@@ -89,7 +90,7 @@
 	case "output", "build-output":
 		r.output[name] = append(r.output[name], e.Output)
 	case "fail":
-		r.failed[name] = true
+		r.failed[name] = e.Test != ""
 	case "skip":
 		if e.Test != "" {
 			r.skipped++
@@ -112,7 +113,7 @@
 			continue
 		}
 		passes = false
-		if strings.Contains(name[strings.LastIndex(name, "/")+1:], ".") {
+		if r.failed[name] {
 			failedTests++
 		}
 		fmt.Printf("--- FAIL %s\n%s", name, strings.Join(r.output[name], ""))
@@ -151,23 +152,22 @@
 }
 
 // tolerated reports whether a failure is tolerated: the test is listed, or it is the
-// package or parent of listed tests and of no other failing test.
+// package or parent of failing tests that are all tolerated.
 func tolerated(name string, r run, known map[string][]string) bool {
 	if _, ok := known[name]; ok {
 		return true
 	}
-	listedInside := 0
+	inside := 0
 	for other := range r.failed {
-		inside := strings.HasPrefix(other, name+".") || strings.HasPrefix(other, name+"/")
-		if other == name || !inside {
+		if !strings.HasPrefix(other, name+".") && !strings.HasPrefix(other, name+"/") {
 			continue
 		}
-		if _, ok := known[other]; !ok {
+		if !tolerated(other, r, known) {
 			return false
 		}
-		listedInside++
+		inside++
 	}
-	return listedInside > 0
+	return inside > 0
 }
 
 func sorted[V any](set map[string]V) []string {
--- a/tools/knownred/main_test.go
+++ b/tools/knownred/main_test.go
@@ -52,3 +52,30 @@
 	require.NoError(t, err)
 	assert.Len(t, known, tests)
 }
+
+// Guards against a run that fails for a listed subtest alone, as its parent and package fail
+// with it and are not listed.
+func TestParentsOfListedTestsMayFail(t *testing.T) {
+	const packageName, parent, listed, other = "m/p", "m/p.T", "m/p.T/3/drains", "m/p.T/4"
+	known := map[string][]string{listed: {listed + " | at times: go test | seen"}}
+	failed := func(names ...string) run {
+		r := run{failed: map[string]bool{}, passed: map[string]bool{"m/p.Other": true}}
+		for _, name := range names {
+			r.failed[name] = true
+		}
+		return r
+	}
+	assert.True(t, report(failed(packageName, parent, "m/p.T/3", listed), known))
+	assert.False(t, report(failed(packageName, parent, listed, other), known), "another subtest fails")
+	assert.False(t, report(failed(packageName, parent), known), "no listed test fails")
+	assert.False(t, report(failed(packageName), known), "the package fails without a test")
+}
+
+// Guards against a summary that does not count the subtests that fail.
+func TestFailedSubtestsAreCounted(t *testing.T) {
+	r := run{failed: map[string]bool{}}
+	for _, name := range []string{"T/3", "T", ""} {
+		r.add(event{Action: "fail", Package: "m/p", Test: name})
+	}
+	assert.Equal(t, map[string]bool{"m/p.T/3": true, "m/p.T": true, "m/p": false}, r.failed)
+}
