Gateway: a history of versions that is interrupted while its record is read is not whole

What callers would see: a stream joined from two versions, if its list of servers became too old while the store answered the row of versions: the history counted as whole again with the next list, although versions may have come and gone unseen. Found by reading, not seen.

Cause: Merge marked the history as whole whenever the row was answered, also when it was asked for before the interruption.

Change: the merge carries the number of interruptions at the time the row was asked for; the history is whole only if it is still the same. TestARecordReadBeforeAnInterruptionMakesNoHistoryWhole fails with the old condition.

--- a/internal/gateway/softwarehistory.go
+++ b/internal/gateway/softwarehistory.go
@@ -45,8 +45,8 @@
 		return
 	}
 	writes := !g.sharded() || g.contendsAlways()
-	for service, own := range g.state.softwareToMerge(writes) {
-		if err := r.merge(ctx, service, own, writes); err != nil {
+	for service, due := range g.state.softwareToMerge(writes) {
+		if err := r.merge(ctx, service, due, writes); err != nil {
 			r.retryAt = now.Add(otherTablesRetryPause)
 			klog.InfoS("Versions of a service's software not merged with the store's record, will retry", "service", service, "retryMS", otherTablesRetryPause.Milliseconds(), "err", err)
 			return
@@ -55,13 +55,13 @@
 }
 
 // merge merges the record of one service. In large fleets only the first entries write it.
-func (r *softwareRecorder) merge(ctx context.Context, service string, own []softwarehistory.Sighting, writes bool) error {
+func (r *softwareRecorder) merge(ctx context.Context, service string, due dueMerge, writes bool) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	read := r.gateway.ports.Software.Sightings
 	if writes {
 		read = func(ctx context.Context, service string) ([]softwarehistory.Sighting, error) {
-			return r.gateway.ports.Software.Record(ctx, service, own)
+			return r.gateway.ports.Software.Record(ctx, service, due.own)
 		}
 	}
 	recorded, err := read(ctx, service)
@@ -72,21 +72,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if h := s.software[service]; h != nil {
-		h.Merge(lease.BootClock(), recorded)
+		h.Merge(lease.BootClock(), recorded, due.interruptions)
 	}
-	klog.InfoS("Versions of a service's software merged with the store's record", "service", service, "own", len(own), "recorded", len(recorded))
+	klog.InfoS("Versions of a service's software merged with the store's record", "service", service, "own", len(due.own), "recorded", len(recorded))
 	return nil
 }
 
-// softwareToMerge returns what this entry knows of the services whose record must be merged.
-func (s *state) softwareToMerge(writes bool) map[string][]softwarehistory.Sighting {
+// dueMerge is what this entry knows of a service whose record must be merged, and how often
+// that was interrupted.
+type dueMerge struct {
+	own           []softwarehistory.Sighting
+	interruptions int
+}
+
+// softwareToMerge returns the services whose record must be merged.
+func (s *state) softwareToMerge(writes bool) map[string]dueMerge {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	due := map[string][]softwarehistory.Sighting{}
+	due := map[string]dueMerge{}
 	now := lease.BootClock()
 	for service, h := range s.software {
 		if h.NeedsMerge() || writes && h.RecordLacks(now) {
-			due[service] = h.Sightings(now)
+			due[service] = dueMerge{own: h.Sightings(now), interruptions: h.Interruptions()}
 		}
 	}
 	return due
@@ -124,7 +131,7 @@
 		h = softwarehistory.New()
 		s.software[service] = h
 		if s.settings.Bootstrap {
-			h.Merge(now, nil) // No stream has begun before the first start.
+			h.Merge(now, nil, h.Interruptions()) // No stream has begun before the first start.
 		}
 	case !recent:
 		h.Interrupt()
--- a/internal/softwarehistory/history.go
+++ b/internal/softwarehistory/history.go
@@ -43,6 +43,8 @@
 	// merged: it was merged since the history was last interrupted.
 	recorded []streamorigin.Version
 	merged   bool
+	// interruptions counts how often it was interrupted.
+	interruptions int
 }
 
 // New returns a history without a version, which is not whole.
@@ -69,7 +71,13 @@
 }
 
 // Interrupt says that versions may have come and gone unseen.
-func (h *History) Interrupt() { h.since, h.merged = time.Time{}, false }
+func (h *History) Interrupt() {
+	h.since, h.merged = time.Time{}, false
+	h.interruptions++
+}
+
+// Interruptions returns how often the history was interrupted.
+func (h *History) Interruptions() int { return h.interruptions }
 
 // Sightings returns what this process knows.
 func (h *History) Sightings(now time.Time) []Sighting {
@@ -83,11 +91,12 @@
 	return sorted(all)
 }
 
-// Merge adds what the record says. The history is whole then: the record shows all versions
-// that were in service before.
-func (h *History) Merge(now time.Time, recorded []Sighting) {
+// Merge adds what the record says, which was asked for after the given number of interruptions.
+// The history is whole then, as the record shows all versions that were in service before,
+// unless it was interrupted since.
+func (h *History) Merge(now time.Time, recorded []Sighting, interruptions int) {
 	whole := h.merged
-	h.recorded, h.merged = nil, true
+	h.recorded, h.merged = nil, interruptions == h.interruptions
 	for _, s := range recorded {
 		if s.Listed {
 			h.recorded = append(h.recorded, s.Version)
--- a/internal/softwarehistory/history_test.go
+++ b/internal/softwarehistory/history_test.go
@@ -44,7 +44,7 @@
 func TestAnInterruptedHistoryIsNotWhole(t *testing.T) {
 	h := softwarehistory.New()
 	h.Observe(start, versions(1))
-	h.Merge(start, nil)
+	h.Merge(start, nil, 0)
 	assert.EqualValues(t, 1, only(h, start))
 	h.Interrupt()
 	assert.Zero(t, only(h, after(60)))
@@ -52,11 +52,26 @@
 	h.Observe(after(60), versions(1))
 	assert.Zero(t, only(h, after(61)))
 	assert.True(t, h.NeedsMerge())
-	h.Merge(after(61), []softwarehistory.Sighting{{Version: 1, Listed: true}, {Version: 2, Unlisted: 10 * time.Second}})
+	h.Merge(after(61), []softwarehistory.Sighting{{Version: 1, Listed: true}, {Version: 2, Unlisted: 10 * time.Second}}, h.Interruptions())
 	assert.Zero(t, only(h, after(61)))
 	assert.EqualValues(t, 1, only(h, after(81)))
 }
 
+// Guards against a history that counts as whole by a record which was read before the
+// interruption, and so does not show what came and went during it.
+func TestARecordReadBeforeAnInterruptionMakesNoHistoryWhole(t *testing.T) {
+	h := softwarehistory.New()
+	h.Observe(start, versions(1))
+	asked := h.Interruptions()
+	h.Interrupt()
+	h.Merge(after(1), []softwarehistory.Sighting{{Version: 1, Listed: true}}, asked)
+	h.Observe(after(2), versions(1))
+	assert.Zero(t, only(h, after(2)))
+	assert.True(t, h.NeedsMerge())
+	h.Merge(after(3), []softwarehistory.Sighting{{Version: 1, Listed: true}}, h.Interruptions())
+	assert.EqualValues(t, 1, only(h, after(3)))
+}
+
 // Guards against streams that go on at a version that replaced theirs while all processes were
 // away, and against processes that never know the version again.
 func TestARecordOutlivesAllProcesses(t *testing.T) {
@@ -67,29 +82,29 @@
 
 	same := softwarehistory.New()
 	same.Observe(after(60), versions(1))
-	same.Merge(after(60), record)
+	same.Merge(after(60), record, 0)
 	assert.EqualValues(t, 1, only(same, after(60)))
 	assert.False(t, same.RecordLacks(after(60)))
 
 	replaced := softwarehistory.New()
 	replaced.Observe(after(60), versions(2))
-	replaced.Merge(after(60), record)
+	replaced.Merge(after(60), record, 0)
 	assert.Zero(t, only(replaced, after(60)))
 	assert.True(t, replaced.RecordLacks(after(60)))
 	record, _ = softwarehistory.MergeRecord(record, replaced.Sightings(after(60)))
-	replaced.Merge(after(60), record)
+	replaced.Merge(after(60), record, 0)
 	assert.False(t, replaced.RecordLacks(after(64)))
 	assert.True(t, replaced.RecordLacks(after(65)), "the version before has left")
 	record, changed = softwarehistory.MergeRecord(record, replaced.Sightings(after(65)))
 	assert.True(t, changed)
-	replaced.Merge(after(65), record)
+	replaced.Merge(after(65), record, 0)
 	assert.False(t, replaced.RecordLacks(after(80)))
 	assert.EqualValues(t, 2, only(replaced, after(90)), "merging again makes the version before no younger")
 
 	last := softwarehistory.New()
 	last.Observe(after(70), versions(2))
 	record[0].Unlisted = 10 * time.Second
-	last.Merge(after(70), record)
+	last.Merge(after(70), record, 0)
 	assert.Zero(t, only(last, after(70)))
 	assert.EqualValues(t, 2, only(last, after(90)))
 }
@@ -100,7 +115,7 @@
 	record := []softwarehistory.Sighting{{Version: 1, Listed: true}, {Version: 2, Listed: true}}
 	behind := softwarehistory.New()
 	behind.Observe(start, versions(1))
-	behind.Merge(start, record)
+	behind.Merge(start, record, 0)
 	merged, changed := softwarehistory.MergeRecord(record, behind.Sightings(after(4)))
 	assert.False(t, changed)
 	assert.Equal(t, record, merged)
