Gateway: a rejection reaches a caller that still sends its body

What callers saw: "broken pipe" or a reset instead of the response that says that nothing ran. 8 of 12 rejections with 401, 404 or 413 of bodies over 4 MiB, 4 of 4 with 503 for want of memory whose callers pause for 3 s, and all 15 bodies that gave way to others.

Cause: a connection that is closed with unread bytes is reset. net/http reads 256 KiB of an unread body at most; rejections for want of memory read on for 2 s; a body that gave way was ended by an expired read deadline, after which nothing more can be read from a chunked body.

Change: all rejections before the end of a body go one way: response at once, then the rest is read until the caller's time limit, then the connection is closed. Large bodies are read through a pipe, so that reading can be given up without an error of the connection. The memory of the body is released before that. A hold that still reads stays known when its second claim is withdrawn.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -33,8 +32,6 @@
 	bodyGrowth = 4
 	// minBufferedBytes of a response are held whether or not there is memory for them.
 	minBufferedBytes = 4 << 10
-	// maxUnreadTime bounds the time in which the rest of a rejected request's body is read.
-	maxUnreadTime = 2 * time.Second
 )
 
 // bodyMemory is the memory for bodies of this process. It is safe for concurrent use.
@@ -90,9 +87,7 @@
 	defer m.mu.Unlock()
 	for _, c := range m.budget.Slow(now) {
 		m.budget.EndReading(c)
-		h := m.holds[c]
-		h.givesWay = true
-		h.stopReading()
+		m.holds[c].source.stopReading()
 	}
 }
 
@@ -100,18 +95,28 @@
 type memoryHold struct {
 	memory *bodyMemory
 	bodymemory.Claim
-	// stopReading makes the read of the body fail. givesWay: it was called.
-	stopReading func()
-	givesWay    bool
-	// reading: the budget knows that the body is read.
+	// source is the body. reading: the budget knows that it is read.
+	source  interruptible
 	reading bool
 	// granted is closed when the claim, which waits, is granted.
 	granted chan struct{}
 }
 
+// interruptible is a body whose reader can be stopped.
+type interruptible interface {
+	io.Reader
+	// allowStop is called before stopReading may be.
+	allowStop()
+	// stopReading makes reads fail with errGivesWay.
+	stopReading()
+}
+
+// errGivesWay says that a body must give way to others that wait for its memory.
+var errGivesWay = errors.New("request body arrives too slowly while others wait for memory")
+
 // newMemoryHold returns a hold that lasts until the job ends.
-func (j *job) newMemoryHold(stopReading func()) *memoryHold {
-	h := &memoryHold{memory: j.gateway.bodies, stopReading: stopReading}
+func (j *job) newMemoryHold() *memoryHold {
+	h := &memoryHold{memory: j.gateway.bodies}
 	j.held = append(j.held, h)
 	return h
 }
@@ -152,7 +157,9 @@
 	if !h.IsWaiting() {
 		return bodymemory.Granted
 	}
-	delete(m.holds, &h.Claim)
+	if !h.reading {
+		delete(m.holds, &h.Claim)
+	}
 	m.wake(m.budget.Release(&h.Claim))
 	return bodymemory.Waiting
 }
@@ -177,12 +184,6 @@
 	h.memory.wake(h.memory.budget.Release(&h.Claim))
 }
 
-func (h *memoryHold) mustGiveWay() bool {
-	h.memory.mu.Lock()
-	defer h.memory.mu.Unlock()
-	return h.givesWay
-}
-
 // noMemoryError says that there is no memory for the rest of a body.
 type noMemoryError struct{ verdict bodymemory.Verdict }
 
@@ -202,10 +203,10 @@
 // read reads a body within the memory that is held, in a buffer of its length. A body whose
 // length is not known (-1) is read in a buffer that grows; when it is longer than what is held,
 // memory for the largest body is claimed, for at most the time that wait returns.
-func (h *memoryHold) read(body io.Reader, length int64, wait func() time.Duration) ([]byte, error) {
+func (h *memoryHold) read(length int64, wait func() time.Duration) ([]byte, error) {
 	h.beginReading()
 	defer h.endReading()
-	reader := &bodyReader{inner: body, hold: h}
+	reader := &bodyReader{h}
 	if length >= 0 {
 		whole := make([]byte, length)
 		_, err := io.ReadFull(reader, whole)
@@ -248,6 +249,7 @@
 		return
 	}
 	h.reading = true
+	h.source.allowStop()
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
 	h.memory.holds[&h.Claim] = h
@@ -264,14 +266,11 @@
 }
 
 // bodyReader reads a body and reports how much of it has arrived.
-type bodyReader struct {
-	inner io.Reader
-	hold  *memoryHold
-}
+type bodyReader struct{ hold *memoryHold }
 
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
-	n, err := r.inner.Read(p)
+	n, err := r.hold.source.Read(p)
 	if r.hold.reading {
 		r.hold.memory.mu.Lock()
 		r.hold.memory.budget.Received(&r.hold.Claim, n)
@@ -286,9 +285,8 @@
 	return min(maxMemoryWait, time.Duration(left*memoryWaitShare))
 }
 
-// rejectUnread rejects a request for whose body there is no memory. The rest of the body is
-// read later (discardUnread). It always returns false.
-func (j *job) rejectUnread(verdict bodymemory.Verdict) bool {
+// rejectForMemory rejects a request for whose body there is no memory. It always returns false.
+func (j *job) rejectForMemory(verdict bodymemory.Verdict) bool {
 	held, asked := j.gateway.bodies.sums()
 	retryAfter := spread(memoryRetryAfter, j.head.ID)
 	if verdict == bodymemory.TooLarge {
@@ -297,30 +295,9 @@
 	j.gateway.metrics.Count("body_memory_rejected", verdict.String(), 1)
 	klog.InfoS("Request rejected: no memory for its body", "request", j.head.ID, "length", j.inbound.ContentLength, "verdict", verdict.String(),
 		"heldBytes", held, "waitedForBytes", asked, "waitedMS", time.Since(j.arrived).Milliseconds(), "retryAfterMS", retryAfter.Milliseconds())
-	j.unread = j.inbound.Header.Get("Expect") == ""
-	if !j.unread {
-		j.writer.Header().Set("Connection", "close")
-	}
-	_ = http.NewResponseController(j.writer).EnableFullDuplex()
 	return j.respondUnavailable("no memory for the request body", retryAfter)
 }
 
-// discardUnread sends the response to a request whose body was not read, and then reads the
-// body: a connection that is closed with unread bytes is reset, and a caller that still sends
-// would not see the response. It closes the connection if the body does not end in time.
-func (j *job) discardUnread() {
-	if !j.unread {
-		return
-	}
-	control := http.NewResponseController(j.writer)
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(maxUnreadTime))
-	if _, err := io.Copy(io.Discard, j.inbound.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-}
-
 // letBodyGo releases the body of a request that cannot be sent again, if it is large and was
 // sent completely.
 func (j *job) letBodyGo(response *upstream.Response) {
@@ -339,7 +316,7 @@
 	if length >= 0 {
 		bytes = min(bytes, length)
 	}
-	if bytes <= minBufferedBytes || j.newMemoryHold(nil).tryClaim(bytes) {
+	if bytes <= minBufferedBytes || j.newMemoryHold().tryClaim(bytes) {
 		return maxBufferedBytes
 	}
 	j.gateway.metrics.Count("body_memory_rejected", "response buffer", 1)
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -19,7 +19,18 @@
 	testLargestBody  = 4 << 20
 )
 
-func newTestHold(m *bodyMemory) *memoryHold { return &memoryHold{memory: m, stopReading: func() {}} }
+// testSource is a body; stopped is called when its reader is stopped.
+type testSource struct {
+	io.Reader
+	stopped func()
+}
+
+func (testSource) allowStop()     {}
+func (s testSource) stopReading() { s.stopped() }
+
+func newTestHold(m *bodyMemory, body io.Reader) *memoryHold {
+	return &memoryHold{memory: m, source: testSource{body, func() {}}}
+}
 
 func noWait() time.Duration { return 0 }
 
@@ -29,10 +40,10 @@
 		for _, length := range []int64{int64(size), -1} {
 			m := newBodyMemory(testProcessBytes)
 			m.setLargest(testLargestBody)
-			h := newTestHold(m)
-			require.Equal(t, bodymemory.Granted, h.claim(0, initialBodyBytes(length)))
 			want := bytes.Repeat([]byte("0123456789abcdef7"), size/17+1)[:size]
-			got, err := h.read(iotest.HalfReader(bytes.NewReader(want)), length, noWait)
+			h := newTestHold(m, iotest.HalfReader(bytes.NewReader(want)))
+			require.Equal(t, bodymemory.Granted, h.claim(0, initialBodyBytes(length)))
+			got, err := h.read(length, noWait)
 			require.NoError(t, err)
 			assert.True(t, bytes.Equal(want, got))
 			assert.GreaterOrEqual(t, h.Held(), int64(cap(got)))
@@ -51,21 +62,21 @@
 	m.setLargest(testLargestBody)
 	var others []*memoryHold
 	for {
-		h := newTestHold(m)
+		h := newTestHold(m, nil)
 		if h.claim(0, testLargestBody) != bodymemory.Granted {
 			break
 		}
 		others = append(others, h)
 	}
-	h := newTestHold(m)
+	h := newTestHold(m, bytes.NewReader(make([]byte, 1<<20)))
 	require.Equal(t, bodymemory.Granted, h.claim(0, initialBodyBytes(-1)))
-	_, err := h.read(bytes.NewReader(make([]byte, 1<<20)), -1, noWait)
+	_, err := h.read(-1, noWait)
 	var noMemory *noMemoryError
 	require.ErrorAs(t, err, &noMemory)
 	h.release()
-	h = newTestHold(m)
+	h = newTestHold(m, io.MultiReader(bytes.NewReader(make([]byte, 10)), iotest.ErrReader(errors.New("broken"))))
 	require.Equal(t, bodymemory.Granted, h.claim(0, 1000))
-	_, err = h.read(io.MultiReader(bytes.NewReader(make([]byte, 10)), iotest.ErrReader(errors.New("broken"))), 1000, noWait)
+	_, err = h.read(1000, noWait)
 	require.Error(t, err)
 	h.release()
 	for _, other := range others {
@@ -82,13 +93,13 @@
 	m.setLargest(testLargestBody)
 	stopped := make(chan struct{}, 2)
 	for range 2 {
-		h := newTestHold(m)
-		h.stopReading = func() { stopped <- struct{}{}; go h.release() }
+		h := newTestHold(m, nil)
+		h.source = testSource{stopped: func() { stopped <- struct{}{}; go h.release() }}
 		require.Equal(t, bodymemory.Granted, h.claim(0, testLargestBody))
 		h.beginReading()
 	}
 	time.Sleep(bodymemory.RateGrace + 50*time.Millisecond)
-	h := newTestHold(m)
+	h := newTestHold(m, nil)
 	assert.Equal(t, bodymemory.Granted, h.claim(time.Second, testLargestBody))
 	assert.NotEmpty(t, stopped)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,9 +49,8 @@
 	// bodyBytes is the length of the request's body, also once that was let go.
 	bodyBytes int
 	// held is the memory of the bodies of the request, first, and of its responses.
-	held []*memoryHold
-	// unread: the request was rejected before its body was read.
-	unread   bool
+	held     []*memoryHold
+	body     callerBody
 	arrived  time.Time
 	deadline time.Time
 	// ctx ends when the caller disconnects or the deadline passes.
@@ -127,6 +126,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	j := &job{gateway: g, writer: w, inbound: r, arrived: time.Now()}
+	j.body.pending = r.Body != nil && r.Body != http.NoBody
 	g.load.requests.Add(1)
 	g.active.Add(1)
 	defer g.active.Add(-1)
@@ -137,6 +137,7 @@
 	defer j.settleUsage()
 	if !j.admit() {
 		j.logOutcome()
+		j.releaseMemory()
 		j.discardUnread()
 		return
 	}
@@ -243,7 +244,7 @@
 func (j *job) readBody() bool {
 	r := j.inbound
 	j.outbound = upstream.Request{Method: r.Method, Target: requestTarget(r), Host: r.Host}
-	if r.Body == nil || r.Body == http.NoBody {
+	if !j.body.pending {
 		j.outbound.HasBody = r.ContentLength == 0 && r.Header.Get("Content-Length") != ""
 		return true
 	}
@@ -251,38 +252,39 @@
 	if limit > 0 && r.ContentLength > limit {
 		return j.respondClientError(http.StatusRequestEntityTooLarge, "request body larger than the configured limit")
 	}
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(j.writer, r.Body, limit)
-	}
-	control := http.NewResponseController(j.writer)
-	hold := j.newMemoryHold(func() { _ = control.SetReadDeadline(expiredDeadline) })
+	j.body.source = newBodySource(r.Body, limit)
+	hold := j.newMemoryHold()
+	hold.source = j.body.source
 	if verdict := hold.claim(j.memoryWait(), initialBodyBytes(r.ContentLength)); verdict != bodymemory.Granted {
-		return j.rejectUnread(verdict)
+		return j.rejectForMemory(verdict)
 	}
-	_ = control.SetReadDeadline(j.arrived.Add(max(j.deadline.Sub(j.arrived), minBodyTimeout)))
-	body, err := hold.read(r.Body, r.ContentLength, j.memoryWait)
+	control := http.NewResponseController(j.writer)
+	_ = control.SetReadDeadline(j.bodyDeadline())
+	j.body.begun = true
+	body, err := hold.read(r.ContentLength, j.memoryWait)
 	_ = control.SetReadDeadline(time.Time{})
-	return j.bodyRead(hold, body, err)
+	return j.bodyRead(body, err)
 }
 
 // bodyRead keeps a body that was read, or responds to the error of reading it.
-func (j *job) bodyRead(hold *memoryHold, body []byte, err error) bool {
+func (j *job) bodyRead(body []byte, err error) bool {
 	var tooLarge *http.MaxBytesError
 	var noMemory *noMemoryError
 	switch {
 	case errors.As(err, &tooLarge):
 		return j.respondClientError(http.StatusRequestEntityTooLarge, "request body larger than the configured limit")
 	case errors.As(err, &noMemory):
-		return j.rejectUnread(noMemory.verdict)
+		return j.rejectForMemory(noMemory.verdict)
+	case errors.Is(err, errGivesWay):
+		return j.respondUnavailable(errGivesWay.Error(), spread(memoryRetryAfter, j.head.ID))
 	case err != nil:
 		// After a failed read, net/http cancels the context of every later request on
 		// the connection.
 		j.writer.Header().Set("Connection", "close")
-		if hold.mustGiveWay() {
-			return j.respondUnavailable("request body arrives too slowly while others wait for memory", spread(memoryRetryAfter, j.head.ID))
-		}
 		return j.respondClientError(http.StatusRequestTimeout, "request body not read: "+err.Error())
 	}
+	j.body.source.awaitEnd()
+	j.body.pending = false
 	j.outbound.Body, j.outbound.HasBody, j.bodyBytes = body, true, len(body)
 	return true
 }
@@ -318,6 +320,7 @@
 }
 
 func (j *job) respondEmpty(status int) {
+	j.respondBeforeBody()
 	j.writer.Header().Set("Content-Length", "0")
 	j.beginResponse(status)
 	j.ended = true
