Gateway: bodies leave memory for the open connections

What would be seen: an entry of 134 MB with all its descriptors in use and all memory for bodies held would take 137 MB or more, and be killed with all its requests.

Cause: the memory for bodies was a fixed third of the process's, whatever its connections took. Measured: 20 KB a connection (14 MB at rest, 75 MB with 3,000 idle connections that have carried a request).

Change: bodies get what the open connections leave of seven eighths of the memory, a third at most, and room for two of the largest size at least. Gauge connections_open.

--- a/internal/bodymemory/budget.go
+++ b/internal/bodymemory/budget.go
@@ -91,13 +91,18 @@
 // New returns a budget of total bytes; 0: without a bound. Small bodies leave room for one of
 // the largest bytes.
 func New(total, largest int64) *Budget {
-	b := &Budget{reading: map[*Claim]bool{}}
+	b := &Budget{reading: map[*Claim]bool{}, largest: largest}
+	b.SetTotal(total)
+	return b
+}
+
+// SetTotal changes the memory for bodies; 0: it has no bound. What is held beyond it stays held.
+func (b *Budget) SetTotal(total int64) {
 	if total <= 0 {
 		total = math.MaxInt64
 	}
 	b.total = total
-	b.SetLargest(largest)
-	return b
+	b.SetLargest(b.largest)
 }
 
 // SetLargest changes the size of the largest body; 0: it is not known.
@@ -107,6 +112,9 @@
 	b.limits[small] = b.total - min(largest, b.total/2)
 }
 
+// Configured returns the size of the largest body, as it was set.
+func (b *Budget) Configured() int64 { return b.largest }
+
 // Largest returns the claim for a body without a length: as much as the largest body may have;
 // 0: that is not known.
 func (b *Budget) Largest() int64 { return min(b.largest, b.limits[large]) }
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -18,6 +18,12 @@
 	// responses that are held whole. The rest is for connections and state, and for what the
 	// garbage collector has not freed yet.
 	bodyMemoryShare = 1.0 / 3
+	// usableMemoryShare is the share of the process's memory that is in use at most, with
+	// processBytes for the process itself and connectionBytes for each connection: its buffers,
+	// goroutines and the headers of its request.
+	usableMemoryShare = 7.0 / 8
+	processBytes      = 16 << 20
+	connectionBytes   = 20 << 10
 	// maxMemoryWait bounds the wait for memory: callers give a request up that is not read
 	// within a second. memoryWaitShare bounds it as a share of the time left.
 	maxMemoryWait   = 800 * time.Millisecond
@@ -36,18 +42,37 @@
 
 // bodyMemory is the memory for bodies of this process. It is safe for concurrent use.
 type bodyMemory struct {
+	// limit is the memory of the process in bytes; 0: not bounded. connections returns how many
+	// are open.
+	limit       int64
+	connections func() int64
+
 	mu     sync.Mutex
 	budget *bodymemory.Budget
 	// holds are those of claims that wait, and of large bodies that are read.
 	holds map[*bodymemory.Claim]*memoryHold
 }
 
-// newBodyMemory returns the part for bodies of a process's memory in bytes; 0: not bounded.
-func newBodyMemory(processBytes int64) *bodyMemory {
-	return &bodyMemory{
-		budget: bodymemory.New(int64(float64(processBytes)*bodyMemoryShare), 0),
-		holds:  map[*bodymemory.Claim]*memoryHold{},
-	}
+// newBodyMemory returns the memory for bodies in a process with so many bytes, 0: not bounded,
+// and so many open connections.
+func newBodyMemory(limit int64, connections func() int64) *bodyMemory {
+	m := &bodyMemory{limit: limit, connections: connections, budget: bodymemory.New(0, 0), holds: map[*bodymemory.Claim]*memoryHold{}}
+	m.fitToConnections()
+	return m
+}
+
+// fitToConnections sets the memory for bodies to what the open connections leave. m must be
+// locked.
+func (m *bodyMemory) fitToConnections() {
+	m.budget.SetTotal(bodyMemoryBytes(m.limit, m.connections(), m.budget.Configured()))
+}
+
+// bodyMemoryBytes returns the memory for bodies in a process with so many bytes and connections:
+// a share of it, or what the connections leave, but room for two of the largest bodies.
+func bodyMemoryBytes(limit, connections, largest int64) int64 {
+	share := int64(float64(limit) * bodyMemoryShare)
+	left := int64(float64(limit)*usableMemoryShare) - processBytes - connections*connectionBytes
+	return min(share, max(left, 2*largest))
 }
 
 // setLargest sets the size of the largest body that a configuration allows; 0: any.
@@ -125,6 +150,7 @@
 func (h *memoryHold) claim(wait time.Duration, bytes int64) bodymemory.Verdict {
 	m := h.memory
 	m.mu.Lock()
+	m.fitToConnections()
 	verdict := m.budget.Claim(&h.Claim, bytes)
 	if verdict == bodymemory.Waiting {
 		m.holds[&h.Claim] = h
@@ -168,6 +194,7 @@
 func (h *memoryHold) tryClaim(bytes int64) bool {
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
+	h.memory.fitToConnections()
 	return h.memory.budget.TryClaim(&h.Claim, bytes)
 }
 
@@ -181,6 +208,7 @@
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
 	delete(h.memory.holds, &h.Claim)
+	h.memory.fitToConnections()
 	h.memory.wake(h.memory.budget.Release(&h.Claim))
 }
 
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	settings := Settings{Node: "gw1", DataCentre: "a", ControlAddress: "10.0.0.1:1", Cores: 0.304}
 	store := &rowStore{}
-	g := &Gateway{settings: settings, state: newState(settings, func(string) {}), peers: newPeers(settings), metrics: metrics.New(8), bodies: newBodyMemory(0), unregistered: make(chan struct{}, 1)}
+	g := &Gateway{settings: settings, state: newState(settings, func(string) {}), peers: newPeers(settings), metrics: metrics.New(8), bodies: newBodyMemory(0, noConnections), unregistered: make(chan struct{}, 1)}
 	g.ports.Table = store
 	g.usage, g.datagrams, g.hints = newSharedQuota(g, usageSource(g)), &datagrams{gateway: g}, &hints{gateway: g}
 	g.limits, g.origins = newSharedQuota(g, serverLimitSource(g)), newStreamOrigins(g)
--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -47,7 +47,7 @@
 	for i := range entries {
 		p.put(fmt.Sprint("gw", i), roster.Row{Address: strings.TrimPrefix(relay.URL, "http://"), DataCentre: "a", Cores: float64(i)})
 	}
-	g := &Gateway{peers: p, metrics: metrics.New(8), bodies: newBodyMemory(0), state: newState(Settings{Node: "gw0"}, func(string) {})}
+	g := &Gateway{peers: p, metrics: metrics.New(8), bodies: newBodyMemory(0, noConnections), state: newState(Settings{Node: "gw0"}, func(string) {})}
 	g.ports.Tables, g.ports.HistoryGone = store, errors.New("history gone")
 	g.ports.Decoder.BackendTable = "servers"
 	return g, store
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,9 @@
 	callerServer    *http.Server
 	internalServers []*http.Server
 	active          atomic.Int64
-	stopping        atomic.Bool
+	// callerConnections counts callers' open connections.
+	callerConnections atomic.Int64
+	stopping          atomic.Bool
 	// callersListening: the callers' address is open.
 	callersListening atomic.Bool
 	// notReadyResponses counts readiness probes answered with 503 since shutdown
@@ -123,7 +125,7 @@
 	g.ports.Table = countedTable{ports.Table, &g.load}
 	g.peers = newPeers(settings)
 	g.placements, g.hints = newPlacementClient(g), newHints(g)
-	g.origins, g.bodies = newStreamOrigins(g), newBodyMemory(settings.MemoryBytes)
+	g.origins, g.bodies = newStreamOrigins(g), newBodyMemory(settings.MemoryBytes, g.openConnections)
 	g.usage, g.limits = newSharedQuota(g, usageSource(g)), newSharedQuota(g, serverLimitSource(g))
 	ctx, cancel := context.WithCancel(context.WithoutCancel(startCtx))
 	g.cancel = cancel
@@ -177,7 +179,7 @@
 	}
 	g.callerServer = &http.Server{
 		Handler: g, MaxHeaderBytes: defaultHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		ErrorLog: discardLog(), ConnState: trackCallerState, ConnContext: withCallerConn,
+		ErrorLog: discardLog(), ConnState: g.trackCaller, ConnContext: withCallerConn,
 	}
 	if table := g.state.table.Load(); table != nil {
 		limits := table.Limits
@@ -196,6 +198,21 @@
 	return nil
 }
 
+// trackCaller is the http.Server's ConnState hook.
+func (g *Gateway) trackCaller(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		g.callerConnections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		g.callerConnections.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+	trackCallerState(conn, state)
+}
+
+// openConnections returns how many connections to callers and backend servers are open.
+func (g *Gateway) openConnections() int64 { return g.callerConnections.Load() + g.pool.OpenTotal() }
+
 func (g *Gateway) serve(server *http.Server, listener net.Listener) {
 	g.spawn(func() {
 		if err := server.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
@@ -274,6 +291,8 @@
 	g.metrics.Gauge("body_memory_bytes", "held", heldBytes)
 	g.metrics.Gauge("body_memory_bytes", "waited for", askedBytes)
 	g.metrics.Gauge("connections_opened", "all", g.pool.Opened())
+	g.metrics.Gauge("connections_open", "callers", g.callerConnections.Load())
+	g.metrics.Gauge("connections_open", "backend servers", g.pool.OpenTotal())
 }
 
 // serveReady answers the load balancer's readiness probes.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,8 @@
 	open map[string]int
 
 	opened atomic.Int64
+	// openTotal is the sum of open.
+	openTotal atomic.Int64
 }
 
 // NewPool returns an empty pool. connectTimeout bounds the opening of a connection,
@@ -35,6 +37,9 @@
 // Opened returns how many connections the pool has tried to open so far.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
 
+// OpenTotal returns the number of connections to all addresses, idle ones included.
+func (p *Pool) OpenTotal() int64 { return p.openTotal.Load() }
+
 // Open returns the number of connections to an address, idle ones included.
 func (p *Pool) Open(address string) int {
 	p.mu.Lock()
@@ -96,6 +101,7 @@
 	p.mu.Lock()
 	p.open[address]++
 	p.mu.Unlock()
+	p.openTotal.Add(1)
 	limited := &limitedReader{conn: opened}
 	return &conn{Conn: opened, address: address, number: number, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
 }
@@ -137,6 +143,7 @@
 
 // countClosed records that a connection has been closed.
 func (p *Pool) countClosed(c *conn) {
+	p.openTotal.Add(-1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open[c.address]--; p.open[c.address] <= 0 {
