Agent: the bound on bodies is a semaphore of golang.org/x/sync

reserveBody compared and swapped a counter by hand, beside internal/bodymemory in the gateway. The agent refuses frames one by one and lets nothing wait, so a weighted semaphore of the library that the project uses already is all it needs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
 	"k8s.io/klog/v2"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
@@ -49,11 +50,11 @@
 	draining         atomic.Bool
 	// stopping: Shutdown was called.
 	stopping atomic.Bool
-	// bodyBytes is the total size of the request bodies held by all attempts.
-	bodyBytes atomic.Int64
-	wg        sync.WaitGroup
-	mu        sync.Mutex
-	closed    bool
+	// bodies bounds the total size of the request bodies held by all attempts.
+	bodies *semaphore.Weighted
+	wg     sync.WaitGroup
+	mu     sync.Mutex
+	closed bool
 }
 
 // Start starts an agent, which runs until Shutdown or Close. The context is not
@@ -73,6 +74,7 @@
 		metrics:          metrics.New(maxMetricLabels),
 		attempts:         newAttemptRegistry(settings.Replay.TotalBytes),
 		inFlightPrefixes: newInFlightPrefixes(),
+		bodies:           semaphore.NewWeighted(int64(settings.Queue.Bytes)),
 		ready:            make(chan struct{}),
 	}
 	if a.catalog == nil {
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -190,7 +190,7 @@
 	att.mu.Lock()
 	receiving := att.state == stateReceiving
 	tooLong := len(att.body)+size > a.settings.Queue.BodyBytes
-	full := receiving && !tooLong && !a.reserveBody(int64(size))
+	full := receiving && !tooLong && !a.bodies.TryAcquire(int64(size))
 	if receiving && !tooLong && !full {
 		att.body = append(att.body, data.GetData()...)
 	}
@@ -211,21 +211,6 @@
 	return nil
 }
 
-// reserveBody adds to the total size of the bodies held, unless it would exceed
-// queue.bytes. It compares and adds in one step, so that bodies that arrive at the
-// same time can't both take the last of it.
-func (a *Agent) reserveBody(size int64) bool {
-	for {
-		held := a.bodyBytes.Load()
-		if held+size > int64(a.settings.Queue.Bytes) {
-			return false
-		}
-		if a.bodyBytes.CompareAndSwap(held, held+size) {
-			return true
-		}
-	}
-}
-
 func (a *Agent) bodyComplete(att *attempt, s *transport.Stream) {
 	_ = s.SetReadDeadline(time.Time{})
 	if _, changed := att.fire(eventBodyComplete); changed {
@@ -279,7 +264,7 @@
 	state := att.currentState()
 	end.Outcome = outcomeOf(state)
 	att.mu.Lock()
-	a.bodyBytes.Add(-int64(len(att.body)))
+	a.bodies.Release(int64(len(att.body)))
 	att.body = nil
 	started := att.started
 	att.mu.Unlock()
