Gateway: logs say at which software version a stream began and went on

Placed names the version, Stream taken up the version, the list's version and its age. No decision changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -242,7 +242,7 @@
 	j.load, j.hasLoad = call.Load{}, false
 	klog.InfoS("Placed", append([]any{"request", j.head.ID, "server", server.ID, "send", j.sends, "owner", j.ownerName(), "expectedMS", int(choice.ExpectedMS),
 		"queueMS", int(choice.Terms.QueueMS), "lowerPriorityMS", int(choice.Terms.LowerPriorityMS), "correctionMS", int(choice.Terms.CorrectionMS), "readMS", int(choice.Terms.PrefillMS), "rereadMS", int(choice.Terms.RecomputeMS), "memoryMS", int(choice.Terms.MemoryMS),
-		"version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "prefix", strconv.FormatUint(uint64(choice.Prefix), 36), "source", choice.Source.String(), "fetch", choice.FetchFrom, "save", choice.SaveTo, "priority", options.Priority, "tokens", j.head.InputTokens, "output", j.head.OutputTokens, "candidates", choice.Candidates}, j.crossingFields(choice)...)...)
+		"software", server.Software, "version", server.Version, "versionAgeMS", server.VersionAge.Milliseconds(), "prefix", strconv.FormatUint(uint64(choice.Prefix), 36), "source", choice.Source.String(), "fetch", choice.FetchFrom, "save", choice.SaveTo, "priority", options.Priority, "tokens", j.head.InputTokens, "output", j.head.OutputTokens, "candidates", choice.Candidates}, j.crossingFields(choice)...)...)
 	response, err := g.pool.Send(j.ctx, server.Address, &j.outbound, j.reusePolicy(), j.matchesRequest)
 	if err != nil {
 		outcome := j.sendFailed(choice, err)
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
+	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/routing"
 	"github.com/jayproxy/jayproxy/internal/shard"
@@ -172,7 +173,8 @@
 		j.origin, source = g.onlyVersion(j.service.Name, j.head.Timeout)
 	}
 	klog.InfoS("Stream taken up", "request", j.head.ID, "resumes", j.head.Resumes, "after", j.head.LastEventID,
-		"known", j.origin != 0, "source", source, "tookMS", time.Since(started).Milliseconds())
+		"known", j.origin != 0, "software", j.origin, "source", source, "listVersion", platform.CommitOf(g.backends.version()),
+		"listAgeMS", g.tableAge(g.backends).Milliseconds(), "tookMS", time.Since(started).Milliseconds())
 	if j.origin != 0 {
 		g.metrics.Count("stream_origin", source, 1)
 		return true
