Gateway: the only version is taken from a list read after the caller came back

Cause: a stream that its caller takes up without naming its attempt went on at the only version of a list up to 4 s old. That proves nothing about the time since the list was read, in which the stream may have begun elsewhere. Streams begin only at servers that lie in the store, so a read that began after the caller came back shows all versions.

Change: such a stream waits for that read (one serves many, at least 50 ms apart; entries that read through others ask them for recent data; an entry without the store asks entries that have it). It counts from the question, not from the arrival: a response may lie in the socket of a process that stands still. The age of a table is set after its rows are applied, and read before them. A server that came and went between two reads counts as one of unknown version; where the store has no changes the record is merged again, and the caller waits for it. So the limit of 4 s goes.

--- /dev/null
+++ b/internal/gateway/completeness_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/jayproxy/jayproxy/internal/fleet"
+	"github.com/jayproxy/jayproxy/internal/lease"
+	"github.com/jayproxy/jayproxy/internal/mirror"
+	"github.com/jayproxy/jayproxy/internal/routetable"
+	"github.com/jayproxy/jayproxy/internal/streamorigin"
+)
+
+// Guards against a response that waited in the socket of a process which stood still, and then
+// counts as read just now.
+func TestTheAgeOfATableCountsFromTheQuestion(t *testing.T) {
+	const waited = 200 * time.Millisecond
+	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(waited)
+		_, _ = w.Write([]byte(`{"rows":[],"version":7,"age_ms":100}`))
+	}))
+	defer relay.Close()
+	g, _ := newRelayedEntry(t, 3, 0)
+	asked := lease.BootClock()
+	response, err := g.peers.table(t.Context(), time.Second, strings.TrimPrefix(relay.URL, "http://"), "servers", wholeTable)
+	assert.NoError(t, err)
+	assertAge(t, waited+100*time.Millisecond, response.ageSince(asked), asked)
+	response.Recent = true
+	assertAge(t, waited, response.ageSince(asked), asked)
+}
+
+// Guards against a table that counts as recent before the response that shows it is applied.
+func TestATableIsAsOldAsBeforeUntilItsResponseIsApplied(t *testing.T) {
+	g, _ := newRelayedEntry(t, 3, 0)
+	f := &feed{table: "servers"}
+	g.feeds = []*feed{f}
+	g.feedSucceeded(f, 0, func() {
+		assert.False(t, f.answered())
+		assert.True(t, f.complete.moment().IsZero())
+	})
+	assert.True(t, f.answered())
+	assert.False(t, f.complete.moment().IsZero())
+}
+
+func TestACopyIsCompleteUpToTheQuestionOnly(t *testing.T) {
+	var c completeness
+	start := lease.BootClock()
+	c.reach(start)
+	assert.True(t, c.await(t.Context(), start, 0))
+	assert.False(t, c.await(t.Context(), start.Add(time.Millisecond), 10*time.Millisecond))
+	assert.True(t, c.pending())
+	time.AfterFunc(10*time.Millisecond, func() { c.reach(start.Add(time.Second)) })
+	assert.True(t, c.await(t.Context(), start.Add(time.Second), 5*time.Second))
+	time.AfterFunc(10*time.Millisecond, func() { c.fail(start.Add(3 * time.Second)) })
+	began := time.Now()
+	assert.False(t, c.await(t.Context(), start.Add(2*time.Second), 5*time.Second), "neither the store nor another entry answers")
+	assert.Less(t, time.Since(began), time.Second)
+	assert.False(t, c.pending())
+}
+
+// Guards against callers that wait for the next look at the list, and against reads without a
+// pause where many callers come back.
+func TestAWantedProofEndsThePauseOnce(t *testing.T) {
+	var c completeness
+	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			c.await(ctx, lease.BootClock(), time.Second)
+		}
+	}()
+	reads := 0
+	for ctx.Err() == nil {
+		began := lease.BootClock()
+		reads++
+		c.reach(began)
+		c.sleep(ctx, time.Minute, 50*time.Millisecond)
+	}
+	assert.Greater(t, reads, 3)
+	assert.LessOrEqual(t, reads, 10)
+}
+
+// Guards against a server of another version that came and went between two reads of the list.
+func TestAServerThatCameAndWentUnseenIsOfAnUnknownVersion(t *testing.T) {
+	const takeUp = time.Minute
+	g, _ := newRelayedEntry(t, 3, 0)
+	g.state = newState(Settings{Node: "gw0", Bootstrap: true}, func(string) {})
+	g.state.table.Store(routetable.New(1, routetable.Limits{}, []routetable.Route{{
+		Kind: routetable.Stream, Resumable: true, Targets: []routetable.Target{{Service: "s", Weight: 1}},
+	}}, []routetable.Service{{Name: "s"}}, nil))
+	f := &feed{table: "servers", apply: func(now time.Time, rows []mirror.Row, _ string) {
+		for _, row := range rows {
+			if !row.Removed {
+				g.state.putBackend(now, &fleet.Backend{Incarnation: fleet.Incarnation{Instance: row.Key}, Service: "s", Address: "10.0.0.1:80", Software: "v1"})
+			}
+		}
+	}}
+	g.feeds, g.backends = []*feed{f}, f
+	only := func(batch mirror.Batch) streamorigin.Version {
+		g.applyBatch(f, batch, "test")
+		g.observeSoftware()
+		version, _ := g.state.software["s"].Only(lease.BootClock(), takeUp)
+		return version
+	}
+	v1 := streamorigin.VersionOf("s", "v1")
+	assert.Equal(t, v1, only(mirror.Batch{Snapshot: true, Version: 5, Rows: []mirror.Row{{Key: "a", Version: 4}}}))
+	assert.Equal(t, v1, only(mirror.Batch{Version: 6, Rows: []mirror.Row{{Key: "a", Version: 6}}}))
+	assert.Zero(t, only(mirror.Batch{Version: 8, Rows: []mirror.Row{{Key: "b", Version: 8, Removed: true}}}))
+	assert.Equal(t, 1, f.copy.UnseenRows())
+}
+
+// Guards against a table without its changes, after which versions may have come and gone, that
+// counts as if each change had been read.
+func TestATableWithoutItsChangesInterruptsTheHistory(t *testing.T) {
+	g, _ := newRelayedEntry(t, 3, 0)
+	g.state = newState(Settings{Node: "gw0", Bootstrap: true}, func(string) {})
+	f := &feed{table: "servers", apply: func(time.Time, []mirror.Row, string) {}}
+	g.applyBatch(f, mirror.Batch{Snapshot: true, Version: 5}, "test")
+	g.state.observeServiceLocked(lease.BootClock(), "s")
+	assert.False(t, g.state.needsSoftwareMerge("s"))
+	g.applyBatch(f, mirror.Batch{Version: 6}, "test")
+	g.state.observeServiceLocked(lease.BootClock(), "s")
+	assert.False(t, g.state.needsSoftwareMerge("s"))
+	g.applyBatch(f, mirror.Batch{Snapshot: true, Version: 9}, "test")
+	g.state.observeServiceLocked(lease.BootClock(), "s")
+	assert.True(t, g.state.needsSoftwareMerge("s"))
+}
+
+// Guards against an entry that is cut off from the store, and answers others that ask for recent
+// data only after a wait that cannot help.
+func TestAnEntryWithoutTheStoreIsNotRecent(t *testing.T) {
+	f := &feed{table: "servers"}
+	f.failing.Store(true)
+	began := time.Now()
+	assert.False(t, f.isRecent(context.Background()))
+	assert.Less(t, time.Since(began), relayProofTimeout/2)
+}
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -85,6 +85,8 @@
 	ignoredLoggedAt time.Time
 	historyGone     int
 
+	// complete is up to which moment the copy is complete.
+	complete completeness
 	// lastResponse is when the store last answered this entry or its relay, in nanoseconds
 	// since boot: the time of day may be set.
 	lastResponse atomic.Int64
@@ -136,6 +138,15 @@
 	return f.copy.Known()
 }
 
+// nextChanges asks another entry for what the copy lacks, as of now if somebody waits for that.
+func (f *feed) nextChanges() tableQuery {
+	query := changesAfter(f.version())
+	if f.complete.pending() {
+		query += "&recent=1"
+	}
+	return query
+}
+
 // covers reports whether the changes after a version can be listed.
 func (f *feed) covers(after uint64) bool {
 	f.mu.Lock()
@@ -209,7 +220,7 @@
 		relayed := g.readThroughRelay(ctx, f)
 		hasData := f.version() > 0
 		if !f.source.MayCallStore(time.Now(), relayed, hasData, g.peers.count()) {
-			sleep(ctx, g.pauseWithoutCall(f, relayed, hasData))
+			f.complete.sleep(ctx, g.pauseWithoutCall(f, relayed, hasData), g.proofPause())
 			continue
 		}
 		err := g.readFromStore(ctx, f)
@@ -223,7 +234,7 @@
 			sleep(ctx, g.pauseAfterFailure(f))
 			continue
 		}
-		sleep(ctx, g.pauseAfterRead(f))
+		f.complete.sleep(ctx, g.pauseAfterRead(f), g.proofPause())
 	}
 }
 
@@ -270,7 +281,8 @@
 		begin = firstReadTimeout
 	}
 	for _, relay := range relays {
-		batch, err := g.peers.table(ctx, begin, relay, f.table, changesAfter(f.version()))
+		began := lease.BootClock()
+		batch, err := g.peers.table(ctx, begin, relay, f.table, f.nextChanges())
 		// While an entry starts, its relays may start as well.
 		starting := f.version() == 0 && errors.Is(err, syscall.ECONNREFUSED)
 		if err != nil && ctx.Err() == nil && !starting {
@@ -286,8 +298,7 @@
 			continue
 		}
 		g.load.tablesRead.add(batch.Size())
-		g.feedSucceeded(f, time.Duration(batch.AgeMS)*time.Millisecond)
-		g.applyBatch(f, batch.Batch, relay)
+		g.feedSucceeded(f, batch.ageSince(began), func() { g.applyBatch(f, batch.Batch, relay) })
 		return feedsource.Fresh
 	}
 	return outcome
@@ -300,7 +311,7 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.interrupt.Store(&cancel)
-	after := f.version()
+	after, began := f.version(), lease.BootClock()
 	var batch mirror.Batch
 	err := g.ports.HistoryGone
 	if after > 0 {
@@ -318,13 +329,19 @@
 	if err != nil {
 		return err
 	}
-	g.feedSucceeded(f, 0)
-	g.noteIgnored(time.Now(), f, batch, after)
-	if f.asksPeers && platform.EraOf(batch.Version) > platform.EraOf(after) {
-		g.enterEra(ctx, f, batch)
-		return nil
+	age := time.Duration(0)
+	if wait == 0 {
+		// The response may have waited here while the process stood still.
+		age = lease.BootClock().Sub(began)
 	}
-	g.applyBatch(f, batch, sourceStore)
+	g.feedSucceeded(f, age, func() {
+		g.noteIgnored(time.Now(), f, batch, after)
+		if f.asksPeers && platform.EraOf(batch.Version) > platform.EraOf(after) {
+			g.enterEra(ctx, f, batch)
+			return
+		}
+		g.applyBatch(f, batch, sourceStore)
+	})
 	return nil
 }
 
@@ -355,23 +372,32 @@
 	}
 }
 
-// feedSucceeded records that the store answered the given time ago. After an outage,
-// registrations of servers that are alive may have expired, so the list keeps them for its
-// grace period. Other feeds may still block on connections whose responses were lost, so
-// their reads are interrupted.
-func (g *Gateway) feedSucceeded(f *feed, age time.Duration) {
-	answeredAt := lease.BootClock().Add(-age).UnixNano()
-	last := f.lastResponse.Swap(answeredAt)
+// feedSucceeded applies a response that shows the table as of the given time ago, and then
+// records its age: until it is applied the copy is as old as before.
+func (g *Gateway) feedSucceeded(f *feed, age time.Duration, apply func()) {
+	answeredAt := lease.BootClock().Add(-age)
+	g.feedRegained(f, age, time.Duration(answeredAt.UnixNano()-f.lastResponse.Load()))
+	apply()
+	f.lastResponse.Store(answeredAt.UnixNano())
+	if f.wait == 0 {
+		f.complete.reach(answeredAt)
+	}
+}
+
+// feedRegained records that the store answers again. After an outage, registrations of servers
+// that are alive may have expired, so the list keeps them for its grace period. Other feeds may
+// still block on connections whose responses were lost, so their reads are interrupted. gap is
+// the time between the last two responses.
+func (g *Gateway) feedRegained(f *feed, age, gap time.Duration) {
 	if !f.failing.Swap(false) {
 		return
 	}
-	gap := time.Duration(answeredAt - last)
 	version := f.version()
 	klog.InfoS("Store regained", "table", f.table, "era", platform.EraOf(version), "version", platform.CommitOf(version), "gapMS", gap.Milliseconds())
 	if f.table != g.ports.Decoder.BackendTable {
 		return
 	}
-	if last > 0 && gap > minOutage {
+	if f.answered() && gap > minOutage {
 		g.state.listRestored(time.Now().Add(-age))
 	}
 	g.interruptOtherPolls(f)
@@ -386,18 +412,27 @@
 			return
 		}
 		for _, f := range g.feeds {
-			batch, peer, err := g.peers.pull(ctx, f.table, changesAfter(f.version()))
-			if err != nil {
-				klog.V(1).InfoS("Table could not be read from any other entry", "table", f.table, "err", err)
-				continue
-			}
-			if batch.Version > 0 {
-				g.applyBatch(f, batch, peer)
-			}
+			g.readFromPeer(ctx, f)
 		}
 	})
 }
 
+// readFromPeer reads a table from one other entry.
+func (g *Gateway) readFromPeer(ctx context.Context, f *feed) {
+	began := lease.BootClock()
+	batch, peer, err := g.peers.pull(ctx, f.table, f.nextChanges())
+	if err != nil {
+		klog.V(1).InfoS("Table could not be read from any other entry", "table", f.table, "err", err)
+		f.complete.fail(began)
+		return
+	}
+	if batch.Version > 0 {
+		g.applyBatch(f, batch.Batch, peer)
+		f.complete.reach(lease.BootClock().Add(-batch.ageSince(began)))
+	}
+	f.complete.fail(began)
+}
+
 func (g *Gateway) applyOperator(now time.Time, rows []mirror.Row, source string) {
 	for _, row := range rows {
 		if row.Removed {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,8 @@
 	// usage enforces the usage caps of workspaces, limits those that servers name.
 	usage, limits *sharedQuota
 	origins       *streamOrigins
+	// mergeSoftware asks for the record of software versions to be merged now.
+	mergeSoftware chan struct{}
 	bodies        *bodyMemory
 	load          controlLoad
 	feeds         []*feed
@@ -119,7 +121,7 @@
 	g := &Gateway{
 		settings: settings, startedAt: started, ports: ports, pool: pool,
 		state: newState(settings, pool.CloseIdle), metrics: metrics.New(maxMetricLabels),
-		unregistered: make(chan struct{}, 1), endChecks: endproof.NewChecks(),
+		unregistered: make(chan struct{}, 1), mergeSoftware: make(chan struct{}, 1), endChecks: endproof.NewChecks(),
 	}
 	g.ports.Tables = countedTables{ports.Tables, &g.load}
 	g.ports.Table = countedTable{ports.Table, &g.load}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/responselimit"
@@ -72,10 +73,22 @@
 type tableResponse struct {
 	mirror.Batch
 	AgeMS int64 `json:"age_ms"`
+	// Recent: the batch has all that the store had acknowledged when its source was asked.
+	Recent bool `json:"recent,omitempty"`
+}
+
+// ageSince returns the age of a batch whose source was asked at a time since boot. It counts from
+// then, as the response may have waited at either end.
+func (r *tableResponse) ageSince(asked time.Time) time.Duration {
+	waited := lease.BootClock().Sub(asked)
+	if r.Recent {
+		return waited
+	}
+	return waited + time.Duration(r.AgeMS)*time.Millisecond
 }
 
 // tableQuery says which part of a table to read. Entries of builds that know no eras send
-// no eras=1.
+// no eras=1. With recent=1 the source first reads the table itself, if it soon can.
 type tableQuery string
 
 // wholeTable reads a table with the removals that the entry remembers.
@@ -95,7 +108,7 @@
 
 // pull reads a table from other entries, in random order. It returns the address of the one
 // that answered.
-func (p *peers) pull(ctx context.Context, table string, query tableQuery) (mirror.Batch, string, error) {
+func (p *peers) pull(ctx context.Context, table string, query tableQuery) (tableResponse, string, error) {
 	all := p.addresses()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	err := eris.New("no other entry known: no rows and no seeds")
@@ -105,10 +118,10 @@
 		}
 		var batch tableResponse
 		if batch, err = p.table(ctx, peerTimeout, address, table, query); err == nil {
-			return batch.Batch, address, nil
+			return batch, address, nil
 		}
 	}
-	return mirror.Batch{}, "", err
+	return tableResponse{}, "", err
 }
 
 // call calls another entry and decodes its JSON response, which may be nil.
@@ -188,6 +201,7 @@
 	}
 	for _, f := range g.feeds {
 		if f.table == c.Param("table") {
+			recent := c.QueryParam("recent") != "" && f.isRecent(c.Request().Context())
 			respond := g.respondTable
 			switch {
 			case c.QueryParam("eras") == "":
@@ -195,7 +209,7 @@
 			case c.QueryParam("removals") != "":
 				respond = g.respondKnown
 			}
-			err := respond(c, f, after)
+			err := respond(c, f, after, recent)
 			g.load.tablesServed.add(int(c.Response().Size))
 			return err
 		}
@@ -203,13 +217,23 @@
 	return c.NoContent(http.StatusNotFound)
 }
 
+// withAge returns rows of a table with its age. The age is taken first: rows read before it could
+// be older than it says.
+func (g *Gateway) withAge(f *feed, recent bool, rows func() mirror.Batch) tableResponse {
+	age := g.tableAge(f)
+	return tableResponse{Batch: rows(), AgeMS: age.Milliseconds(), Recent: recent}
+}
+
 // respondTable sends the changes of a table after a version, or the complete table.
-func (g *Gateway) respondTable(c echo.Context, f *feed, after uint64) error {
+func (g *Gateway) respondTable(c echo.Context, f *feed, after uint64, recent bool) error {
 	now := time.Now()
 	if f.version() == 0 || f.covers(after) {
-		return c.JSON(http.StatusOK, tableResponse{Batch: f.since(after), AgeMS: g.tableAge(f).Milliseconds()})
+		return c.JSON(http.StatusOK, g.withAge(f, recent, func() mirror.Batch { return f.since(after) }))
 	}
-	prefix, rest, err := f.snapshots.get(now, func() (any, time.Duration) { return f.since(0), g.tableAge(f) })
+	prefix, rest, err := f.snapshots.get(now, func() (any, time.Duration) {
+		age := g.tableAge(f)
+		return f.since(0), age
+	})
 	if err != nil {
 		return err
 	}
@@ -223,16 +247,16 @@
 }
 
 // respondKnown sends the complete table with the removals that this entry remembers.
-func (g *Gateway) respondKnown(c echo.Context, f *feed, _ uint64) error {
-	return c.JSON(http.StatusOK, tableResponse{Batch: f.known(), AgeMS: g.tableAge(f).Milliseconds()})
+func (g *Gateway) respondKnown(c echo.Context, f *feed, _ uint64, recent bool) error {
+	return c.JSON(http.StatusOK, g.withAge(f, recent, f.known))
 }
 
 // respondWithoutEras is respondTable for entries of builds that know no eras: they compare
 // versions with the store's commit numbers.
-func (g *Gateway) respondWithoutEras(c echo.Context, f *feed, after uint64) error {
+func (g *Gateway) respondWithoutEras(c echo.Context, f *feed, after uint64, recent bool) error {
 	era := platform.EraOf(f.version())
 	if era == 0 {
-		return g.respondTable(c, f, after)
+		return g.respondTable(c, f, after, recent)
 	}
 	if after > 0 {
 		var err error
@@ -240,8 +264,10 @@
 			return c.NoContent(http.StatusBadRequest)
 		}
 	}
-	batch := f.since(after)
-	return c.JSON(http.StatusOK, tableResponse{Batch: batch.WithoutEras(), AgeMS: g.tableAge(f).Milliseconds()})
+	return c.JSON(http.StatusOK, g.withAge(f, recent, func() mirror.Batch {
+		batch := f.since(after)
+		return batch.WithoutEras()
+	}))
 }
 
 // handleWeights answers with the ages of weights, except those that this entry is not sure of.
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -140,7 +140,7 @@
 	now := time.Unix(1_000_000, 0)
 	s := newState(Settings{Node: "gw1", Bootstrap: true}, func(string) {})
 	only := func(at time.Time) streamorigin.Version {
-		s.observeServiceLocked(at, "s", true)
+		s.observeServiceLocked(at, "s")
 		version, _ := s.software["s"].Only(at, takeUp)
 		return version
 	}
--- a/internal/gateway/softwarehistory.go
+++ b/internal/gateway/softwarehistory.go
@@ -16,9 +16,11 @@
 const (
 	// softwareInterval is the pause between two looks at the versions that are listed.
 	softwareInterval = 250 * time.Millisecond
-	// maxSoftwareListAge is the age of the list of servers from which on versions may come and
-	// go unseen.
-	maxSoftwareListAge = 4 * time.Second
+	// versionProofTimeout bounds the wait for a list of servers, and a record of versions, that
+	// were read after the caller came back.
+	versionProofTimeout = 500 * time.Millisecond
+	// recordPollInterval is the pause between two looks for a merged record.
+	recordPollInterval = 5 * time.Millisecond
 	// takeUpTimeouts is how many time limits after a stream began its caller may take it up
 	// again: one for the attempt that is broken off, one for those that are refused.
 	takeUpTimeouts = 2
@@ -34,7 +36,17 @@
 
 func (g *Gateway) keepSoftwareHistory(ctx context.Context) {
 	r := softwareRecorder{gateway: g}
-	g.every(ctx, softwareInterval, func(now time.Time) { r.look(ctx, now) })
+	ticker := time.NewTicker(softwareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-g.mergeSoftware:
+		}
+		r.look(ctx, time.Now())
+	}
 }
 
 // look observes the versions that are listed, and merges the record where that is due.
@@ -45,7 +57,7 @@
 		return
 	}
 	writes := !g.sharded() || g.contendsAlways()
-	for service, due := range g.state.softwareToMerge(writes) {
+	for service, due := range g.state.softwareToMerge(writes, g.backends.complete.moment()) {
 		if err := r.merge(ctx, service, due, writes); err != nil {
 			r.retryAt = now.Add(otherTablesRetryPause)
 			klog.InfoS("Versions of a service's software not merged with the store's record, will retry", "service", service, "retryMS", otherTablesRetryPause.Milliseconds(), "err", err)
@@ -85,27 +97,41 @@
 	interruptions int
 }
 
-// softwareToMerge returns the services whose record must be merged.
-func (s *state) softwareToMerge(writes bool) map[string]dueMerge {
+// softwareToMerge returns the services whose record must be merged. asOf is the moment up to which
+// the list is complete.
+func (s *state) softwareToMerge(writes bool, asOf time.Time) map[string]dueMerge {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	due := map[string]dueMerge{}
-	now := lease.BootClock()
 	for service, h := range s.software {
-		if h.NeedsMerge() || writes && h.RecordLacks(now) {
-			due[service] = dueMerge{own: h.Sightings(now), interruptions: h.Interruptions()}
+		if h.NeedsMerge() || writes && h.RecordLacks(asOf) {
+			due[service] = dueMerge{own: h.Sightings(asOf), interruptions: h.Interruptions()}
 		}
 	}
 	return due
 }
 
-// observeSoftware notes which versions are listed, unless the list is too old.
+// noteUnseenServers notes that servers may have come and gone unseen, as changes of the list were
+// not read, or that a number of them did.
+func (s *state) noteUnseenServers(gap bool, count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.software {
+		if gap {
+			h.Interrupt()
+		}
+		if count > 0 {
+			h.SawUnknown(lease.BootClock())
+		}
+	}
+}
+
+// observeSoftware notes which versions are listed.
 func (g *Gateway) observeSoftware() {
 	table := g.state.table.Load()
 	if table == nil || g.backends == nil || g.backends.version() == 0 {
 		return
 	}
-	recent := g.tableAge(g.backends) <= maxSoftwareListAge
 	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -114,28 +140,22 @@
 			continue
 		}
 		for _, target := range route.Targets {
-			s.observeServiceLocked(lease.BootClock(), target.Service, recent)
+			s.observeServiceLocked(lease.BootClock(), target.Service)
 		}
 	}
 }
 
 func isResumable(r *routetable.Route) bool { return r.Kind == routetable.Stream && r.Resumable }
 
-// observeServiceLocked notes the versions of one service. recent: the list of servers is.
-func (s *state) observeServiceLocked(now time.Time, service string, recent bool) {
+// observeServiceLocked notes the versions of one service.
+func (s *state) observeServiceLocked(now time.Time, service string) {
 	h := s.software[service]
-	switch {
-	case h == nil && !recent:
-		return
-	case h == nil:
+	if h == nil {
 		h = softwarehistory.New()
 		s.software[service] = h
 		if s.settings.Bootstrap {
 			h.Merge(now, nil, h.Interruptions()) // No stream has begun before the first start.
 		}
-	case !recent:
-		h.Interrupt()
-		return
 	}
 	var listed []streamorigin.Version
 	for _, b := range s.list.OfService(service) {
@@ -148,9 +168,15 @@
 
 // onlyVersion returns the only version of the software of a service that was in service while
 // a stream that is taken up now may have begun; 0: there were several, or that is not known.
+// Servers may have joined until the caller came back, so the list is read once more.
 // timeLeft is how long its caller still waits, which may be longer than its route allows.
-func (g *Gateway) onlyVersion(service string, timeLeft time.Duration) (streamorigin.Version, string) {
+func (g *Gateway) onlyVersion(ctx context.Context, service string, timeLeft time.Duration) (streamorigin.Version, string) {
+	until := time.Now().Add(versionProofTimeout)
+	if !g.awaitCompleteList(ctx, lease.BootClock(), versionProofTimeout) {
+		return 0, "the list of servers could not be read since the caller came back"
+	}
 	g.observeSoftware()
+	g.awaitMergedSoftware(ctx, service, until)
 	within := takeUpTimeouts * max(g.longestStream(service), timeLeft)
 	s := g.state
 	s.mu.Lock()
@@ -162,6 +188,27 @@
 	return h.Only(lease.BootClock(), within)
 }
 
+// awaitMergedSoftware waits until the record of a service's versions is merged, if that is due.
+func (g *Gateway) awaitMergedSoftware(ctx context.Context, service string, until time.Time) {
+	if g.ports.Software == nil || !g.state.needsSoftwareMerge(service) {
+		return
+	}
+	select {
+	case g.mergeSoftware <- struct{}{}:
+	default:
+	}
+	for g.state.needsSoftwareMerge(service) && time.Now().Before(until) && ctx.Err() == nil {
+		sleep(ctx, recordPollInterval)
+	}
+}
+
+func (s *state) needsSoftwareMerge(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.software[service]
+	return h != nil && h.NeedsMerge()
+}
+
 // longestStream returns the longest time limit of a service's resumable streams.
 func (g *Gateway) longestStream(service string) time.Duration {
 	longest := time.Duration(0)
--- a/internal/gateway/storeera.go
+++ b/internal/gateway/storeera.go
@@ -30,8 +30,12 @@
 	if held := f.copy.Version(); held > 0 && platform.EraOf(batch.Version) > platform.EraOf(held) {
 		g.eraChanged(now, f, held, batch.Version, source)
 	}
+	held, unseen := f.copy.Version(), f.copy.UnseenRows()
 	changed := f.copy.Apply(batch)
 	f.apply(now, changed, source)
+	if f.table == g.ports.Decoder.BackendTable && held > 0 {
+		g.state.noteUnseenServers(batch.Snapshot && batch.Version > held, f.copy.UnseenRows()-unseen)
+	}
 }
 
 // eraChanged logs and counts a new era of the store. Servers whose registrations it has lost
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -170,7 +170,7 @@
 	}
 	if j.origin == 0 {
 		// Nobody knows the stream, as after a loss of all entries, or the caller does not name it.
-		j.origin, source = g.onlyVersion(j.service.Name, j.head.Timeout)
+		j.origin, source = g.onlyVersion(j.ctx, j.service.Name, j.head.Timeout)
 	}
 	klog.InfoS("Stream taken up", "request", j.head.ID, "resumes", j.head.Resumes, "after", j.head.LastEventID,
 		"known", j.origin != 0, "software", j.origin, "source", source, "listVersion", platform.CommitOf(g.backends.version()),
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -90,6 +90,8 @@
 	// may be of the store's older copy.
 	began  uint64
 	policy Policy
+	// unseen counts the rows that came and went between two batches.
+	unseen int
 }
 
 // NewCopy returns an empty copy.
@@ -98,6 +100,10 @@
 // Version returns the newest version that the copy covers; 0: none yet.
 func (c *Copy) Version() uint64 { return c.version }
 
+// UnseenRows returns how many rows came and went between two batches, so that the copy never had
+// their values. It does not count those of which a snapshot shows nothing.
+func (c *Copy) UnseenRows() int { return c.unseen }
+
 // RowVersion returns the version of a row; 0: there is none.
 func (c *Copy) RowVersion(key string) uint64 { return c.rows[key].Version }
 
@@ -188,6 +194,9 @@
 	if row.Version <= c.tombstones[row.Key].version {
 		return false
 	}
+	if !existed && c.version > 0 && row.Version > c.version {
+		c.unseen++
+	}
 	delete(c.rows, row.Key)
 	c.tombstones[row.Key] = tombstone{version: row.Version, changed: row.Version, origin: row.Version, last: old.Value, ended: true}
 	return existed
--- a/internal/softwarehistory/history.go
+++ b/internal/softwarehistory/history.go
@@ -3,9 +3,10 @@
 // naming the attempt that began it: the only one that was in service for as long as a stream
 // may be taken up.
 //
-// What a process has seen itself is whole only from its start on, and while its list of servers
-// is recent. The time before comes from a record that outlives all processes. It does no I/O,
-// starts no goroutine and reads no clock; callers provide the locking.
+// What a process has seen itself is whole only from its start on, and while it reads each change
+// of the list of servers. The time before comes from a record that outlives all processes. It
+// says nothing of the time since the list was last read: callers read it once more before they
+// ask. It does no I/O, starts no goroutine and reads no clock; callers provide the locking.
 package softwarehistory
 
 import (
@@ -70,6 +71,9 @@
 	}
 }
 
+// SawUnknown notes that a server of an unknown version came and went between two looks.
+func (h *History) SawUnknown(now time.Time) { h.lastListed[0] = now }
+
 // Interrupt says that versions may have come and gone unseen.
 func (h *History) Interrupt() {
 	h.since, h.merged = time.Time{}, false
@@ -79,14 +83,14 @@
 // Interruptions returns how often the history was interrupted.
 func (h *History) Interruptions() int { return h.interruptions }
 
-// Sightings returns what this process knows.
-func (h *History) Sightings(now time.Time) []Sighting {
+// Sightings returns what this process knows as of a moment up to which its list is complete.
+func (h *History) Sightings(asOf time.Time) []Sighting {
 	var all []Sighting
 	for _, v := range h.listed {
 		all = append(all, Sighting{Version: v, Listed: true})
 	}
 	for v, last := range h.lastListed {
-		all = append(all, Sighting{Version: v, Unlisted: now.Sub(last)})
+		all = append(all, Sighting{Version: v, Unlisted: max(0, asOf.Sub(last))})
 	}
 	return sorted(all)
 }
@@ -115,8 +119,9 @@
 // observed again, since that was last done.
 func (h *History) NeedsMerge() bool { return !h.merged && !h.since.IsZero() }
 
-// RecordLacks reports whether the record lacks a change that this process knows.
-func (h *History) RecordLacks(now time.Time) bool {
+// RecordLacks reports whether the record lacks a change that this process knows as of a moment up
+// to which its list is complete.
+func (h *History) RecordLacks(asOf time.Time) bool {
 	if h.since.IsZero() {
 		return false
 	}
@@ -127,7 +132,7 @@
 	}
 	for _, v := range h.recorded {
 		last, unlisted := h.lastListed[v]
-		if unlisted && now.Sub(last) >= CloseAfter {
+		if unlisted && asOf.Sub(last) >= CloseAfter {
 			return true
 		}
 	}
