Gateway: a history of versions is whole only while each change of the list is read in time

Versions were noted at looks 250 ms apart, which may fall between two reads. A service first observed after a later configuration counted as if no stream had begun. A proof was waited for half a second, less than two slow reads.

Change: a pause between two reads longer than an entry needs to notice that the store is silent and to ask others interrupts the history, and the store's record, which other entries write, is merged before a caller goes on. Versions are noted with each batch. Only services of the first list count as new at a first start. Half of the caller's time is waited for.

--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -147,6 +147,22 @@
 	return max(minProofPause, time.Duration(g.peers.count())*proofPausePerEntry)
 }
 
+// maxReadGap is the longest time between two reads of the list in which servers do not come and go
+// unseen under names that stay listed: an entry needs it to notice that the store does not answer,
+// and to ask others.
+func (g *Gateway) maxReadGap() time.Duration {
+	return g.backendPause() + callTimeout + 2*retryPause + relayMargin
+}
+
+// readUpTo records that a table is complete up to a moment.
+func (g *Gateway) readUpTo(f *feed, moment time.Time) {
+	last := f.complete.moment()
+	if f.table == g.ports.Decoder.BackendTable && !last.IsZero() && moment.Sub(last) > g.maxReadGap() {
+		g.state.noteUnseenServers(true, 0)
+	}
+	f.complete.reach(moment)
+}
+
 // awaitCompleteList reports whether the list of servers is complete up to a moment since boot; it
 // waits for a read that began after it.
 func (g *Gateway) awaitCompleteList(ctx context.Context, moment time.Time, timeout time.Duration) bool {
--- a/internal/gateway/completeness_test.go
+++ b/internal/gateway/completeness_test.go
@@ -30,9 +30,10 @@
 	asked := lease.BootClock()
 	response, err := g.peers.table(t.Context(), time.Second, strings.TrimPrefix(relay.URL, "http://"), "servers", wholeTable)
 	assert.NoError(t, err)
-	assertAge(t, waited+100*time.Millisecond, response.ageSince(asked), asked)
+	assert.Equal(t, asked.Add(-100*time.Millisecond), response.completeUpTo(asked))
+	assert.GreaterOrEqual(t, lease.BootClock().Sub(asked), waited)
 	response.Recent = true
-	assertAge(t, waited, response.ageSince(asked), asked)
+	assert.Equal(t, asked, response.completeUpTo(asked))
 }
 
 // Guards against a table that counts as recent before the response that shows it is applied.
@@ -40,7 +41,7 @@
 	g, _ := newRelayedEntry(t, 3, 0)
 	f := &feed{table: "servers"}
 	g.feeds = []*feed{f}
-	g.feedSucceeded(f, 0, func() {
+	g.feedSucceeded(f, lease.BootClock(), func() {
 		assert.False(t, f.answered())
 		assert.True(t, f.complete.moment().IsZero())
 	})
@@ -86,33 +87,97 @@
 	assert.LessOrEqual(t, reads, 10)
 }
 
-// Guards against a server of another version that came and went between two reads of the list.
-func TestAServerThatCameAndWentUnseenIsOfAnUnknownVersion(t *testing.T) {
-	const takeUp = time.Minute
+// historySite is an entry with one resumable route to service s, whose list of servers a test
+// writes.
+type historySite struct {
+	*Gateway
+	list *feed
+}
+
+func newHistorySite(t *testing.T) historySite {
+	t.Helper()
 	g, _ := newRelayedEntry(t, 3, 0)
+	g.settings = Settings{DrainBound: 2 * time.Second}
 	g.state = newState(Settings{Node: "gw0", Bootstrap: true}, func(string) {})
-	g.state.table.Store(routetable.New(1, routetable.Limits{}, []routetable.Route{{
-		Kind: routetable.Stream, Resumable: true, Targets: []routetable.Target{{Service: "s", Weight: 1}},
-	}}, []routetable.Service{{Name: "s"}}, nil))
+	g.state.table.Store(resumableTable())
 	f := &feed{table: "servers", apply: func(now time.Time, rows []mirror.Row, _ string) {
 		for _, row := range rows {
+			change := backendChange{removed: row.Key}
 			if !row.Removed {
-				g.state.putBackend(now, &fleet.Backend{Incarnation: fleet.Incarnation{Instance: row.Key}, Service: "s", Address: "10.0.0.1:80", Software: "v1"})
+				change = backendChange{backend: &fleet.Backend{Incarnation: fleet.Incarnation{Instance: row.Key}, Service: "s", Address: "10.0.0.1:80", Software: string(row.Value)}}
 			}
+			g.state.changeBackends(now, []backendChange{change}, "test")
 		}
 	}}
 	g.feeds, g.backends = []*feed{f}, f
-	only := func(batch mirror.Batch) streamorigin.Version {
-		g.applyBatch(f, batch, "test")
-		g.observeSoftware()
-		version, _ := g.state.software["s"].Only(lease.BootClock(), takeUp)
-		return version
-	}
-	v1 := streamorigin.VersionOf("s", "v1")
-	assert.Equal(t, v1, only(mirror.Batch{Snapshot: true, Version: 5, Rows: []mirror.Row{{Key: "a", Version: 4}}}))
-	assert.Equal(t, v1, only(mirror.Batch{Version: 6, Rows: []mirror.Row{{Key: "a", Version: 6}}}))
-	assert.Zero(t, only(mirror.Batch{Version: 8, Rows: []mirror.Row{{Key: "b", Version: 8, Removed: true}}}))
-	assert.Equal(t, 1, f.copy.UnseenRows())
+	return historySite{Gateway: g, list: f}
+}
+
+func resumableTable() *routetable.Table {
+	return routetable.New(1, routetable.Limits{}, []routetable.Route{{
+		Kind: routetable.Stream, Resumable: true, Targets: []routetable.Target{{Service: "s", Weight: 1}},
+	}}, []routetable.Service{{Name: "s"}}, nil)
+}
+
+// read applies a batch that is complete up to a moment.
+func (h historySite) read(asOf time.Time, batch mirror.Batch) {
+	h.feedSucceeded(h.list, asOf, func() { h.applyBatch(h.list, batch, "test") })
+}
+
+func (h historySite) only() streamorigin.Version {
+	const takeUp = time.Minute
+	h.state.observeSoftware()
+	version, _ := h.state.software["s"].Only(lease.BootClock(), takeUp)
+	return version
+}
+
+func listed(key, software string, version uint64) mirror.Row {
+	return mirror.Row{Key: key, Value: []byte(software), Version: version}
+}
+
+// Guards against a server of another version that came and went between two reads of the list.
+func TestAServerThatCameAndWentUnseenIsOfAnUnknownVersion(t *testing.T) {
+	h, now, v1 := newHistorySite(t), lease.BootClock(), streamorigin.VersionOf("s", "v1")
+	h.read(now, mirror.Batch{Snapshot: true, Version: 5, Rows: []mirror.Row{listed("a", "v1", 4)}})
+	assert.Equal(t, v1, h.only())
+	h.read(now.Add(time.Second), mirror.Batch{Version: 6, Rows: []mirror.Row{listed("a", "v1", 6)}})
+	assert.Equal(t, v1, h.only())
+	h.read(now.Add(2*time.Second), mirror.Batch{Version: 8, Rows: []mirror.Row{{Key: "b", Version: 8, Removed: true}}})
+	assert.Zero(t, h.only())
+	assert.Equal(t, 1, h.list.copy.UnseenRows())
+}
+
+// Guards against a version that came and went, between two looks at the list, in batches that were
+// both read.
+func TestAVersionBetweenTwoLooksIsSeen(t *testing.T) {
+	h, now := newHistorySite(t), lease.BootClock()
+	h.read(now, mirror.Batch{Snapshot: true, Version: 5, Rows: []mirror.Row{listed("a", "v1", 4)}})
+	h.read(now, mirror.Batch{Version: 7, Rows: []mirror.Row{listed("b", "v2", 7)}})
+	h.read(now, mirror.Batch{Version: 8, Rows: []mirror.Row{{Key: "b", Version: 8, Removed: true}}})
+	assert.Zero(t, h.only())
+}
+
+// Guards against a server that started again at another version and back under its name while the
+// process stood still: the list shows neither.
+func TestALongPauseBetweenTwoReadsInterruptsTheHistory(t *testing.T) {
+	h, now := newHistorySite(t), lease.BootClock()
+	h.read(now, mirror.Batch{Snapshot: true, Version: 5, Rows: []mirror.Row{listed("a", "v1", 4)}})
+	h.read(now.Add(h.maxReadGap()), mirror.Batch{Version: 7, Rows: []mirror.Row{listed("a", "v1", 7)}})
+	assert.NotZero(t, h.only())
+	h.read(now.Add(2*h.maxReadGap()+time.Millisecond), mirror.Batch{Version: 9, Rows: []mirror.Row{listed("a", "v1", 9)}})
+	assert.Zero(t, h.only())
+	assert.True(t, h.state.needsSoftwareMerge("s"))
+}
+
+// Guards against a service whose streams a later configuration makes resumable, and which then
+// counts as if no stream had begun before.
+func TestAServiceObservedLaterHasAnUnknownPast(t *testing.T) {
+	h, now := newHistorySite(t), lease.BootClock()
+	h.state.table.Store(routetable.New(1, routetable.Limits{}, nil, []routetable.Service{{Name: "s"}}, nil))
+	h.read(now, mirror.Batch{Snapshot: true, Version: 5, Rows: []mirror.Row{listed("a", "v1", 4)}})
+	h.state.table.Store(resumableTable())
+	assert.Zero(t, h.only())
+	assert.True(t, h.state.needsSoftwareMerge("s"))
 }
 
 // Guards against a table without its changes, after which versions may have come and gone, that
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -298,7 +298,7 @@
 			continue
 		}
 		g.load.tablesRead.add(batch.Size())
-		g.feedSucceeded(f, batch.ageSince(began), func() { g.applyBatch(f, batch.Batch, relay) })
+		g.feedSucceeded(f, batch.completeUpTo(began), func() { g.applyBatch(f, batch.Batch, relay) })
 		return feedsource.Fresh
 	}
 	return outcome
@@ -329,12 +329,11 @@
 	if err != nil {
 		return err
 	}
-	age := time.Duration(0)
-	if wait == 0 {
-		// The response may have waited here while the process stood still.
-		age = lease.BootClock().Sub(began)
+	asOf := began // The response may have waited here while the process stood still.
+	if wait > 0 {
+		asOf = lease.BootClock()
 	}
-	g.feedSucceeded(f, age, func() {
+	g.feedSucceeded(f, asOf, func() {
 		g.noteIgnored(time.Now(), f, batch, after)
 		if f.asksPeers && platform.EraOf(batch.Version) > platform.EraOf(after) {
 			g.enterEra(ctx, f, batch)
@@ -372,33 +371,32 @@
 	}
 }
 
-// feedSucceeded applies a response that shows the table as of the given time ago, and then
-// records its age: until it is applied the copy is as old as before.
-func (g *Gateway) feedSucceeded(f *feed, age time.Duration, apply func()) {
-	answeredAt := lease.BootClock().Add(-age)
-	g.feedRegained(f, age, time.Duration(answeredAt.UnixNano()-f.lastResponse.Load()))
+// feedSucceeded applies a response that shows the table as of a moment since boot, and then records
+// the moment: until it is applied the copy is as old as before.
+func (g *Gateway) feedSucceeded(f *feed, asOf time.Time, apply func()) {
+	g.feedRegained(f, asOf)
 	apply()
-	f.lastResponse.Store(answeredAt.UnixNano())
+	f.lastResponse.Store(asOf.UnixNano())
 	if f.wait == 0 {
-		f.complete.reach(answeredAt)
+		g.readUpTo(f, asOf)
 	}
 }
 
 // feedRegained records that the store answers again. After an outage, registrations of servers
 // that are alive may have expired, so the list keeps them for its grace period. Other feeds may
-// still block on connections whose responses were lost, so their reads are interrupted. gap is
-// the time between the last two responses.
-func (g *Gateway) feedRegained(f *feed, age, gap time.Duration) {
+// still block on connections whose responses were lost, so their reads are interrupted.
+func (g *Gateway) feedRegained(f *feed, asOf time.Time) {
 	if !f.failing.Swap(false) {
 		return
 	}
+	gap := time.Duration(asOf.UnixNano() - f.lastResponse.Load())
 	version := f.version()
 	klog.InfoS("Store regained", "table", f.table, "era", platform.EraOf(version), "version", platform.CommitOf(version), "gapMS", gap.Milliseconds())
 	if f.table != g.ports.Decoder.BackendTable {
 		return
 	}
 	if f.answered() && gap > minOutage {
-		g.state.listRestored(time.Now().Add(-age))
+		g.state.listRestored(time.Now().Add(-lease.BootClock().Sub(asOf)))
 	}
 	g.interruptOtherPolls(f)
 }
@@ -428,7 +426,7 @@
 	}
 	if batch.Version > 0 {
 		g.applyBatch(f, batch.Batch, peer)
-		f.complete.reach(lease.BootClock().Add(-batch.ageSince(began)))
+		g.readUpTo(f, batch.completeUpTo(began))
 	}
 	f.complete.fail(began)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,7 +16,6 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/responselimit"
@@ -77,14 +76,13 @@
 	Recent bool `json:"recent,omitempty"`
 }
 
-// ageSince returns the age of a batch whose source was asked at a time since boot. It counts from
-// then, as the response may have waited at either end.
-func (r *tableResponse) ageSince(asked time.Time) time.Duration {
-	waited := lease.BootClock().Sub(asked)
+// completeUpTo returns the moment up to which the batch is complete, by the time since boot at which
+// its source was asked: the response may have waited at either end.
+func (r *tableResponse) completeUpTo(asked time.Time) time.Time {
 	if r.Recent {
-		return waited
+		return asked
 	}
-	return waited + time.Duration(r.AgeMS)*time.Millisecond
+	return asked.Add(-time.Duration(r.AgeMS) * time.Millisecond)
 }
 
 // tableQuery says which part of a table to read. Entries of builds that know no eras send
@@ -221,7 +219,12 @@
 // be older than it says.
 func (g *Gateway) withAge(f *feed, recent bool, rows func() mirror.Batch) tableResponse {
 	age := g.tableAge(f)
-	return tableResponse{Batch: rows(), AgeMS: age.Milliseconds(), Recent: recent}
+	return tableResponse{Batch: rows(), AgeMS: wholeMilliseconds(age), Recent: recent}
+}
+
+// wholeMilliseconds rounds an age up.
+func wholeMilliseconds(age time.Duration) int64 {
+	return (age / time.Millisecond).Nanoseconds() + min(1, (age%time.Millisecond).Nanoseconds())
 }
 
 // respondTable sends the changes of a table after a version, or the complete table.
--- a/internal/gateway/softwarehistory.go
+++ b/internal/gateway/softwarehistory.go
@@ -16,9 +16,10 @@
 const (
 	// softwareInterval is the pause between two looks at the versions that are listed.
 	softwareInterval = 250 * time.Millisecond
-	// versionProofTimeout bounds the wait for a list of servers, and a record of versions, that
-	// were read after the caller came back.
-	versionProofTimeout = 500 * time.Millisecond
+	// versionProofShare of the time that a caller still has is waited for a list of servers, and a
+	// record of versions, that were read after it came back, but minVersionProofTimeout at least.
+	versionProofShare      = 0.5
+	minVersionProofTimeout = 500 * time.Millisecond
 	// recordPollInterval is the pause between two looks for a merged record.
 	recordPollInterval = 5 * time.Millisecond
 	// takeUpTimeouts is how many time limits after a stream began its caller may take it up
@@ -52,7 +53,7 @@
 // look observes the versions that are listed, and merges the record where that is due.
 func (r *softwareRecorder) look(ctx context.Context, now time.Time) {
 	g := r.gateway
-	g.observeSoftware()
+	g.state.observeSoftware()
 	if g.ports.Software == nil || now.Before(r.retryAt) {
 		return
 	}
@@ -127,14 +128,16 @@
 }
 
 // observeSoftware notes which versions are listed.
-func (g *Gateway) observeSoftware() {
-	table := g.state.table.Load()
-	if table == nil || g.backends == nil || g.backends.version() == 0 {
+func (s *state) observeSoftware() {
+	table := s.table.Load()
+	if table == nil {
 		return
 	}
-	s := g.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.listReady {
+		return
+	}
 	for _, route := range table.DeclaredRoutes() {
 		if !isResumable(&route) {
 			continue
@@ -143,6 +146,7 @@
 			s.observeServiceLocked(lease.BootClock(), target.Service)
 		}
 	}
+	s.softwareObserved = true
 }
 
 func isResumable(r *routetable.Route) bool { return r.Kind == routetable.Stream && r.Resumable }
@@ -153,7 +157,7 @@
 	if h == nil {
 		h = softwarehistory.New()
 		s.software[service] = h
-		if s.settings.Bootstrap {
+		if s.settings.Bootstrap && !s.softwareObserved {
 			h.Merge(now, nil, h.Interruptions()) // No stream has begun before the first start.
 		}
 	}
@@ -171,11 +175,12 @@
 // Servers may have joined until the caller came back, so the list is read once more.
 // timeLeft is how long its caller still waits, which may be longer than its route allows.
 func (g *Gateway) onlyVersion(ctx context.Context, service string, timeLeft time.Duration) (streamorigin.Version, string) {
-	until := time.Now().Add(versionProofTimeout)
-	if !g.awaitCompleteList(ctx, lease.BootClock(), versionProofTimeout) {
+	timeout := max(minVersionProofTimeout, time.Duration(versionProofShare*float64(timeLeft)))
+	until := time.Now().Add(timeout)
+	if !g.awaitCompleteList(ctx, lease.BootClock(), timeout) {
 		return 0, "the list of servers could not be read since the caller came back"
 	}
-	g.observeSoftware()
+	g.state.observeSoftware()
 	g.awaitMergedSoftware(ctx, service, until)
 	within := takeUpTimeouts * max(g.longestStream(service), timeLeft)
 	s := g.state
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -42,7 +42,9 @@
 	// software is, by service with resumable streams, which versions of its servers' software
 	// were in service.
 	software map[string]*softwarehistory.History
-	targets  *weights.Targets
+	// softwareObserved: the versions of the first list have been observed.
+	softwareObserved bool
+	targets    *weights.Targets
 	// operatorsRead: the operator's rows have been read once since the start.
 	operatorsRead bool
 	members       *membership.Members
@@ -115,8 +117,8 @@
 		settings: settings, closeIdle: closeIdle, crossings: between,
 		list:     fleet.NewList(listGrace),
 		software: map[string]*softwarehistory.History{},
-		targets:  weights.NewTargets(),
-		members:  membership.New(membership.DefaultSettings()),
+		targets: weights.NewTargets(),
+		members: membership.New(membership.DefaultSettings()),
 		router: routing.NewDirect(routing.DirectOptions{
 			DataCentre: settings.DataCentre, MaxVersionAge: settings.VersionBound - versionMargin, Locality: between.policy(),
 		}),
--- a/internal/gateway/storeera.go
+++ b/internal/gateway/storeera.go
@@ -33,9 +33,13 @@
 	held, unseen := f.copy.Version(), f.copy.UnseenRows()
 	changed := f.copy.Apply(batch)
 	f.apply(now, changed, source)
-	if f.table == g.ports.Decoder.BackendTable && held > 0 {
+	if f.table != g.ports.Decoder.BackendTable {
+		return
+	}
+	if held > 0 {
 		g.state.noteUnseenServers(batch.Snapshot && batch.Version > held, f.copy.UnseenRows()-unseen)
 	}
+	g.state.observeSoftware()
 }
 
 // eraChanged logs and counts a new era of the store. Servers whose registrations it has lost
