Gateway: streams go on at the service that began them

Callers saw: on a route that is split over two services, 18 of 40 streams that were taken up without naming their attempt went on at the other service (ORDER: pieces of two runs that do not fit together), and of those that named it 18 of 40 were refused.

Cause: the service of a split route is chosen by a hash of the attempt's ID, and each attempt has its own. The proof of the only version looked at that service alone.

Change: a stream whose version is known goes to the service that has it. Without a name it goes on only if the route leads to one service, and did so for as long as the stream may be taken up, as far as this entry has seen configurations (routeMoves).

--- a/internal/gateway/softwarehistory.go
+++ b/internal/gateway/softwarehistory.go
@@ -174,7 +174,7 @@
 // a stream that is taken up now may have begun; 0: there were several, or that is not known.
 // Servers may have joined until the caller came back, so the list is read once more.
 // timeLeft is how long its caller still waits, which may be longer than its route allows.
-func (g *Gateway) onlyVersion(ctx context.Context, service string, timeLeft time.Duration) (streamorigin.Version, string) {
+func (g *Gateway) onlyVersion(ctx context.Context, route *routetable.Route, service string, timeLeft time.Duration) (streamorigin.Version, string) {
 	timeout := max(minVersionProofTimeout, time.Duration(versionProofShare*float64(timeLeft)))
 	until := time.Now().Add(timeout)
 	if !g.awaitCompleteList(ctx, lease.BootClock(), timeout) {
@@ -190,6 +190,9 @@
 	if h == nil {
 		return 0, "versions in service are not known"
 	}
+	if !s.routeMoves.hadOnlyService(lease.BootClock(), route, within) {
+		return 0, "the route leads to several services, or did not long ago"
+	}
 	return h.Only(lease.BootClock(), within)
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -10,6 +10,7 @@
 	"github.com/jayproxy/jayproxy/internal/call"
 	"github.com/jayproxy/jayproxy/internal/fairshare"
 	"github.com/jayproxy/jayproxy/internal/fleet"
+	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/membership"
 	"github.com/jayproxy/jayproxy/internal/retry"
 	"github.com/jayproxy/jayproxy/internal/routetable"
@@ -44,6 +45,8 @@
 	software map[string]*softwarehistory.History
 	// softwareObserved: the versions of the first list have been observed.
 	softwareObserved bool
+	// routeMoves is when routes last led to other services.
+	routeMoves routeMoves
 	targets    *weights.Targets
 	// operatorsRead: the operator's rows have been read once since the start.
 	operatorsRead bool
@@ -116,7 +119,7 @@
 	return &state{
 		settings: settings, closeIdle: closeIdle, crossings: between,
 		list:     fleet.NewList(listGrace),
-		software: map[string]*softwarehistory.History{},
+		software: map[string]*softwarehistory.History{}, routeMoves: routeMoves{},
 		targets: weights.NewTargets(),
 		members: membership.New(membership.DefaultSettings()),
 		router: routing.NewDirect(routing.DirectOptions{
@@ -144,6 +147,9 @@
 		if old != nil && table.Version <= old.Version {
 			return
 		}
+		if old != nil {
+			s.noteRouteMoves(old, table)
+		}
 		if s.table.CompareAndSwap(old, table) {
 			klog.InfoS("Configuration in force", "version", table.Version, "source", source)
 			return
@@ -151,6 +157,12 @@
 	}
 }
 
+func (s *state) noteRouteMoves(before, after *routetable.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routeMoves.note(lease.BootClock(), before, after)
+}
+
 // setTarget records the version of a model's weights that an operator named as the one to serve.
 // The first rows that are read after a start may have been written long before.
 func (s *state) setTarget(now time.Time, target weights.Target, source string) {
--- a/internal/gateway/streamorigins.go
+++ b/internal/gateway/streamorigins.go
@@ -168,9 +168,11 @@
 	if j.head.Resumes != "" {
 		j.origin, source = g.origins.find(j.ctx, streamorigin.StreamOf(j.head.Resumes))
 	}
-	if j.origin == 0 {
+	if j.origin != 0 {
+		j.chooseServiceOf(j.origin)
+	} else {
 		// Nobody knows the stream, as after a loss of all entries, or the caller does not name it.
-		j.origin, source = g.onlyVersion(j.ctx, j.service.Name, j.head.Timeout)
+		j.origin, source = g.onlyVersion(j.ctx, j.route, j.service.Name, j.head.Timeout)
 	}
 	klog.InfoS("Stream taken up", "request", j.head.ID, "resumes", j.head.Resumes, "after", j.head.LastEventID,
 		"known", j.origin != 0, "software", j.origin, "source", source, "listVersion", platform.CommitOf(g.backends.version()),
@@ -184,6 +186,29 @@
 	return false
 }
 
+// chooseServiceOf chooses the service of the route that has servers of a version: the ID of this
+// attempt may lead to another service than that of the attempt which began the stream.
+func (j *job) chooseServiceOf(version streamorigin.Version) {
+	name := j.gateway.state.serviceListing(j.route, version)
+	if service := j.table.Services[name]; service != nil {
+		j.service = service
+	}
+}
+
+// serviceListing returns the service of a route that lists servers of a version; empty: none does.
+func (s *state) serviceListing(route *routetable.Route, version streamorigin.Version) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, target := range route.Targets {
+		for _, b := range s.list.OfService(target.Service) {
+			if streamorigin.Version(b.SoftwareHash) == version {
+				return target.Service
+			}
+		}
+	}
+	return ""
+}
+
 // recordOrigin records, before the caller gets the first event of a response, which
 // version must go on with the stream.
 func (j *job) recordOrigin(choice *routing.DirectChoice) {
