Gateway: events that are not of the stream never reach the caller

Cause: isDuplicate compared from the second send on, and only with what this entry had delivered, not with the caller's Last-Event-Id. What followed an event was passed on whatever it was.

Change: IDs of events increase (protocol), within a response and across sends. At the begin of a response, events up to the caller's last one are dropped. An ID that is not above the one before it in the same response, and a status line between two events of an unframed response, are not of this run: the response counts as interrupted, so that the stream goes on elsewhere if it may, else it is broken off. Logs tell the last event that the caller has when a response is interrupted and when the request ends.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -142,13 +142,13 @@
 }
 
 func (j *job) responseInterrupted(choice *routing.DirectChoice, err error) sendOutcome {
-	klog.InfoS("Response interrupted", "request", j.head.ID, "server", choice.Server.ID, "err", err, "events", j.stream.delivered,
+	klog.InfoS("Response interrupted", "request", j.head.ID, "server", choice.Server.ID, "err", err, "events", j.stream.delivered, "lastEvent", j.lastEventID(),
 		"fingerprint", j.fingerprint().String(), "parts", j.sharedPartIDs(), "sentMS", time.Since(j.sentAt).Milliseconds())
 	if j.ctx.Err() != nil {
 		return canceled
 	}
 	j.recordServerFailure(choice.Server.ID)
-	if j.gateway.countExceeded(err) {
+	if j.gateway.countExceeded(err) || errors.Is(err, errOtherResponse) {
 		// This entry ended the response, not a crash of the server.
 		return indeterminate
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -340,7 +340,7 @@
 	took := time.Since(j.arrived)
 	j.gateway.metrics.Time("request", j.routeLabel(), took)
 	klog.InfoS("Request ended", "request", j.head.ID, "route", j.routeLabel(), "outcome", j.outcome, "sends", j.sends, "tried", j.tried,
-		"events", j.stream.delivered, "firstMS", j.stream.firstAfter.Milliseconds(), "longestGapMS", j.stream.longestGap.Milliseconds(), "ms", took.Milliseconds(),
+		"events", j.stream.delivered, "lastEvent", j.stream.lastID, "firstMS", j.stream.firstAfter.Milliseconds(), "longestGapMS", j.stream.longestGap.Milliseconds(), "ms", took.Milliseconds(),
 		"framing", j.framing, "serverRunning", j.load.Running, "serverWaiting", j.load.Waiting, "config", configVersion(j.table))
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,6 +36,8 @@
 	firstAfter time.Duration
 	// lastID is the ID of the last event sent that had one, as the server wrote it.
 	lastID string
+	// order checks the IDs of the events.
+	order eventOrder
 	// lastAt is when the last event was sent, longestGap the longest time between
 	// two: callers limit the wait for the next event as well as for the first.
 	lastAt     time.Time
@@ -104,6 +105,7 @@
 // forwardStream forwards a stream event by event.
 func (j *job) forwardStream(choice *routing.DirectChoice, response *upstream.Response) sendOutcome {
 	reader := eventReader{bufio.NewReaderSize(response.Body, eventReaderBytes)}
+	j.stream.order.beginResponse(j.lastEventID())
 	first := true
 	for {
 		ev, err := reader.next()
@@ -118,7 +120,11 @@
 			first = false
 			j.recordFirstToken()
 		}
-		if j.isDuplicate(ev) {
+		forward, err := j.mayForward(choice, response, ev)
+		if err != nil {
+			return j.responseInterrupted(choice, err)
+		}
+		if !forward {
 			continue
 		}
 		j.recordOrigin(choice)
@@ -160,17 +166,6 @@
 	j.gateway.metrics.Time("first_token", j.routeLabel(), j.stream.firstAfter)
 }
 
-// isDuplicate reports whether the caller already has the event: a run that
-// resumes at another server may begin with events sent before.
-func (j *job) isDuplicate(ev event) bool {
-	if j.stream.lastID == "" || ev.id == "" || j.sends == 1 {
-		return false
-	}
-	last, errLast := strconv.ParseInt(j.stream.lastID, 10, 64)
-	id, errID := strconv.ParseInt(ev.id, 10, 64)
-	return errLast == nil && errID == nil && id <= last
-}
-
 func (j *job) writeEvent(response *upstream.Response, ev event) error {
 	if j.stream.delivered == 0 {
 		j.copyHeader(j.gateway.ports.Dialect.ResponseHeader(response.Header))
