Gateway: a new system has its part of the retry slack with its first list of entries

What callers saw: in the first 0.2 s and more after the first start of a system, streams that broke off were not taken up at another server: "Retry refused", slackPart=0.

Cause: since the age of a table is set after its rows are applied. An entry's part of the slack is worked out while the rows of the entries are applied, and needs that age, so it stayed 0 until the next tick.

Change: it is worked out again once the age of the entries' list is set.

--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -379,6 +379,9 @@
 	g.feedRegained(f, age, time.Duration(answeredAt.UnixNano()-f.lastResponse.Load()))
 	apply()
 	f.lastResponse.Store(answeredAt.UnixNano())
+	if f == g.entries {
+		g.shareRetrySlack() // Not before: it depends on the list's age.
+	}
 	if f.wait == 0 {
 		f.complete.reach(answeredAt)
 	}
