--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -377,6 +377,12 @@
 	g.feedRegained(f, asOf)
 	apply()
 	f.lastResponse.Store(asOf.UnixNano())
+	if f == g.entries {
+		g.shareRetrySlack() // Not before: it depends on the list's age.
+	}
+	if f.wait == 0 {
+		g.readUpTo(f, asOf)
+	}
 	if f.wait == 0 {
 		g.readUpTo(f, asOf)
 	}
