Agent: a switch of protocols is no whole response

What callers saw: a plain service that answered 101 and then stopped in the middle of a head gave the callers of jay-entry a 200 with that part of a head as its body, framed as whole (trial on the code before: HTTP/1.0 200 OK, body "HTTP/1.1 200 OK\r\nX-An", closed in order). An engine's 101 gave a state report, KV cache and a whole response.

Cause: net/http returns 101 as a final response with the length 0 and a body that ends with the connection. wholebody.IsFramed took the length for one, and all statuses below 300 for a success. No request of ours asks for a switch: Upgrade is not forwarded.

Change: IsFramed is false for 101; the agent's calls to services, engines and the KV cache store fail with it, with an unknown outcome, without reading on.

--- a/internal/agent/kv.go
+++ b/internal/agent/kv.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "send request to KV cache store")
 	}
-	if response.StatusCode < http.StatusMultipleChoices {
+	if response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices {
 		return response, nil
 	}
 	_ = response.Body.Close()
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -69,8 +69,13 @@
 	}
 }
 
-// errServiceNotReached means that the request was not sent to the service.
-var errServiceNotReached = errors.New("service not reached")
+var (
+	// errServiceNotReached means that the request was not sent to the service.
+	errServiceNotReached = errors.New("service not reached")
+	// errProtocolSwitched means that the service answered with 101. No request asks for that,
+	// and nothing gives the end of what follows it.
+	errProtocolSwitched = errors.New("service switched protocols unasked")
+)
 
 // call sends the request once. Redirects are returned, not followed.
 func (b *serviceBackend) call(ctx context.Context, offer *jayv1.Offer, body []byte) (*http.Response, error) {
@@ -88,7 +93,14 @@
 	if err != nil && !connected.Load() {
 		return nil, eris.Wrapf(errServiceNotReached, "%v", err)
 	}
-	return response, eris.Wrap(err, "call service")
+	if err != nil {
+		return nil, eris.Wrap(err, "call service")
+	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		_ = response.Body.Close()
+		return nil, errProtocolSwitched
+	}
+	return response, nil
 }
 
 func (b *serviceBackend) newRequest(ctx context.Context, offer *jayv1.Offer, body []byte) (*http.Request, error) {
--- a/internal/engine/dialect/dialect.go
+++ b/internal/engine/dialect/dialect.go
@@ -118,7 +118,12 @@
 		}
 		return nil, fmt.Errorf("%s: %w: %w", call.path, engine.ErrInterrupted, err)
 	}
-	if response.StatusCode < http.StatusMultipleChoices {
+	switch {
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		// No call asks for it, and nothing gives the end of what follows.
+		_ = response.Body.Close()
+		return nil, eris.Wrapf(engine.ErrInterrupted, "%s: protocols switched unasked", call.path)
+	case response.StatusCode < http.StatusMultipleChoices:
 		return response, nil
 	}
 	defer response.Body.Close()
--- a/internal/wholebody/wholebody.go
+++ b/internal/wholebody/wholebody.go
@@ -18,8 +18,12 @@
 var ErrTooLong = errors.New("body is longer than the limit")
 
 // IsFramed reports whether a length or chunks show where the body ends. Reading a framed body
-// that is cut off fails; reading one without framing ends in order.
+// that is cut off fails; reading one without framing ends in order. What follows a switch of
+// protocols is not framed, although net/http gives it the length 0.
 func IsFramed(response *http.Response) bool {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return false
+	}
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 }
 
