--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -383,9 +383,6 @@
 	if f.wait == 0 {
 		g.readUpTo(f, asOf)
 	}
-	if f.wait == 0 {
-		g.readUpTo(f, asOf)
-	}
 }
 
 // feedRegained records that the store answers again. After an outage, registrations of servers
