Upstream: a response that ends with its connection waits for the result of writing its request

Where a response ends with its connection, a failed write of the request is the only sign of a reset, and the goroutine that writes had 10 ms to report. That time is meant for keeping a connection; here it decides on the response, so it is 250 ms.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -43,6 +43,9 @@
 	// writeDoneTimeout is how long after the complete response the goroutine that wrote
 	// the request may take to report that it has finished.
 	writeDoneTimeout = 10 * time.Millisecond
+	// closedWriteTimeout is the same for a response that ended with its connection: without
+	// the result it counts as broken off.
+	closedWriteTimeout = 250 * time.Millisecond
 )
 
 // Request is one request to a backend server. Its body is in memory, so that it can
@@ -238,7 +241,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if b.response.Framing == FramedByConnection && !b.response.sent() {
+	if b.response.Framing == FramedByConnection && !b.response.sentWithin(closedWriteTimeout) {
 		// A reset is reported once. The failed write of the request has got that report, so
 		// that the read after it finds nothing but the end.
 		return n, io.ErrUnexpectedEOF
@@ -272,8 +275,11 @@
 // before the goroutine that wrote the request has reported its result, so sent waits
 // for it. If none comes in time, the server has answered before it has read the
 // request.
-func (r *Response) sent() bool {
-	r.writeResult.Do(func() { r.wholeSent = r.awaitWritten() })
+func (r *Response) sent() bool { return r.sentWithin(writeDoneTimeout) }
+
+// sentWithin is sent with the time that it waits if nobody has waited before.
+func (r *Response) sentWithin(timeout time.Duration) bool {
+	r.writeResult.Do(func() { r.wholeSent = r.awaitWritten(timeout) })
 	return r.wholeSent
 }
 
@@ -288,8 +294,8 @@
 	}
 }
 
-func (r *Response) awaitWritten() bool {
-	timer := time.NewTimer(writeDoneTimeout)
+func (r *Response) awaitWritten(timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case err := <-r.written:
