Membership: servers that refuse connections are left out, however many

Callers saw: beside an idle server, requests were rejected with 503 while most rows of their service were of servers that had ended (a rack that loses power).

Cause: a refused connection ejected a server only within the limit on ejections (0.34 of a service). Beyond it nothing was remembered, and servers that were never measured, or are idle, are chosen first: each request tried the same ones, and four of them use up its sends.

While all of a service refuse, one at a time is usable, in turn. Refused connections do not count as sends while usable servers are left, up to 12 of one request. What other entries report, and entries to an owner, stays under the limit, since their link may be the cause.

TestAServerThatDoesNotListenIsEjectedAtOnce asserted the fault (the limit applies to refused connections too). TestServersThatDoNotListenAreLeftOutAtOnce replaces it: each is left out, the last never is, and a single refusal excludes for no more than 0.5 s; TestReportsOfRefusedConnectionsTakeNoPoolAway checks the limit for reports. The random test of members now also draws refused connections and checks that one server stays usable.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,7 +131,7 @@
 // would exhaust it, and requests would be refused although other servers are
 // idle.
 func (j *job) mayResendUnsent(reason string) bool {
-	if j.ctx.Err() == nil && j.sends < maxSends {
+	if j.ctx.Err() == nil && !j.lastSend() {
 		return true
 	}
 	j.giveUp(reason + ", not sent again")
@@ -141,20 +141,37 @@
 // mayResendRefused decides whether to send again after a server refused the
 // request. Refused sends count against the retry budget.
 func (j *job) mayResendRefused(reason string) bool {
-	if j.ctx.Err() == nil && j.sends < maxSends && j.takeRetry(reason) {
+	if j.ctx.Err() == nil && !j.lastSend() && j.takeRetry(reason) {
 		return true
 	}
 	j.giveUp(reason + ", not sent again")
 	return false
 }
 
-// maxSends bounds the sends of one request, refused ones included.
-const maxSends = 4
+const (
+	// maxSends bounds the sends of one request, refused ones included.
+	maxSends = 4
+	// maxRefusedConnections is the number of refused connections that do not count as
+	// sends while usable servers are left. They take a round trip each, and when a rack
+	// loses power its servers refuse before any of them is known to have ended.
+	maxRefusedConnections = 12
+)
+
+// othersLeft reports whether usable servers were left beside the chosen one. An owner that
+// offers one does not say.
+func (j *job) othersLeft(choice *routing.DirectChoice) bool {
+	return choice.Server.Usable && (choice.Candidates > 1 || j.offer != nil)
+}
+
+// lastSend reports whether no send may follow the present one.
+func (j *job) lastSend() bool {
+	return j.sends-min(j.refusedConnections, maxRefusedConnections) >= maxSends
+}
 
 // mayRepeat decides whether to send a request again that may have run.
 func (j *job) mayRepeat() bool {
 	allowed := j.route.Repeatable() && j.indeterminateSends < j.route.MaxAttempts && j.ctx.Err() == nil && j.mayGoOn() && j.crashesAllowRepeat()
-	if allowed && j.sends < maxSends && j.takeRetry("outcome unknown") {
+	if allowed && !j.lastSend() && j.takeRetry("outcome unknown") {
 		j.chargeRepeat()
 		return true
 	}
@@ -311,6 +328,9 @@
 	if !errors.Is(j.ctx.Err(), context.Canceled) {
 		s.sendFailed(now, choice.Server.ID, err)
 		j.evidence.notListening = errors.Is(err, upstream.ErrNoListener)
+		if j.evidence.notListening && j.othersLeft(choice) {
+			j.refusedConnections++
+		}
 		j.evidence.failed = true
 	}
 	if exceeded := j.gateway.countExceeded(err); outcome == indeterminate && !exceeded {
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -226,7 +226,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if errors.Is(err, upstream.ErrNoListener) {
-		s.notListeningLocked(now, server)
+		s.members.NotListening(now, server)
+		s.noListenerCrashLocked(now, server)
 		if s.list.Get(server) != nil {
 			s.facts.Learned(now, sharedfact.Fact{Kind: sharedfact.NotListening, Server: server})
 		}
@@ -251,10 +252,9 @@
 	return servers
 }
 
-// notListeningLocked records that nothing listens at a server's address. For a draining
-// server that is the planned end, not a crash.
-func (s *state) notListeningLocked(now time.Time, server string) {
-	s.members.NotListening(now, server)
+// noListenerCrashLocked records a crash, as nothing listens at a server's address. For a
+// draining server that is the planned end.
+func (s *state) noListenerCrashLocked(now time.Time, server string) {
 	if b := s.list.Get(server); b != nil && !b.Draining {
 		s.suspects.serverCrashed(now, server)
 	}
--- a/internal/gateway/responselimits.go
+++ b/internal/gateway/responselimits.go
@@ -24,7 +24,7 @@
 // mayBeSentElsewhere reports whether another send may follow the present one if its outcome is
 // unknown.
 func (j *job) mayBeSentElsewhere(choice *routing.DirectChoice) bool {
-	lastSend := j.indeterminateSends+1 >= j.route.MaxAttempts || j.sends >= maxSends
+	lastSend := j.indeterminateSends+1 >= j.route.MaxAttempts || j.lastSend()
 	return j.route.Repeatable() && !lastSend && choice.Candidates != 1
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,7 +59,10 @@
 	// unrunSends counts the sends that are proven not to have run.
 	sends, unrunSends int
 	tried             []string
-	usage             admittedUsage
+	// refusedConnections counts the sends at which the server's address refused the
+	// connection while other usable servers were left.
+	refusedConnections int
+	usage              admittedUsage
 	// permit is that of the last send. overLimit are the servers that took no more
 	// requests under their limits.
 	permit    permit
--- a/internal/gateway/shardowner.go
+++ b/internal/gateway/shardowner.go
@@ -275,7 +275,8 @@
 			s.facts.Learned(now, sharedfact.Fact{Kind: sharedfact.Ended, Server: server})
 		}
 	case p.GetNotListening():
-		s.notListeningLocked(now, server)
+		s.members.NotListeningElsewhere(now, server)
+		s.noListenerCrashLocked(now, server)
 		s.facts.Learned(now, sharedfact.Fact{Kind: sharedfact.NotListening, Server: server})
 	case p.GetFailed():
 		s.members.Failed(now, server)
--- a/internal/gateway/shardowner_test.go
+++ b/internal/gateway/shardowner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -14,7 +15,9 @@
 	"github.com/jayproxy/jayproxy/internal/fleet"
 	"github.com/jayproxy/jayproxy/internal/metrics"
 	"github.com/jayproxy/jayproxy/internal/routetable"
+	"github.com/jayproxy/jayproxy/internal/routing"
 	"github.com/jayproxy/jayproxy/internal/shard"
+	"github.com/jayproxy/jayproxy/internal/upstream"
 	"github.com/jayproxy/jayproxy/internal/waitqueue"
 	"github.com/jayproxy/jayproxy/internal/weights"
 )
@@ -250,3 +253,45 @@
 	assert.Equal(t, updates, s.switchUpdatesOf(datagrams[0].GetSwitches()))
 	assert.Len(t, switchDatagrams(make([]switchUpdate, 2*switchesPerDatagram+1)), 3)
 }
+
+// Guards against requests that are sent to servers of which this entry knows that they refuse
+// connections, and against an entry that takes a shard away from its owner by what it reports.
+func TestOwnRefusedConnectionsCountForAnyNumberOfServers(t *testing.T) {
+	usable := func(s *state, now time.Time) (n int) {
+		for _, b := range s.list.OfService("engines") {
+			if usableHere(s, now, b.ID) {
+				n++
+			}
+		}
+		return n
+	}
+	now := ownerTestStart.Add(time.Second)
+	own, owner := newOwner("gw0"), newOwner("gw0")
+	for _, b := range own.list.OfService("engines")[1:] {
+		own.sendFailed(now, b.ID, errors.Join(upstream.ErrNoListener, upstream.ErrNotSent))
+	}
+	assert.Equal(t, 1, usable(own, now))
+	for _, b := range owner.list.OfService("engines")[1:] {
+		owner.mu.Lock()
+		owner.applyEvidenceLocked(now, b.ID, &jayv1.PlacementProgress{NotListening: true})
+		owner.mu.Unlock()
+	}
+	assert.Equal(t, 22, usable(owner, now), "about a third is left out by reports")
+}
+
+// Guards against requests that are given up for refused connections while usable servers are
+// left, and against as many tries when there are none.
+func TestRefusedConnectionsDoNotUseUpTheSends(t *testing.T) {
+	left := routing.DirectChoice{Server: routing.DirectServer{Usable: true}, Candidates: 2}
+	sent := func(sends, refused int) *job { return &job{sends: sends, refusedConnections: refused} }
+	assert.False(t, sent(maxSends, 1).lastSend())
+	assert.True(t, sent(maxSends, 0).lastSend())
+	assert.True(t, sent(maxSends+1, 1).lastSend())
+	assert.True(t, sent(maxSends+maxRefusedConnections, maxSends+maxRefusedConnections).lastSend(), "bounded in number")
+	assert.True(t, sent(1, 0).othersLeft(&left))
+	last, down := left, left
+	last.Candidates, down.Server.Usable = 1, false
+	assert.False(t, sent(1, 0).othersLeft(&last))
+	assert.True(t, (&job{offer: &ownerOffer{}}).othersLeft(&last), "an owner may offer another one")
+	assert.False(t, sent(1, 0).othersLeft(&down))
+}
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -56,6 +56,9 @@
 	b.outcomes.successStreak++
 	b.outcomes.failureStreak = 0
 	b.facts.aliveAt = now
+	if b.state != StateDown {
+		b.refusals = 0
+	}
 	switch {
 	case b.state == StateSuspect && b.outcomes.successStreak >= m.settings.SuspectSuccesses,
 		b.state == StateProbation && b.outcomes.successStreak >= m.settings.ProbationSuccesses:
@@ -97,10 +100,11 @@
 // recentSuccess is the age up to which a success outweighs what other entries report.
 const recentSuccess = 400 * time.Millisecond
 
-// NotListening records that nothing listens at the server's address, so its
-// process has ended. One such report ejects the server, whereas other failures
-// may be due to the request: waiting for a streak would send further requests to
-// a crashed server.
+// NotListening records that the server's address refused a connection of this entry: its
+// process has ended, or starts again. Unlike other failures, which may be due to the request
+// or the entry's link, one is enough, and the limit on ejections does not apply: rows of
+// servers that ended stay listed for seconds, and with more of them than the limit, each
+// request would try the same ones.
 func (m *Members) NotListening(now time.Time, server string) {
 	b := m.members[server]
 	if b == nil {
@@ -108,16 +112,18 @@
 	}
 	b.outcomes.add(now, m.settings.HalfLife, 1)
 	b.outcomes.successStreak = 0
-	m.eject(now, b, eventTrip)
+	m.fire(now, b, eventRefuse)
+	m.keepOne(now, m.groups[b.server.Group])
 }
 
 // NotListeningElsewhere records that a server's address refused a connection of another
 // entry. It reports whether the server is ejected now and was not before. A request of this
-// entry that has just succeeded there outweighs the report. The ejection does not lengthen
+// entry that has just succeeded there outweighs the report, and the limit on ejections
+// applies: the other entry may have lost its own link. The ejection does not lengthen
 // later ones, so that repeated false reports keep a server out for Settings.Backoff at a time.
 func (m *Members) NotListeningElsewhere(now time.Time, server string) bool {
 	b := m.members[server]
-	if b == nil || b.state == StateEjected || now.Sub(b.facts.aliveAt) < reportDelay {
+	if b == nil || !b.usable() || now.Sub(b.facts.aliveAt) < reportDelay {
 		return false
 	}
 	ejections := b.ejections
--- a/internal/membership/facts.go
+++ b/internal/membership/facts.go
@@ -83,7 +83,7 @@
 		f.peerDraining = false
 	}
 	f.incarnation = max(f.incarnation, state.GetIncarnation())
-	if restarted && b.state == StateEjected {
+	if restarted && (b.state == StateEjected || b.state == StateDown) {
 		m.fire(now, b, eventReturn)
 	}
 	m.applyFacts(now, b)
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -7,10 +7,13 @@
 // fact: the first source that reports it counts. That it fails is a conclusion
 // from this entry's own requests, and may be wrong if the entry's own network
 // link is down. So only a limited share of a pool is ejected for failures, each
-// time for a backoff that grows if the server keeps failing.
+// time for a backoff that grows if the server keeps failing. A server that refuses
+// a connection has ended, or starts again: it is left out for a short pause, however
+// many others are, as long as one of the pool is left.
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jayproxy/jayproxy/charts"
@@ -23,6 +26,7 @@
 	StateHealthy   = "healthy"
 	StateSuspect   = "suspect"
 	StateEjected   = "ejected"
+	StateDown      = "down"
 	StateProbation = "probation"
 	StateDraining  = "leaving"
 	StateGone      = "gone"
@@ -32,6 +36,7 @@
 const (
 	eventFail        = "fail"
 	eventTrip        = "trip"
+	eventRefuse      = "refuse"
 	eventRecover     = "recover"
 	eventBackoffOver = "backoff_over"
 	eventReinstate   = "pardon"
@@ -56,8 +61,12 @@
 	// Backoff is the duration of the first ejection; it doubles up to MaxBackoff.
 	Backoff    time.Duration
 	MaxBackoff time.Duration
+	// RefusedPause is how long a server is left out after it refused a connection; it
+	// doubles up to MaxRefusedPause while the server keeps refusing.
+	RefusedPause    time.Duration
+	MaxRefusedPause time.Duration
 	// MaxEjectedShare is the highest share of ejected servers among the servers of
-	// a group that are neither draining nor gone.
+	// a group that are neither draining nor gone nor down.
 	MaxEjectedShare float64
 	// SuspectWeight and ProbationWeight are the weights of servers in these
 	// states, between 0 and 1.
@@ -78,6 +87,7 @@
 	return Settings{
 		FailureStreak: 3, FailureShare: 0.5, HalfLife: 10 * time.Second,
 		ProbationSuccesses: 3, SuspectSuccesses: 10, Backoff: 2 * time.Second, MaxBackoff: time.Minute,
+		RefusedPause: 500 * time.Millisecond, MaxRefusedPause: 4 * time.Second,
 		MaxEjectedShare: 0.34, SuspectWeight: 0.5, ProbationWeight: 0.2,
 		ReorderWindow: 5 * time.Second, AgentReportTTL: 10 * time.Second, PeerReportTTL: 10 * time.Second,
 	}
@@ -110,10 +120,12 @@
 	outcomes outcomes
 	// changedAt is when the state last changed.
 	changedAt time.Time
-	// until is when the ejection ends; ejections counts them, to determine the
-	// backoff.
+	// until is when the ejection or the pause ends; ejections counts ejections, to
+	// determine the backoff.
 	until     time.Time
 	ejections int
+	// refusals counts the pauses since the last success.
+	refusals int
 }
 
 // New returns Members without servers.
@@ -148,14 +160,18 @@
 // it as a new server.
 func (m *Members) Forget(server string) { delete(m.members, server) }
 
-// Usable is false for a server that is unknown, draining, gone or ejected.
+// Usable is false for a server that is unknown, draining, gone, ejected or down.
 func (m *Members) Usable(server string) bool {
 	b := m.members[server]
 	if b == nil {
 		return false
 	}
+	return b.usable()
+}
+
+func (b *member) usable() bool {
 	switch b.state {
-	case StateDraining, StateGone, StateEjected:
+	case StateDraining, StateGone, StateEjected, StateDown:
 		return false
 	}
 	return true
@@ -185,10 +201,10 @@
 	return ""
 }
 
-// Tick ends ejections whose backoff is over and drops expired reports.
+// Tick ends ejections and pauses that are over and drops expired reports.
 func (m *Members) Tick(now time.Time) {
 	for _, b := range m.members {
-		if b.state == StateEjected && !now.Before(b.until) {
+		if (b.state == StateEjected || b.state == StateDown) && !now.Before(b.until) {
 			m.fire(now, b, eventBackoffOver)
 		}
 		if b.state == StateSuspect {
@@ -202,6 +218,7 @@
 	}
 	for _, group := range m.groups {
 		m.reinstate(now, group)
+		m.keepOne(now, group)
 	}
 }
 
@@ -215,6 +232,8 @@
 	switch next {
 	case StateEjected:
 		m.beginEjection(now, b)
+	case StateDown:
+		m.beginPause(now, b)
 	case StateHealthy:
 		b.outcomes.reset()
 	case StateProbation:
@@ -233,12 +252,25 @@
 	b.until = now.Add(m.backoff(b.ejections))
 }
 
+// beginPause does not shorten an ejection.
+func (m *Members) beginPause(now time.Time, b *member) {
+	b.refusals++
+	if until := now.Add(doubled(m.settings.RefusedPause, m.settings.MaxRefusedPause, b.refusals)); until.After(b.until) {
+		b.until = until
+	}
+}
+
 func (m *Members) backoff(ejections int) time.Duration {
-	d := m.settings.Backoff
-	for i := 1; i < ejections && d < m.settings.MaxBackoff; i++ {
+	return doubled(m.settings.Backoff, m.settings.MaxBackoff, ejections)
+}
+
+// doubled returns the n-th of times that double from the first one up to the longest.
+func doubled(first, longest time.Duration, n int) time.Duration {
+	d := first
+	for i := 1; i < n && d < longest; i++ {
 		d *= 2
 	}
-	return min(d, m.settings.MaxBackoff)
+	return min(d, longest)
 }
 
 // mayEject limits the ejected share of a group. Evidence against a whole pool is
@@ -251,7 +283,7 @@
 func count(group []*member) (ejected, present int) {
 	for _, b := range group {
 		switch b.state {
-		case StateDraining, StateGone:
+		case StateDraining, StateGone, StateDown:
 		case StateEjected:
 			ejected++
 			present++
@@ -270,12 +302,30 @@
 		if ejected == 0 || float64(ejected) <= m.settings.MaxEjectedShare*float64(present) {
 			return
 		}
-		var best *member
-		for _, b := range group {
-			if b.state == StateEjected && (best == nil || b.until.Before(best.until)) {
-				best = b
-			}
+		m.fire(now, firstToReturn(group, StateEjected), eventReinstate)
+	}
+}
+
+// keepOne ends the pause of the server that would return first if a group has no usable
+// server left. While all refuse, requests try one after the other in turn, and find the
+// first that listens again.
+func (m *Members) keepOne(now time.Time, group []*member) {
+	if slices.ContainsFunc(group, (*member).usable) {
+		return
+	}
+	if first := firstToReturn(group, StateDown); first != nil {
+		m.fire(now, first, eventReinstate)
+	}
+}
+
+// firstToReturn returns the server in a state that ends by time whose time ends first; nil:
+// there is none.
+func firstToReturn(group []*member, state string) *member {
+	var first *member
+	for _, b := range group {
+		if b.state == state && (first == nil || b.until.Before(first.until)) {
+			first = b
 		}
-		m.fire(now, best, eventReinstate)
 	}
+	return first
 }
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -30,6 +30,15 @@
 	return m, names
 }
 
+func usableOf(m *membership.Members, names []string) (usable []string) {
+	for _, name := range names {
+		if m.Usable(name) {
+			usable = append(usable, name)
+		}
+	}
+	return usable
+}
+
 func fail(m *membership.Members, now time.Time, server string, n int) {
 	for range n {
 		m.Failed(now, server)
@@ -185,7 +194,8 @@
 }
 
 // Checks with random events that the ejected share of the present servers stays
-// within the limit and that nothing panics.
+// within the limit, that a pool keeps a usable server unless all drain or are gone, and that
+// nothing panics.
 func TestNoSequenceOfEventsEjectsMoreThanTheShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "servers")
@@ -194,7 +204,7 @@
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			name := rapid.SampledFrom(names).Draw(t, "server")
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			switch rapid.IntRange(0, 8).Draw(t, "event") {
 			case 0:
 				fail(m, now, name, 4)
 			case 1:
@@ -206,9 +216,13 @@
 				m.ReceiveVMs(now, platform.VMList{VMs: []platform.VM{{Name: name, State: state, Incarnation: rapid.Uint64Range(1, 2).Draw(t, "incarnation")}}})
 			case 4:
 				m.ReceivePeerUpdates(now, []*jayv1.MemberNews{{Name: name, State: membership.StateDraining}})
+			case 5:
+				m.NotListening(now, name)
+			case 6:
+				m.NotListeningElsewhere(now, name)
 			}
 			m.Tick(now)
-			present, ejected := 0, 0
+			present, ejected, down := 0, 0, 0
 			for _, name := range names {
 				switch m.State(name) {
 				case membership.StateEjected:
@@ -216,8 +230,13 @@
 					present++
 				case membership.StateHealthy, membership.StateSuspect, membership.StateProbation:
 					present++
+				case membership.StateDown:
+					down++
 				}
 			}
+			if present+down > 0 && len(usableOf(m, names)) == 0 {
+				t.Fatalf("none of %d usable", present+down)
+			}
 			if float64(ejected) > 0.34*float64(present) {
 				t.Fatalf("%d of %d ejected", ejected, present)
 			}
@@ -239,12 +258,106 @@
 	require.False(t, m.Usable("b00"), "a server that still drains refuses the next offer")
 }
 
-// Guards against repeated failed connections to a server on whose address nothing
-// listens.
-func TestAServerThatDoesNotListenIsEjectedAtOnce(t *testing.T) {
-	m, names := pool(4)
+// Guards against repeated failed connections to servers on whose addresses nothing listens,
+// however many they are: with all but one of them, each request tried the same ones.
+func TestServersThatDoNotListenAreLeftOutAtOnce(t *testing.T) {
+	m, names := pool(5)
+	for i, name := range names[:4] {
+		m.NotListening(start, name)
+		assert.False(t, m.Usable(name))
+		assert.Equal(t, names[i+1:], usableOf(m, names))
+	}
+	fail(m, start, names[4], 100)
+	assert.Equal(t, names[4:], usableOf(m, names), "the one server left is never ejected")
+	m.Tick(start.Add(499 * time.Millisecond))
+	assert.Equal(t, names[4:], usableOf(m, names))
+	m.Tick(start.Add(500 * time.Millisecond))
+	assert.Equal(t, names, usableOf(m, names), "a single refused connection does not exclude for long")
+	assert.Less(t, m.Weight(names[0]), 1.0)
+}
+
+// Guards against a pool without usable servers after all refused a connection, and against one
+// that listens again and is not tried.
+func TestServersThatAllRefuseAreTriedInTurn(t *testing.T) {
+	m, names := pool(3)
+	now := start
+	for n := range 12 {
+		for _, name := range usableOf(m, names) {
+			m.NotListening(now, name)
+		}
+		now = now.Add(time.Millisecond)
+		if n >= 3 {
+			m.Tick(now)
+			require.Len(t, usableOf(m, names), 1)
+		}
+	}
+	tried := map[string]bool{}
+	for range names {
+		for _, name := range usableOf(m, names) {
+			tried[name] = true
+			m.NotListening(now, name)
+		}
+	}
+	assert.Len(t, tried, 3, "each is tried")
+	back := usableOf(m, names)[0]
+	for range membership.DefaultSettings().SuspectSuccesses {
+		m.Succeeded(now, back)
+	}
+	assert.Equal(t, []string{back}, usableOf(m, names))
+	assert.Equal(t, membership.StateHealthy, m.State(back))
+	only, one := pool(1)
+	only.NotListening(start, one[0])
+	assert.True(t, only.Usable(one[0]))
+}
+
+// Guards against a server that is left out long after it listens again, and against as many
+// tries at one that stays away as at the others.
+func TestThePauseOfAServerThatRefusesGrowsAndIsBounded(t *testing.T) {
+	m, names := pool(3)
+	now := start
+	pauses := func(n int) (all []time.Duration) {
+		for range n {
+			m.NotListening(now, names[0])
+			since := now
+			for !m.Usable(names[0]) {
+				now = now.Add(100 * time.Millisecond)
+				m.Tick(now)
+			}
+			all = append(all, now.Sub(since))
+		}
+		return all
+	}
+	first := []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second}
+	assert.Equal(t, first, pauses(5))
+	m.Succeeded(now, names[0])
+	assert.Equal(t, first[:2], pauses(2), "a success ends the growth")
+
+	m.NotListening(now, names[0])
+	m.Succeeded(now, names[0])
+	assert.False(t, m.Usable(names[0]), "a request sent before the listener closed may still succeed")
+	m.Forget(names[0])
+	m.SetServers(now, []membership.Server{{Name: names[0], Group: "pool/p"}, {Name: names[1], Group: "pool/p"}})
+	assert.Equal(t, membership.StateHealthy, m.State(names[0]), "a new registration is a new server")
+}
+
+// Guards against an ejection for failures that ends early because the server also refused a
+// connection.
+func TestARefusedConnectionDoesNotShortenAnEjection(t *testing.T) {
+	m, names := pool(6)
+	fail(m, start, names[0], 9)
 	m.NotListening(start, names[0])
+	m.Tick(start.Add(time.Second))
 	assert.False(t, m.Usable(names[0]))
-	m.NotListening(start, names[1])
-	assert.True(t, m.Usable(names[1]), "the limit on ejections applies here too")
+	m.Tick(start.Add(2 * time.Second))
+	assert.True(t, m.Usable(names[0]))
+}
+
+// Guards against other entries that take a pool away: the limit on ejections holds for what
+// they report.
+func TestReportsOfRefusedConnectionsTakeNoPoolAway(t *testing.T) {
+	m, names := pool(6)
+	for _, name := range names {
+		m.NotListeningElsewhere(start.Add(time.Second), name)
+	}
+	assert.Len(t, usableOf(m, names), 4)
 }
