Lease: a row that can't be decoded lapses like any other

Callers would see: no new weights at any server, for good, after another writer has left an odd row in place of a lease: no entry holds the rollout's lease any more. Shown with the package alone.

Cause: a contender did not take note of a row that it could not decode, so that the row never lapsed.

Change: such a row has an unknown holder. It lapses when it has not changed for the lease's time, which an earlier holder has ended by then; the write that takes it names the row's version, and its own is the higher fencing number. Each read still logs the error.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -289,23 +289,25 @@
 	l.fire(eventWon)
 }
 
-// ReadDone processes the result of a read; row is nil if it does not exist. It
-// returns an error if the row's value can't be decoded, and ignores a failed read.
+// ReadDone processes the result of a read; row is nil if it does not exist. It ignores a
+// failed read. A row whose value can't be decoded has an unknown holder, and lapses like any
+// other; the error says so.
 func (l *Lease) ReadDone(now time.Time, row *platform.Row, err error) error {
 	l.inFlight = false
 	if err != nil {
 		return nil
 	}
 	version, value := uint64(0), record{}
+	var unknown error
 	if row != nil {
 		if err := json.Unmarshal(row.Value, &value); err != nil {
-			return eris.Wrapf(err, "decode %s", l.Key())
+			value, unknown = record{}, eris.Wrapf(err, "decode %s", l.Key())
 		}
 		version = row.Version
 	}
 	if row != nil && version < l.version {
 		// This answer is older than one already processed.
-		return nil
+		return unknown
 	}
 	if l.version != 0 && platform.EraOf(version) > platform.EraOf(l.version) {
 		// Even a row with this holder's name is no proof: it may be from the copy, or a late
@@ -317,7 +319,7 @@
 	if l.state == stateWatching && l.lapsed(now) {
 		l.nextStep = now
 	}
-	return nil
+	return unknown
 }
 
 func (l *Lease) observe(now time.Time, version uint64, value record) {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -199,9 +200,34 @@
 	}
 }
 
+// Guards against a lease that nobody gets any more after another writer has left a row that
+// can't be decoded in its place.
+func TestALeaseWithAnOddRowLapses(t *testing.T) {
+	for _, value := range []string{"broken", "null", `{"holder":"x","fence":1e400}`, `{"holder":7}`, strings.Repeat("[", 20_000)} {
+		table, settings := platformtest.New(), lease.DefaultSettings()
+		a, b := lease.New("p", "a", settings), lease.New("p", "b", settings)
+		drive(table, a, start, start.Add(time.Second))
+		before, held := a.Held(start.Add(time.Second))
+		require.True(t, held)
+		_, err := table.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: a.Key(), Value: []byte(value)}}})
+		require.NoError(t, err)
+		odd := start.Add(time.Second)
+		fence := uint64(0)
+		for now := odd; now.Before(odd.Add(3*settings.TTL)) && fence == 0; now = now.Add(step) {
+			drive(table, b, now, now.Add(step))
+			fence, _ = b.Held(now.Add(step))
+			if _, held := a.Held(now.Add(step)); held {
+				require.Zero(t, fence, "two hold the lease")
+			}
+		}
+		assert.Greater(t, fence, before, value[:min(len(value), 40)])
+	}
+}
+
 func FuzzRow(f *testing.F) {
 	f.Add([]byte(`{"holder":"a","fence":3,"write":1}`), uint64(4))
 	f.Add([]byte(`{}`), uint64(1))
+	f.Add([]byte(`{"holder":"a","fence":1e400}`), uint64(1<<64-1))
 	f.Fuzz(func(t *testing.T, value []byte, version uint64) {
 		l := lease.New("p", "a", lease.DefaultSettings())
 		l.Tick(start)
