Roster: odd rows among the entries' name no entry

Callers would see: late and rejected requests, as an odd row of another writer counts as an entry: it takes a part of all shared caps, and with cores of 1e30 it is the only owner of all shards, since owners have at least half of the most cores. An entry whose own row was replaced stays unknown to those that start later. Shown in a test of the gateway's package, not with processes.

Cause: rows were decoded without a check, so that null, {}, port 99999 and any number of cores were taken for an entry; an own row that could not be decoded was passed over.

Change: roster.ParseRow fails without an address, for a port out of range and for implausible cores, and the last valid row stays. An entry writes its own row again unless that is the row that it writes.

Evidence: before, two odd rows gave 3 entries instead of 1, and an entry did not write its row again within 1 s.

--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -114,9 +115,12 @@
 			g.peers.remove(now, row.Key)
 			continue
 		}
-		var value roster.Row
-		if err := json.Unmarshal(row.Value, &value); err != nil {
-			klog.ErrorS(err, "Entry's row not understood", "row", row.Key, "source", source)
+		value, err := roster.ParseRow(row.Value)
+		if err != nil {
+			klog.ErrorS(err, "Entry's row not understood; keeping the last valid one", "row", row.Key, "rowVersion", row.Version, "source", source)
+			if row.Key == g.settings.Node && !g.wrote(row.Value) {
+				g.peers.lose(now, row.Key) // keepRegistered writes it again.
+			}
 			continue
 		}
 		g.peers.put(row.Key, value)
@@ -130,6 +134,12 @@
 	g.applyRoster()
 }
 
+// wrote reports whether a value is that of the row that this entry writes.
+func (g *Gateway) wrote(value []byte) bool {
+	own, err := json.Marshal(entryRow(g.settings))
+	return err == nil && bytes.Equal(value, own)
+}
+
 // applyRoster passes the entries on to all that depend on them.
 func (g *Gateway) applyRoster() {
 	entries, serving := g.peers.shardEntries(), g.peers.servingEntries()
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -85,6 +85,24 @@
 	require.Eventually(t, g.peers.registered, time.Second, time.Millisecond)
 }
 
+// Guards against an odd row of another writer that takes the place of an entry's row, or is
+// counted as an entry.
+func TestOddRowsAmongTheEntries(t *testing.T) {
+	g, store := newStartingEntry(t)
+	g.applyBatch(g.entries, entryBatch(t, 1, entryRow(g.settings), false), sourceStore)
+	startRegistering(t, g)
+	require.Eventually(t, g.peers.registered, time.Second, time.Millisecond)
+	odd := func(key string, version uint64, value string) {
+		g.applyBatch(g.entries, mirror.Batch{Version: version, Rows: []mirror.Row{{Key: key, Value: []byte(value), Version: version}}}, sourceStore)
+	}
+	odd("gw2", 2, `{"address":"10.0.0.2:99999","cores":1e30}`)
+	odd("gw3", 3, "null")
+	assert.Equal(t, 1, g.peers.count())
+	odd("gw1", 4, "broken")
+	require.Eventually(t, func() bool { return store.commits.Load() == 1 }, time.Second, time.Millisecond, "its row can't be decoded")
+	require.Eventually(t, g.peers.registered, time.Second, time.Millisecond)
+}
+
 // Guards against owners that are assigned anew at every read from a relay, of which most
 // bring no row.
 func TestReadWithoutRowsKeepsTheAssignment(t *testing.T) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -6,10 +6,14 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
+	"net"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/zeebo/xxh3"
 
 	"github.com/jayproxy/jayproxy/internal/shard"
@@ -40,6 +44,48 @@
 	Cores float64 `json:"cores,omitempty"`
 }
 
+// maxCores is far above the cores of any VM. Entries with a small share of the most cores do
+// no work for others, so that a row with more would exclude all of them.
+const maxCores = 1e5
+
+// ParseRow decodes the value of a row. It fails when that can't be of an entry. The address may
+// be empty, but not missing: an entry need not listen for others.
+func ParseRow(value []byte) (Row, error) {
+	var wire struct {
+		Row
+		Address *string `json:"address"`
+	}
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return Row{}, eris.Wrap(err, "decode entry's row")
+	}
+	if wire.Address == nil {
+		return Row{}, eris.New("entry's row has no address")
+	}
+	row := wire.Row
+	row.Address = *wire.Address
+	if err := checkAddress(row.Address); err != nil {
+		return Row{}, err
+	}
+	if row.Cores < 0 || row.Cores > maxCores {
+		return Row{}, eris.Errorf("cores is %g, want 0 to %g", row.Cores, maxCores)
+	}
+	return row, nil
+}
+
+func checkAddress(address string) error {
+	if address == "" {
+		return nil
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return eris.Wrap(err, "invalid address")
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 || host == "" {
+		return eris.Errorf("invalid address %q", address)
+	}
+	return nil
+}
+
 // Roster is what one entry knows of all entries.
 type Roster struct {
 	// node is the key of this entry's row, self its value.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,12 +1,15 @@
 package roster_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/jayproxy/jayproxy/internal/roster"
 )
@@ -172,3 +175,38 @@
 	assert.True(t, r.Expire(now.Add(drainTime)))
 	assert.Len(t, r.Serving(), 1)
 }
+
+// oddRows are values that are not of an entry.
+var oddRows = []string{
+	"broken", "", "null", "{}", `{"address":"10.0.0.1"}`, `{"address":"10.0.0.1:0"}`, `{"address":"10.0.0.1:99999"}`, `{"address":"10.0.0.1:-1"}`, `{"address":":80"}`,
+	`{"address":"10.0.0.1:1","cores":1e30}`, `{"address":"10.0.0.1:1","cores":1e400}`, `{"address":"10.0.0.1:1","cores":-1}`, `{"address":7}`,
+	strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+}
+
+// Guards against a row of another writer being taken for an entry that owns all shards.
+func TestOddRowsAreNotOfEntries(t *testing.T) {
+	for _, value := range oddRows {
+		_, err := roster.ParseRow([]byte(value))
+		assert.Error(t, err, value[:min(len(value), 60)])
+	}
+	for _, want := range []roster.Row{{}, {Address: "10.0.0.1:1"}, {Address: "[fd00::1]:65535", DataCentre: "a", Cores: 0.304}, {Address: "10.0.0.1:1", Cores: 96}} {
+		value, err := json.Marshal(want)
+		require.NoError(t, err)
+		got, err := roster.ParseRow(value)
+		require.NoError(t, err)
+		assert.Equal(t, want, got)
+	}
+}
+
+func FuzzParseRow(f *testing.F) {
+	for _, value := range oddRows {
+		f.Add([]byte(value))
+	}
+	f.Add([]byte(`{"address":"10.0.0.1:1","data_centre":"a","cores":0.3,"new":[]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		row, err := roster.ParseRow(value)
+		if err == nil && (row.Cores < 0 || row.Cores > 1e5) {
+			t.Fatalf("implausible row %+v", row)
+		}
+	})
+}
