Entry: a service's response without a final status is no success

Cause: serviceSink raised any status below 200 to 200.

Change: an attempt whose head has such a status ends with an unknown outcome, and is not resumed, since the agent would send the same response again.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -41,6 +41,8 @@
 	errCallerGone      = errors.New("the caller disconnected")
 	errTimedOut        = errors.New("timed out waiting for the backend server")
 	errUnexpectedFrame = errors.New("unexpected frame type")
+	// errNoFinalStatus: a service's response has a status below 200, which ends no response.
+	errNoFinalStatus = errors.New("response without a final status")
 )
 
 // dialer opens streams to agents.
@@ -169,6 +171,10 @@
 		a.fire(eventGiveUp)
 	case callerGone, errors.Is(err, errTimedOut):
 		a.cancel(err)
+	case errors.Is(err, errNoFinalStatus):
+		// The agent would send the same response again.
+		a.stream.Abort()
+		a.fire(eventGiveUp)
 	default:
 		klog.V(1).InfoS("link lost", "request", a.id, "attempt", a.number, "server", a.server, "next", a.chunks.Next(), "cause", err)
 		a.stream.Abort()
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -72,6 +73,9 @@
 	if a.headReceived {
 		return nil
 	}
+	if head.GetStatus() < http.StatusOK {
+		return eris.Wrapf(errNoFinalStatus, "status %d", head.GetStatus())
+	}
 	a.headReceived = true
 	a.status = head.GetStatus()
 	return asCallerGone(to.Head(head))
--- a/internal/entry/service_test.go
+++ b/internal/entry/service_test.go
@@ -318,3 +318,23 @@
 	e.Close()
 	require.Eventually(t, func() bool { return closed.Load() == opened.Load() }, 2*time.Second, time.Millisecond)
 }
+
+// Guards against a response without a final status, as of a service that switched protocols, that
+// callers get as a whole one of status 200.
+func TestAServiceResponseWithoutFinalStatusIsNoSuccess(t *testing.T) {
+	for _, body := range []string{"", "HTTP/1.1 200 OK\r\nX-An"} {
+		s, agent, _ := serviceDeployment(t)
+		scripted := func(_ *jayv1.Offer, _ []byte, emit func(string)) *jayv1.End {
+			if body != "" {
+				emit(body)
+			}
+			return done()
+		}
+		agent.set(func(f *fakeAgent) {
+			f.head = &jayv1.ServiceHead{Status: http.StatusSwitchingProtocols}
+			f.respond = scripted
+		})
+		r := call(t, "GET", s.entry("e1").CallersURL()+"/services/reservas/list", keyQuarry, "")
+		assert.Equal(t, http.StatusBadGateway, r.status, "body %q", r.body)
+	}
+}
