Tests: no word of the platform in internal/upstream

The header of a scripted response was the platform's; only platform/ knows its words. Forms, cuts and checks are the same.

--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -26,7 +26,7 @@
 	method   string
 }
 
-const cutHead = "HTTP/1.1 200 OK\r\nId: 1\r\nServer-Seal: s\r\n"
+const cutHead = "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\n"
 
 // cutForms are responses to the request with the ID 1.
 var cutForms = map[string]cutForm{
@@ -49,7 +49,7 @@
 	"after 101":            {text: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\nConnection: Upgrade\r\nId: 1\r\n\r\n" + cutHead + "Content-Length: 2\r\n\r\nok", body: "ok"},
 	"after a stray":        {text: "HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstray\r\n0\r\nSum: 1\r\n\r\n" + cutHead + "Content-Length: 2\r\n\r\nok", body: "ok"},
 	"HTTP/1.0, length":     {text: "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 12\r\n\r\nwhole answer", body: "whole answer"},
-	"HTTP/1.0":             {text: "HTTP/1.0 200 OK\r\nId: 1\r\nServer-Seal: s\r\n\r\nwhole answer", body: "whole answer", unframed: true},
+	"HTTP/1.0":             {text: "HTTP/1.0 200 OK\r\nId: 1\r\nSignature: s\r\n\r\nwhole answer", body: "whole answer", unframed: true},
 	"closing":              {text: cutHead + "Connection: close\r\n\r\nwhole answer", body: "whole answer", unframed: true},
 	"closing, chunks":      {text: cutHead + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nwhole answer\r\n0\r\n\r\n", body: "whole answer"},
 	"neither":              {text: cutHead + "\r\nwhole answer", body: "whole answer", unframed: true},
