--- a/review/stand-2/plain.go
+++ b/review/stand-2/plain.go
@@ -22,7 +22,7 @@
 }
 
 // downtime is how long after its end a runner begins its next lifetime.
-const downtime = 200 * time.Millisecond
+const downtime = time.Second
 
 // halfPause is the time between the two writes of an answer's body.
 const halfPause = 60 * time.Millisecond
