--- a/review/stand-2/common.go
+++ b/review/stand-2/common.go
@@ -215,7 +215,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
 		os.Exit(noRun)
 	}
-	cases := map[string]func(dir string, r *record) int{"restarted": restartedRunner, "headers": headerLimit, "isolated": isolatedTenant}
+	cases := map[string]func(dir string, r *record) int{"restarted": restartedRunner, "headers": headerLimit, "isolated": isolatedTenant, "leaving": leavingRunner}
 	play := cases[os.Args[1]]
 	if play == nil {
 		must(fmt.Errorf("no case %q", os.Args[1]))
