DRAIN: an entry's own cut from the store is no outage

Callers: after an entry had been cut off from the store, it sent requests to servers that had left, over 2 s after their registrations were removed.

Cause: the list keeps registrations that disappear within 2.5 s of the first read after a gap, since sound servers cannot renew while the store is away. Any gap in the entry's own reads counted as such an outage.

Change: a registration that cannot have expired, by the renewals that were read, goes at once (internal/renewal); a gap that another entry was served through is no outage (served_ms in table responses). Held removals are logged and counted. A gap counts by how long the copy lacked proof from anywhere: an entry that read the returning store's list from another one dropped sound servers (found by the new test, 503 at one of three entries).

Evidence: TestAServerThatLeavesAsACutEndsGetsNoLateRequests failed before (last request 2.9 and 3.7 s after the removal, bound 2.45 s), as did TestServersThatLiveThroughAnOutageOfTheStoreStayInUse/3_entries; both pass. TestAServerThatEndsInADrillGetsNoLateRequests is still red.

--- a/cmd/jay-gateway/main.go
+++ b/cmd/jay-gateway/main.go
@@ -129,7 +129,7 @@
 	return gateway.Settings{
 		Node: s.Node, DataCentre: s.DataCentre, CrossDataCentreMSPerMB: float64(price),
 		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, ControlAddress: s.ControlAddress,
-		HintAddress: s.HintAddress, MetricsAddress: s.MetricsAddress, Seeds: s.Seeds, Bootstrap: s.Bootstrap, StoreReadsPerSecond: s.StoreReadsPerSecond, Cores: s.Cores, MemoryBytes: s.MemoryBytes, Grace: s.Bounds.Grace, DrainBound: s.Bounds.Drain, ConfigBound: s.Bounds.Config, LeaseTime: s.Bounds.Lease, VersionBound: s.Bounds.Version, VersionFleetBound: s.Bounds.VersionFleet,
+		HintAddress: s.HintAddress, MetricsAddress: s.MetricsAddress, Seeds: s.Seeds, Bootstrap: s.Bootstrap, StoreReadsPerSecond: s.StoreReadsPerSecond, Cores: s.Cores, MemoryBytes: s.MemoryBytes, Grace: s.Bounds.Grace, DrainBound: s.Bounds.Drain, RenewalInterval: s.RenewalInterval, ConfigBound: s.Bounds.Config, LeaseTime: s.Bounds.Lease, VersionBound: s.Bounds.Version, VersionFleetBound: s.Bounds.VersionFleet,
 		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack, RetryWindow: s.Bounds.RetryWindow,
 		Usage: s.Bounds.Usage, ServerLimits: s.Bounds.ServerLimits,
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -306,6 +306,13 @@
 	return nil
 }
 
+// MissingUntil returns the end of a server's grace period; ok is false if its registration has not
+// disappeared.
+func (l *List) MissingUntil(instance string) (until time.Time, ok bool) {
+	until, ok = l.missing[instance]
+	return until, ok
+}
+
 // RemoveEnded removes a server that is known to have ended, without a grace period. gone is
 // the removed backend, nil if none was.
 func (l *List) RemoveEnded(instance string) (gone *Backend) {
--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -25,6 +25,8 @@
 type completeness struct {
 	mu   sync.Mutex
 	upTo time.Time
+	// servedSince is the moment since which upTo has advanced without a long pause.
+	servedSince time.Time
 	// wanted is the latest moment that somebody waits for; failed is when the latest attempt
 	// began that neither the store nor another entry answered.
 	wanted, failed time.Time
@@ -34,14 +36,29 @@
 	wake chan struct{}
 }
 
-// reach records that the copy is complete up to a moment.
-func (c *completeness) reach(moment time.Time) {
+// reach records that the copy is complete up to a moment. A long pause is one of more than pause.
+func (c *completeness) reach(moment time.Time, pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if moment.After(c.upTo) {
-		c.upTo = moment
-		c.notifyLocked()
+	if !moment.After(c.upTo) {
+		return
+	}
+	if moment.Sub(c.upTo) > pause {
+		c.servedSince = moment
 	}
+	c.upTo = moment
+	c.notifyLocked()
+}
+
+// servedFor returns for how long the copy has been complete without a long pause, one of more than
+// pause; 0: it is in one, or that is not known.
+func (c *completeness) servedFor(now time.Time, pause time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.upTo) > pause {
+		return 0
+	}
+	return now.Sub(c.servedSince)
 }
 
 // fail records that an attempt that began at a moment brought no proof.
@@ -160,9 +177,12 @@
 	if f.table == g.ports.Decoder.BackendTable && !last.IsZero() && moment.Sub(last) > g.maxReadGap() {
 		g.state.noteUnseenServers(true, 0)
 	}
-	f.complete.reach(moment)
+	f.complete.reach(moment, g.longPause())
 }
 
+// longPause is the longest time between two reads of the list that does not count as a long pause.
+func (g *Gateway) longPause() time.Duration { return minOutage + g.backendPause() }
+
 // awaitCompleteList reports whether the list of servers is complete up to a moment since boot; it
 // waits for a read that began after it.
 func (g *Gateway) awaitCompleteList(ctx context.Context, moment time.Time, timeout time.Duration) bool {
--- a/internal/gateway/completeness_test.go
+++ b/internal/gateway/completeness_test.go
@@ -41,7 +41,7 @@
 	g, _ := newRelayedEntry(t, 3, 0)
 	f := &feed{table: "servers"}
 	g.feeds = []*feed{f}
-	g.feedSucceeded(f, lease.BootClock(), func() {
+	g.feedSucceeded(f, lease.BootClock(), time.Time{}, func() {
 		assert.False(t, f.answered())
 		assert.True(t, f.complete.moment().IsZero())
 	})
@@ -52,11 +52,11 @@
 func TestACopyIsCompleteUpToTheQuestionOnly(t *testing.T) {
 	var c completeness
 	start := lease.BootClock()
-	c.reach(start)
+	c.reach(start, time.Second)
 	assert.True(t, c.await(t.Context(), start, 0))
 	assert.False(t, c.await(t.Context(), start.Add(time.Millisecond), 10*time.Millisecond))
 	assert.True(t, c.pending())
-	time.AfterFunc(10*time.Millisecond, func() { c.reach(start.Add(time.Second)) })
+	time.AfterFunc(10*time.Millisecond, func() { c.reach(start.Add(time.Second), time.Second) })
 	assert.True(t, c.await(t.Context(), start.Add(time.Second), 5*time.Second))
 	time.AfterFunc(10*time.Millisecond, func() { c.fail(start.Add(3 * time.Second)) })
 	began := time.Now()
@@ -80,7 +80,7 @@
 	for ctx.Err() == nil {
 		began := lease.BootClock()
 		reads++
-		c.reach(began)
+		c.reach(began, time.Second)
 		c.sleep(ctx, time.Minute, 50*time.Millisecond)
 	}
 	assert.Greater(t, reads, 3)
@@ -121,7 +121,7 @@
 
 // read applies a batch that is complete up to a moment.
 func (h historySite) read(asOf time.Time, batch mirror.Batch) {
-	h.feedSucceeded(h.list, asOf, func() { h.applyBatch(h.list, batch, "test") })
+	h.feedSucceeded(h.list, asOf, time.Time{}, func() { h.applyBatch(h.list, batch, "test") })
 }
 
 func (h historySite) only() streamorigin.Version {
--- a/internal/gateway/feeds.go
+++ b/internal/gateway/feeds.go
@@ -47,8 +47,8 @@
 	otherTablesRetryPause = time.Second
 	// startPause is the pause between two attempts to read a table for the first time.
 	startPause = 50 * time.Millisecond
-	// minOutage is the time without a successful read of the list that counts as an
-	// outage.
+	// minOutage is the time without a read of the list, from anywhere, that counts as an
+	// outage of the store.
 	minOutage = 1500 * time.Millisecond
 	// ignoredLogInterval is the least time between two log lines on ignored snapshots of a
 	// table.
@@ -298,7 +298,7 @@
 			continue
 		}
 		g.load.tablesRead.add(batch.Size())
-		g.feedSucceeded(f, batch.completeUpTo(began), func() { g.applyBatch(f, batch.Batch, relay) })
+		g.feedSucceeded(f, batch.completeUpTo(began), batch.servedSince(lease.BootClock()), func() { g.applyBatch(f, batch.Batch, relay) })
 		return feedsource.Fresh
 	}
 	return outcome
@@ -333,7 +333,7 @@
 	if wait > 0 {
 		asOf = lease.BootClock()
 	}
-	g.feedSucceeded(f, asOf, func() {
+	g.feedSucceeded(f, asOf, time.Time{}, func() {
 		g.noteIgnored(time.Now(), f, batch, after)
 		if f.asksPeers && platform.EraOf(batch.Version) > platform.EraOf(after) {
 			g.enterEra(ctx, f, batch)
@@ -372,9 +372,10 @@
 }
 
 // feedSucceeded applies a response that shows the table as of a moment since boot, and then records
-// the moment: until it is applied the copy is as old as before.
-func (g *Gateway) feedSucceeded(f *feed, asOf time.Time, apply func()) {
-	g.feedRegained(f, asOf)
+// the moment: until it is applied the copy is as old as before. The source has been served since a
+// moment, zero if that is not known.
+func (g *Gateway) feedSucceeded(f *feed, asOf, servedSince time.Time, apply func()) {
+	g.feedRegained(f, asOf, servedSince)
 	apply()
 	f.lastResponse.Store(asOf.UnixNano())
 	if f == g.entries {
@@ -385,10 +386,9 @@
 	}
 }
 
-// feedRegained records that the store answers again. After an outage, registrations of servers
-// that are alive may have expired, so the list keeps them for its grace period. Other feeds may
-// still block on connections whose responses were lost, so their reads are interrupted.
-func (g *Gateway) feedRegained(f *feed, asOf time.Time) {
+// feedRegained records that the store answers again. Other feeds may still block on connections
+// whose responses were lost, so their reads are interrupted.
+func (g *Gateway) feedRegained(f *feed, asOf, servedSince time.Time) {
 	if !f.failing.Swap(false) {
 		return
 	}
@@ -398,10 +398,25 @@
 	if f.table != g.ports.Decoder.BackendTable {
 		return
 	}
-	if f.answered() && gap > minOutage {
+	g.noteListGap(f, asOf, servedSince)
+	g.interruptOtherPolls(f)
+}
+
+// noteListGap is called when the list can be read again, before a response is applied that shows it
+// as of a moment. If it could not be read from anywhere, the store may have been away for all:
+// registrations of servers that are alive may have expired, so the list keeps them for its grace
+// period. The store was not away if the source has been served all the while.
+func (g *Gateway) noteListGap(f *feed, asOf, servedSince time.Time) {
+	last := f.complete.moment()
+	gap := asOf.Sub(last)
+	if last.IsZero() || gap <= minOutage {
+		return
+	}
+	served := !servedSince.IsZero() && !servedSince.After(last)
+	klog.InfoS("List not read for a while", "gapMS", gap.Milliseconds(), "storeServedOthers", served, "mayHaveExpired", !served)
+	if !served {
 		g.state.listRestored(time.Now().Add(-lease.BootClock().Sub(asOf)))
 	}
-	g.interruptOtherPolls(f)
 }
 
 // readFromPeersDuringOutage reads all tables from other entries while this one cannot read
@@ -428,6 +443,11 @@
 		return
 	}
 	if batch.Version > 0 {
+		received := lease.BootClock()
+		if f.table == g.ports.Decoder.BackendTable && batch.Version > f.version() {
+			// The rows may be newer than the moment up to which they are complete.
+			g.noteListGap(f, received, batch.servedSince(received))
+		}
 		g.applyBatch(f, batch.Batch, peer)
 		g.readUpTo(f, batch.completeUpTo(began))
 	}
@@ -485,5 +505,6 @@
 		klog.InfoS("More backend server registrations not understood", "count", unreadable-maxUnreadableLogged, "of", len(rows), "source", source)
 	}
 	g.metrics.Count("rows_not_understood", g.ports.Decoder.BackendTable, int64(unreadable))
-	g.state.changeBackends(now, changes, source)
+	kept := g.state.changeBackends(now, changes, source)
+	g.metrics.Count("registrations_kept", g.ports.Decoder.BackendTable, int64(kept))
 }
--- a/internal/gateway/feeds_test.go
+++ b/internal/gateway/feeds_test.go
@@ -112,7 +112,7 @@
 	g.feeds = []*feed{list}
 	assert.Greater(t, g.tableAge(list), 24*time.Hour, "the store has not answered yet")
 	before := lease.BootClock()
-	g.feedSucceeded(list, before.Add(-2*time.Second), func() {})
+	g.feedSucceeded(list, before.Add(-2*time.Second), time.Time{}, func() {})
 	assertAge(t, 2*time.Second, list.age(lease.BootClock()), before)
 }
 
--- a/internal/gateway/incarnations.go
+++ b/internal/gateway/incarnations.go
@@ -9,7 +9,10 @@
 
 	"github.com/jayproxy/jayproxy/internal/call"
 	"github.com/jayproxy/jayproxy/internal/fleet"
+	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/membership"
+	"github.com/jayproxy/jayproxy/internal/mirror"
+	"github.com/jayproxy/jayproxy/internal/renewal"
 	"github.com/jayproxy/jayproxy/internal/responselimit"
 	"github.com/jayproxy/jayproxy/internal/routing"
 	"github.com/jayproxy/jayproxy/internal/sharedfact"
@@ -36,8 +39,9 @@
 // changeBackends applies changes of the list. It updates the members once for all changes:
 // an update for each of 3,000 servers took seven seconds of a core at the start, in which
 // the entry served no requests.
-// The servers of the first list have one log line in all, for the same reason.
-func (s *state) changeBackends(now time.Time, changes []backendChange, source string) {
+// The servers of the first list have one log line in all, for the same reason. It returns how many
+// registrations that disappeared are kept for now.
+func (s *state) changeBackends(now time.Time, changes []backendChange, source string) (kept int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, change := range changes {
@@ -45,8 +49,11 @@
 			s.putLocked(now, change.backend)
 			continue
 		}
-		if gone := s.removeLocked(now, change); gone != nil {
+		listed := s.list.Named(change.removed) != nil
+		if gone := s.removeLocked(now, change, source); gone != nil {
 			s.forgetIncarnationLocked(now, gone, "list")
+		} else if listed {
+			kept++
 		}
 	}
 	s.refreshMembersLocked(now)
@@ -54,18 +61,53 @@
 		klog.InfoS("Backend servers listed", "count", s.list.Len(), "source", source)
 	}
 	s.listReady = true
+	return kept
 }
 
-// removeLocked removes a server from the list; nil: it stays for now.
-func (s *state) removeLocked(now time.Time, change backendChange) *fleet.Backend {
-	if change.ended {
-		return s.list.RemoveEnded(change.removed)
+// removeLocked removes a server from the list; nil: it stays for now, as its registration may have
+// expired while the store was away.
+func (s *state) removeLocked(now time.Time, change backendChange, source string) *fleet.Backend {
+	instance, removed := change.removed, lease.BootClock()
+	defer s.renewals.Forget(instance)
+	if change.ended || !s.renewals.MayHaveExpired(instance, removed) {
+		return s.list.RemoveEnded(instance)
 	}
-	return s.list.Remove(now, change.removed)
+	gone := s.list.Remove(now, instance)
+	if until, kept := s.list.MissingUntil(instance); gone == nil && kept {
+		silence, known := s.renewals.Silence(instance, removed)
+		klog.InfoS("Backend server kept: its registration may have expired while the store was away",
+			"server", instance, "forMS", until.Sub(now).Milliseconds(), "renewalKnown", known, "unrenewedMS", silence.Milliseconds(), "source", source)
+	}
+	return gone
+}
+
+// noteRenewals records the registrations that a batch of the list shows as written since the
+// copy's version, which had all that was written by a moment since boot.
+func (s *state) noteRenewals(batch mirror.Batch, held uint64, moment, now time.Time) {
+	changes := make([]renewal.Change, 0, len(batch.Rows))
+	for _, row := range batch.Rows {
+		if row.Version > held {
+			changes = append(changes, renewal.Change{Key: row.Key, Removed: row.Removed})
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.renewals.Observe(changes, moment, now)
+}
+
+// forgetRenewals drops what is known of renewals: a new era of the store has lost some of them.
+func (s *state) forgetRenewals() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.renewals.Reset()
 }
 
 func (s *state) putLocked(now time.Time, b *fleet.Backend) {
+	_, missing := s.list.MissingUntil(b.Instance)
 	old, change := s.list.Put(now, b)
+	if missing && change != fleet.Stale {
+		klog.InfoS("Backend server is registered again", "server", b.ID)
+	}
 	switch change {
 	case fleet.Stale:
 		klog.InfoS("Registration of an earlier incarnation ignored", "server", old.ID, "entry", b.ID)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
 	"github.com/jayproxy/jayproxy/internal/responselimit"
@@ -74,6 +75,18 @@
 	AgeMS int64 `json:"age_ms"`
 	// Recent: the batch has all that the store had acknowledged when its source was asked.
 	Recent bool `json:"recent,omitempty"`
+	// ServedMS is for how long the source has had recent data from the store without a long
+	// pause; 0: not known.
+	ServedMS int64 `json:"served_ms,omitempty"`
+}
+
+// servedSince returns the moment since which the source has had recent data, by the time since
+// boot at which its response was received; zero: not known.
+func (r *tableResponse) servedSince(received time.Time) time.Time {
+	if r.ServedMS <= 0 {
+		return time.Time{}
+	}
+	return received.Add(-time.Duration(r.ServedMS) * time.Millisecond)
 }
 
 // completeUpTo returns the moment up to which the batch is complete, by the time since boot at which
@@ -218,8 +231,8 @@
 // withAge returns rows of a table with its age. The age is taken first: rows read before it could
 // be older than it says.
 func (g *Gateway) withAge(f *feed, recent bool, rows func() mirror.Batch) tableResponse {
-	age := g.tableAge(f)
-	return tableResponse{Batch: rows(), AgeMS: wholeMilliseconds(age), Recent: recent}
+	age, served := g.tableAge(f), f.complete.servedFor(lease.BootClock(), g.longPause())
+	return tableResponse{Batch: rows(), AgeMS: wholeMilliseconds(age), Recent: recent, ServedMS: served.Milliseconds()}
 }
 
 // wholeMilliseconds rounds an age up.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -162,6 +162,9 @@
 	// DrainBound: a draining server gets no request later than this after it
 	// announced its end.
 	DrainBound time.Duration
+	// RenewalInterval is how often servers renew their registrations, approximately; 0: not
+	// known.
+	RenewalInterval time.Duration
 	// ConfigBound: a new configuration is in force everywhere within this time; 0: not
 	// known.
 	ConfigBound time.Duration
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -12,6 +12,7 @@
 	"github.com/jayproxy/jayproxy/internal/fleet"
 	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/membership"
+	"github.com/jayproxy/jayproxy/internal/renewal"
 	"github.com/jayproxy/jayproxy/internal/retry"
 	"github.com/jayproxy/jayproxy/internal/routetable"
 	"github.com/jayproxy/jayproxy/internal/routing"
@@ -40,6 +41,8 @@
 
 	mu   sync.Mutex
 	list *fleet.List
+	// renewals tells which registrations that disappear may have expired.
+	renewals *renewal.Log
 	// software is, by service with resumable streams, which versions of its servers' software
 	// were in service.
 	software map[string]*softwarehistory.History
@@ -119,6 +122,7 @@
 	return &state{
 		settings: settings, closeIdle: closeIdle, crossings: between,
 		list:     fleet.NewList(listGrace),
+		renewals: renewal.New(settings.RenewalInterval),
 		software: map[string]*softwarehistory.History{}, routeMoves: routeMoves{},
 		targets: weights.NewTargets(),
 		members: membership.New(membership.DefaultSettings()),
--- a/internal/gateway/storeera.go
+++ b/internal/gateway/storeera.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
 )
@@ -31,6 +32,9 @@
 		g.eraChanged(now, f, held, batch.Version, source)
 	}
 	held, unseen := f.copy.Version(), f.copy.UnseenRows()
+	if f.table == g.ports.Decoder.BackendTable {
+		g.state.noteRenewals(batch, held, f.complete.moment(), lease.BootClock())
+	}
 	changed := f.copy.Apply(batch)
 	f.apply(now, changed, source)
 	if f.table != g.ports.Decoder.BackendTable {
@@ -51,6 +55,7 @@
 		"version", platform.CommitOf(version), "held", platform.CommitOf(held), "source", source)
 	if f.table == g.ports.Decoder.BackendTable {
 		g.state.listRestored(now)
+		g.state.forgetRenewals()
 		g.interruptOtherPolls(f)
 	}
 }
