WALL: what was cached before a workspace became isolated is not shared

Cause: all workspaces that are not isolated had one cache salt per version of the weights, whatever the configuration said when a part was cached.

Change: the shared salt names the set of isolated workspaces, by a hash that follows from the configuration alone. Under one salt only workspaces outside the set write and read. Asks to owners of shards carry the same text.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -54,7 +54,7 @@
 		ask.Tried = append(ask.Tried, nameHash(draining))
 	}
 	if ask.Model != "" {
-		ask.Wall = request.IsolatedWorkspace
+		ask.Wall = request.CacheScope
 		ask.Tokens, ask.OutputTokens = uint32(request.Tokens), uint32(request.OutputTokens) //nolint:gosec // sizes
 		ask.Priority = uint32(request.Priority)                                             //nolint:gosec // a level
 		ask.MemoryPercent = uint32(request.MemoryShare * percent)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -83,9 +83,7 @@
 	request.TimeLeft = j.timeLeft()
 	request.TokenBytes = j.service.Engine.TokenBytes
 	request.MemoryShare = routing.MemoryShare(j.table.RoutePriorityRank(j.route))
-	if j.workspace != nil && j.workspace.Isolated {
-		request.IsolatedWorkspace = j.workspace.Name
-	}
+	request.CacheScope = j.table.CacheScope(j.workspace)
 	return request
 }
 
--- a/internal/gateway/shardowner.go
+++ b/internal/gateway/shardowner.go
@@ -137,7 +137,7 @@
 	if ask.GetModel() == "" {
 		return request
 	}
-	request.IsolatedWorkspace = ask.GetWall()
+	request.CacheScope = ask.GetWall()
 	request.Tokens, request.OutputTokens = int(ask.GetTokens()), int(ask.GetOutputTokens())
 	request.Priority, request.Ranked = int(ask.GetPriority()), table.RanksWorkspaces()
 	request.MemoryShare = float64(ask.GetMemoryPercent()) / percent
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -143,6 +143,8 @@
 	// byKey holds the workspace of each API key, byAccount that of each usage cap.
 	byKey     map[string]*Workspace
 	byAccount map[quota.Account]*Workspace
+	// sharedScope is the CacheScope of workspaces that are not isolated.
+	sharedScope string
 	// priorityRanks ranks all priorities that requests to model engines can have.
 	priorityRanks map[requestPriority]int
 	// enginePriorities are the distinct priorities of the routes to model engines.
@@ -174,6 +176,7 @@
 		}
 	}
 	t.assignAccounts()
+	t.sharedScope = sharedScopeOf(workspaces)
 	t.KVStores = kvStoresOf(services)
 	t.rankPriorities()
 	return t
--- a/internal/routing/direct_offer.go
+++ b/internal/routing/direct_offer.go
@@ -121,7 +121,7 @@
 	if len(r.Prefix) == 0 {
 		return levelKey(hashOf(r.ID))
 	}
-	chain := hashOf(Salt(0, r.IsolatedWorkspace))
+	chain := hashOf(Salt(0, r.CacheScope))
 	for _, part := range r.Prefix {
 		chain = Rendezvous(chain, hashOf(part.ID))
 	}
--- a/internal/routing/direct_prefix.go
+++ b/internal/routing/direct_prefix.go
@@ -200,7 +200,7 @@
 }
 
 func (d *Direct) versionPlan(now time.Time, req *DirectRequest, version uint64) versionPlan {
-	v := versionPlan{version: version, salt: Salt(version, req.IsolatedWorkspace), levels: make([]levelPlan, 0, len(req.Prefix))}
+	v := versionPlan{version: version, salt: Salt(version, req.CacheScope), levels: make([]levelPlan, 0, len(req.Prefix))}
 	salt := hashOf(v.salt)
 	tokens, chain := 0, salt
 	for _, part := range req.Prefix {
@@ -235,15 +235,10 @@
 }
 
 // Salt returns the salt under which engines cache a prompt's parts. Parts
-// computed with other weights, or for an isolated workspace, have a different
-// salt, so that an engine or store that does not check either can't return a
-// wrong part.
-func Salt(version uint64, isolatedWorkspace string) string {
-	salt := "v" + strconv.FormatUint(version, 10)
-	if isolatedWorkspace != "" {
-		salt += "/" + isolatedWorkspace
-	}
-	return salt
+// computed with other weights, or in another scope, have a different salt, so that
+// an engine or store that checks neither can't return a wrong part.
+func Salt(version uint64, scope string) string {
+	return "v" + strconv.FormatUint(version, 10) + scope
 }
 
 // scorePrefix sets the terms for what the server must prefill, fetch or copy of
--- a/internal/routing/direct_test.go
+++ b/internal/routing/direct_test.go
@@ -108,14 +108,14 @@
 	assert.Equal(t, "s0", choice.Server.ID)
 }
 
-func TestSaltSeparatesVersionsAndIsolatedWorkspaces(t *testing.T) {
+func TestSaltSeparatesVersionsAndScopes(t *testing.T) {
 	salts := map[string]bool{}
 	for _, version := range []uint64{1, 2} {
-		for _, workspace := range []string{"", "1", "2"} {
-			salts[routing.Salt(version, workspace)] = true
+		for _, scope := range []string{"", "-1", "/1", "/2"} {
+			salts[routing.Salt(version, scope)] = true
 		}
 	}
-	assert.Len(t, salts, 6)
+	assert.Len(t, salts, 8)
 }
 
 // A request must not begin on weights that were superseded too long ago, even
--- a/internal/routing/direct_types.go
+++ b/internal/routing/direct_types.go
@@ -48,9 +48,9 @@
 // DirectRequest holds the properties of a request that the choice depends on.
 type DirectRequest struct {
 	ID string
-	// IsolatedWorkspace is the name of a workspace whose cached parts are kept
-	// apart from those of others; empty: shared by all.
-	IsolatedWorkspace string
+	// CacheScope separates the cached parts of requests that may not share them; empty:
+	// shared by all.
+	CacheScope string
 	// Prefix holds the parts that other requests may share, outermost first.
 	Prefix []call.Part
 	// Tokens of the whole prompt; OutputTokens is the upper bound for the
--- a/internal/routing/kvstore_test.go
+++ b/internal/routing/kvstore_test.go
@@ -141,7 +141,7 @@
 	served(d, 300*time.Millisecond, "r1")
 	updateStore(d, "contract", true)
 	isolated := promptWithStore("r2", "contract")
-	isolated.IsolatedWorkspace = "w"
+	isolated.CacheScope = "/w"
 	assert.NotEqual(t, routing.SourceStore, choose(t, d, 2*time.Second, isolated, servers).Source)
 	for i := range servers {
 		servers[i].Version = 2
