MIXED: a response whose status is none is no answer

Callers: a server answered with the status 000 (001, 099, +20); the caller's connection was closed without an answer, after the request had run, and the log had nothing after "Placed". 600 and 999 were passed on, signed.

Cause: any number in a status line was a status. WriteHeader panics below 100, net/http closed the connection, and the panic was logged nowhere.

Change: a status is 100 to 599 wherever a head is read (internal/httpstatus). Such a response may have run: the request is repeated if it may be, else 502. A panic in the way of a request is logged with its ID, counted, frees its place at the server and ends with 502, or breaks off a response that has begun.

An early 200 that is reset was not reproduced: TestAnEarlyResponseThatBreaksOffIsNotWhole passed without a change.

--- a/internal/agent/cut_test.go
+++ b/internal/agent/cut_test.go
@@ -109,3 +109,15 @@
 		})
 	}
 }
+
+// Guards against a response being passed on whose status is none.
+func TestAResponseOfAServiceWithAnInvalidStatusIsNotDone(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		t.Run(status, func(t *testing.T) {
+			fix := newServiceFixture(t, answerRaw(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\nok"), nil)
+			got := readResponse(t, fix.accepted(callOffer("r1", http.MethodGet, "/list"), ""))
+			assert.Equal(t, jayv1.Outcome_OUTCOME_UNKNOWN, got.end.GetOutcome(), "status %d, body %q", got.head.GetStatus(), got.chunks)
+			assert.Empty(t, got.chunks)
+		})
+	}
+}
--- a/internal/agent/kv.go
+++ b/internal/agent/kv.go
@@ -16,6 +16,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/engine"
+	"github.com/jayproxy/jayproxy/internal/httpstatus"
 	"github.com/jayproxy/jayproxy/internal/kvplan"
 	"github.com/jayproxy/jayproxy/internal/responselimit"
 	"github.com/jayproxy/jayproxy/internal/wholebody"
@@ -50,7 +51,7 @@
 func newKVStore(s Settings) *kvStore {
 	return &kvStore{
 		base: strings.TrimSuffix(s.Engine.KVURL, "/"), vendor: s.Engine.Vendor,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true, MaxResponseHeaderBytes: responselimit.MaxHeadBytes}},
+		client:  &http.Client{Transport: httpstatus.Transport(&http.Transport{MaxIdleConnsPerHost: 16, DisableCompression: true, MaxResponseHeaderBytes: responselimit.MaxHeadBytes})},
 		planner: kvplan.New(),
 	}
 }
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -17,6 +17,7 @@
 
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/headtime"
+	"github.com/jayproxy/jayproxy/internal/httpstatus"
 	"github.com/jayproxy/jayproxy/internal/responselimit"
 	"github.com/jayproxy/jayproxy/internal/wholebody"
 )
@@ -39,9 +40,9 @@
 type serviceBackend struct {
 	base *url.URL
 	// pooled reuses connections, for calls that may be repeated.
-	pooled *http.Transport
+	pooled http.RoundTripper
 	// singleUse opens a connection for each call.
-	singleUse *http.Transport
+	singleUse http.RoundTripper
 }
 
 func newServiceBackend(baseURL string) (*serviceBackend, error) {
@@ -57,16 +58,16 @@
 // Idempotency-Key header; a non-repeatable call could then run twice. With
 // singleUse each call has a connection of its own, for which net/http does not
 // resend. HTTP/2 is off because it has retries of its own.
-func newTransport(singleUse bool) *http.Transport {
+func newTransport(singleUse bool) http.RoundTripper {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return httpstatus.Transport(&http.Transport{
 		DialContext:            headtime.Dial(&net.Dialer{Timeout: serviceDialTimeout}),
 		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: responselimit.MaxHeadBytes,
 		Protocols:              protocols,
-	}
+	})
 }
 
 var (
--- a/internal/engine/dialect/cut_test.go
+++ b/internal/engine/dialect/cut_test.go
@@ -137,3 +137,13 @@
 		assert.ErrorIs(t, err, engine.ErrInterrupted, "%s: %q", vendor, blob)
 	}
 }
+
+// Guards against a number below 100 being taken for success.
+func TestAResponseOfAnEngineWithAnInvalidStatusIsAnInterruption(t *testing.T) {
+	for vendor, bodies := range engineBodies {
+		for kind, body := range bodies {
+			e := openRaw(t, vendor, "HTTP/1.1 000 Odd\r\nConnection: close\r\nX-Merle-Id: 7:0:d1:r1\r\n\r\n"+body)
+			assert.ErrorIs(t, callOf(t, e, kind), engine.ErrInterrupted, "%s: %s", vendor, kind)
+		}
+	}
+}
--- a/internal/engine/dialect/dialect.go
+++ b/internal/engine/dialect/dialect.go
@@ -25,6 +25,7 @@
 	"github.com/jayproxy/jayproxy/internal/engine"
 	"github.com/jayproxy/jayproxy/internal/engine/blockhash"
 	"github.com/jayproxy/jayproxy/internal/headtime"
+	"github.com/jayproxy/jayproxy/internal/httpstatus"
 	"github.com/jayproxy/jayproxy/internal/prefix"
 	"github.com/jayproxy/jayproxy/internal/responselimit"
 	"github.com/jayproxy/jayproxy/internal/wholebody"
@@ -76,13 +77,13 @@
 }
 
 func newClient(baseURL string) *client {
-	return &client{base: baseURL, http: &http.Client{Transport: &http.Transport{
+	return &client{base: baseURL, http: &http.Client{Transport: httpstatus.Transport(&http.Transport{
 		DialContext:            headtime.Dial(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost:    idleConns,
 		IdleConnTimeout:        idleTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: responselimit.MaxHeadBytes,
-	}}}
+	})}}
 }
 
 // call is one HTTP request to an engine.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -251,6 +251,7 @@
 	server := choice.Server
 	isRetry := j.spendRetry()
 	j.sends++
+	j.sending = choice
 	j.tried = append(j.tried, server.ID)
 	options := j.forwardOptions(choice)
 	j.outbound.Header = g.ports.Dialect.RequestHeader(j.inbound.Header, options)
@@ -343,6 +344,7 @@
 // sendFinished reports how the send ended to this entry's router and to the
 // owner of the server's shard.
 func (j *job) sendFinished(choice *routing.DirectChoice, outcome sendOutcome) {
+	j.sending = nil
 	ended := j.evidence.endedProgress(outcome == delivered)
 	ended.SlowdownPercent = uint32(j.load.SlowdownPercent) //nolint:gosec // positive
 	unrun := outcome == notSent || outcome == notRun
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"github.com/jayproxy/jayproxy/internal/httpstatus"
 	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/mirror"
 	"github.com/jayproxy/jayproxy/internal/platform"
@@ -65,7 +66,7 @@
 	}
 	return &peers{
 		roster: roster.New(settings.Node, entryRow(settings), settings.Seeds, maxFlatEntries, settings.Grace),
-		http:   &http.Client{Transport: transport},
+		http:   &http.Client{Transport: httpstatus.Transport(transport)},
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"github.com/jayproxy/jayproxy/internal/lease"
 	"github.com/jayproxy/jayproxy/internal/quarantine"
 	"github.com/jayproxy/jayproxy/internal/routetable"
+	"github.com/jayproxy/jayproxy/internal/routing"
 	"github.com/jayproxy/jayproxy/internal/streamorigin"
 	"github.com/jayproxy/jayproxy/internal/upstream"
 )
@@ -113,6 +114,8 @@
 	// serverFailure is a server's 5xx response, passed on if no other send
 	// succeeds.
 	serverFailure *bufferedResponse
+	// sending is where the request was placed, until that send has ended.
+	sending *routing.DirectChoice
 	// begun: the header of the caller's response was sent; ended: all of it was.
 	begun, ended bool
 	// framing is what gave the end of the last server's response.
@@ -121,7 +124,7 @@
 }
 
 // ServeHTTP forwards one request. It panics with http.ErrAbortHandler to close
-// the connection where no complete response can be sent.
+// the connection where no complete response can be sent, and with nothing else.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !callerReachable(r.Context()) {
 		g.metrics.Count("answers_own", "connection closed before", 1)
@@ -138,6 +141,7 @@
 	}
 	defer j.releaseMemory()
 	defer j.settleUsage()
+	defer j.endPanic()
 	if !j.admit() {
 		j.logOutcome()
 		j.releaseMemory()
@@ -148,6 +152,7 @@
 	defer cancel()
 	j.ctx = ctx
 	defer j.settleSuspect()
+	defer j.endSend()
 	j.run()
 	j.endResponse()
 	j.logOutcome()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/jayproxy/jayproxy/internal/httpstatus"
 	"github.com/jayproxy/jayproxy/internal/responselimit"
 	"github.com/jayproxy/jayproxy/internal/wholebody"
 )
@@ -93,7 +94,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: responselimit.MaxHeadBytes,
 	}
-	return &Client{base: baseURL, http: &http.Client{Transport: transport}, timeout: options.Timeout}
+	return &Client{base: baseURL, http: &http.Client{Transport: httpstatus.Transport(transport)}, timeout: options.Timeout}
 }
 
 // Close closes idle connections.
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/jayproxy/jayproxy/internal/httpstatus"
 	"github.com/jayproxy/jayproxy/internal/responselimit"
 )
 
@@ -141,6 +142,9 @@
 		return nil, c.limited.cause(err)
 	}
 	c.limited.endDeadline()
+	if err := httpstatus.Check(inner.StatusCode); err != nil {
+		return nil, err
+	}
 	return inner, nil
 }
 
