A server whose rejections do not end counts as failed

Callers: one plain server of four rejected each request (503, not run) with a body without end, or drop by drop: 52 of 80 requests, one after another, got 503 beside three idle servers.

Cause: the end of a rejection's body was not looked at. The server counted as sound and idle and got each next request, until the retry budget was used up.

Change: a rejection whose body exceeds its bounds is logged, counted and a failure of its server. The request has still not run.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -39,7 +39,11 @@
 	j.gateway.metrics.Count("response_framing", j.framing, 1)
 	switch {
 	case head.Refused():
-		response.Discard()
+		if err := response.Discard(); j.gateway.countExceeded(err) {
+			// The next request would be refused in the same way.
+			klog.InfoS("Body of a refusal does not end", "request", j.head.ID, "server", server, "err", err)
+			j.recordServerFailure(server)
+		}
 		j.handleRefusal(choice, head)
 		return notRun
 	case head.Status < http.StatusMultipleChoices && (!head.Sealed || head.Encoded):
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -190,14 +190,15 @@
 }
 
 // Discard reads a body that nobody needs, so that the connection can be used again. It reads
-// no more than a bound and waits for no more than a few milliseconds; Close closes the
-// connection then.
-func (r *Response) Discard() {
+// no more than a bound and waits for no more than a few milliseconds; it returns a
+// *responselimit.Error then, and Close closes the connection.
+func (r *Response) Discard() error {
 	limited := r.conn.limited
 	limited.limit(responselimit.DiscardedBody, responselimit.MaxDiscardedBytes)
 	limited.deadline(responselimit.DiscardTime)
-	_, _ = io.Copy(io.Discard, r.Body)
+	_, err := io.Copy(io.Discard, r.Body)
 	limited.lift()
+	return limited.cause(err)
 }
 
 // BodyWithin bounds the time in which the body of a failed response is read from now on, until
