Streams without end stay within the memory of the process

Callers: a faulty engine sent comments, or an event, without end; an entry of 64 MB took 110, 85 and 86 MB for 240 such streams. A VM ends such a process, and the requests of all its callers with it.

Cause: each stream held up to 1 MiB of an event, with the comments before it, and nothing bounded all streams together.

Change: comments between two events are passed on once the response has begun; an event beyond 4 KiB claims memory from that for bodies, and without it the stream is broken off.

Evidence: TestStreamsWithoutEndStayWithinTheMemoryOfTheProcess failed before (bound 56 MB) and passes with 27, 50 and 50 MB.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -151,6 +151,10 @@
 	if j.ctx.Err() != nil {
 		return canceled
 	}
+	if errors.Is(err, errNoEventMemory) {
+		j.gateway.metrics.Count("body_memory_rejected", "event", 1)
+		return indeterminate
+	}
 	j.recordServerFailure(choice.Server.ID)
 	if j.gateway.countExceeded(err) || errors.Is(err, errOtherResponse) {
 		// This entry ended the response, not a crash of the server.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,32 +1,19 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	jayv1 "github.com/jayproxy/jayproxy/api/gen/jay/v1"
 	"github.com/jayproxy/jayproxy/internal/routing"
 	"github.com/jayproxy/jayproxy/internal/upstream"
 )
 
-const (
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes    = 1 << 20
-	eventReaderBytes = 4 << 10
-)
-
-var (
-	errEventTooLong = errors.New("event longer than 1 MiB")
-	// errNothingAfterTornEvent: a server ends a stream in order where another broke off
-	// inside the next event.
-	errNothingAfterTornEvent = errors.New("the stream ends before an event that another server had begun to send")
-)
+// errNothingAfterTornEvent: a server ends a stream in order where another broke off
+// inside the next event.
+var errNothingAfterTornEvent = errors.New("the stream ends before an event that another server had begun to send")
 
 // streamState is how much of a streamed response the caller has received.
 type streamState struct {
@@ -54,61 +41,15 @@
 	s.lastAt = now
 }
 
-// event is one complete event, including the blank line that ends it.
-type event struct {
-	text []byte
-	id   string
-}
-
-// eventReader reads complete events: a server that crashes may leave a
-// truncated one, which must not reach the caller.
-type eventReader struct{ reader *bufio.Reader }
-
-func (e *eventReader) next() (event, error) {
-	var ev event
-	for {
-		start := len(ev.text)
-		if err := e.appendLine(&ev); err != nil {
-			return ev, eventReadError(ev, err)
-		}
-		if len(ev.text) > maxEventBytes {
-			return ev, eris.Wrapf(errEventTooLong, "read event: got %d bytes", len(ev.text))
-		}
-		trimmed := bytes.TrimRight(ev.text[start:], "\r\n")
-		if len(trimmed) == 0 {
-			return ev, nil
-		}
-		if id, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
-			ev.id = string(bytes.TrimSpace(id))
-		}
-	}
-}
-
-// appendLine appends the next line to the event, including its newline.
-func (e *eventReader) appendLine(ev *event) error {
-	for {
-		part, err := e.reader.ReadSlice('\n')
-		ev.text = append(ev.text, part...)
-		if !errors.Is(err, bufio.ErrBufferFull) || len(ev.text) >= maxEventBytes {
-			return err
-		}
-	}
-}
-
-func eventReadError(ev event, err error) error {
-	if errors.Is(err, io.EOF) && len(ev.text) > 0 {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
 // forwardStream forwards a stream event by event.
 func (j *job) forwardStream(choice *routing.DirectChoice, response *upstream.Response) sendOutcome {
-	reader := eventReader{bufio.NewReaderSize(response.Body, eventReaderBytes)}
+	memory := j.newMemoryHold()
+	defer memory.release()
+	reader := newEventReader(response.Body, memory)
 	j.stream.order.beginResponse(j.lastEventID())
 	first := true
 	for {
-		ev, err := reader.next()
+		ev, err := reader.next(j.stream.delivered > 0)
 		if errors.Is(err, io.EOF) {
 			return j.streamEnded(choice, response)
 		}
@@ -116,6 +57,13 @@
 			j.stream.torn = j.stream.torn || len(ev.text) > 0
 			return j.responseInterrupted(choice, err)
 		}
+		if ev.comments {
+			if err := j.writeComments(ev); err != nil {
+				j.outcome = "comments not written: " + err.Error()
+				return delivered
+			}
+			continue
+		}
 		if first {
 			first = false
 			j.recordFirstToken()
@@ -185,3 +133,11 @@
 	}
 	return http.NewResponseController(j.writer).Flush()
 }
+
+// writeComments sends comments between two events to a caller whose response has begun.
+func (j *job) writeComments(ev event) error {
+	if _, err := j.writer.Write(ev.text); err != nil {
+		return err
+	}
+	return http.NewResponseController(j.writer).Flush()
+}
