LOST: requests late in the grace period are answered

Callers: in a planned stop requests that came late in the grace period were passed on and cut at its end, after they had run: 20 with work of 3.5 and 5 s and no probes, uploads among them.

Cause: a process that stops accepts callers until the load balancer has noticed, and passed on what arrived whatever time was left.

Change: while the process stops, a request that recent ones of its route show to take longer than is left is rejected at once, as not run, with a short Retry-After: as its head comes and before each send.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -93,6 +93,11 @@
 			j.respondQuarantined(h)
 			return
 		}
+		if j.isLateForStop() {
+			j.sendFinished(&choice, notSent)
+			j.giveUp(errNoTimeLeft.Error())
+			return
+		}
 		if !j.takePermit(choice.Server.ID) {
 			j.sendFinished(&choice, notSent)
 			continue
@@ -120,7 +125,7 @@
 			}
 		case canceled:
 			j.indeterminateSends++
-			j.giveUp("deadline passed or caller disconnected")
+			j.giveUp(j.cancelReason())
 			return
 		}
 	}
@@ -187,7 +192,7 @@
 	case j.stream.delivered > 0:
 		// The response has begun: closing the connection shows that it is incomplete.
 		j.abort("stream interrupted: " + reason)
-	case errors.Is(j.ctx.Err(), context.Canceled):
+	case errors.Is(j.ctx.Err(), context.Canceled) && !j.stopEnded():
 		// Nobody reads a response. Returning without one would send an empty 200
 		// response if the connection is open after all.
 		j.abort("caller disconnected")
@@ -200,6 +205,14 @@
 	}
 }
 
+// cancelReason says why the request's context ended.
+func (j *job) cancelReason() string {
+	if j.stopEnded() {
+		return errStopEnds.Error()
+	}
+	return "deadline passed or caller disconnected"
+}
+
 // rejectForCapacity ends a request that the wait queue rejected. If an earlier
 // send may have run, the response must not say that the request has not run.
 func (j *job) rejectForCapacity(err error) {
@@ -216,6 +229,9 @@
 // before the first rest ends if all servers rest.
 func (j *job) retryDelay() time.Duration {
 	const base = 250 * time.Millisecond
+	if j.gateway.stopping.Load() {
+		return spread(stopRetryAfter, j.head.ID)
+	}
 	now := time.Now()
 	return j.restDelay(now) + spread(max(base, j.gateway.state.limitDelay(now, j.service)), j.head.ID)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	// callerConnections counts callers' open connections.
 	callerConnections atomic.Int64
 	stopping          atomic.Bool
+	stop              *stopTime
 	// callersListening: the callers' address is open.
 	callersListening atomic.Bool
 	// notReadyResponses counts readiness probes answered with 503 since shutdown
@@ -121,7 +122,7 @@
 	g := &Gateway{
 		settings: settings, startedAt: started, ports: ports, pool: pool,
 		state: newState(settings, pool.CloseIdle), metrics: metrics.New(maxMetricLabels),
-		unregistered: make(chan struct{}, 1), mergeSoftware: make(chan struct{}, 1), endChecks: endproof.NewChecks(),
+		unregistered: make(chan struct{}, 1), mergeSoftware: make(chan struct{}, 1), endChecks: endproof.NewChecks(), stop: newStopTime(),
 	}
 	g.ports.Tables = countedTables{ports.Tables, &g.load}
 	g.ports.Table = countedTable{ports.Table, &g.load}
@@ -314,7 +315,7 @@
 // Shutdown stops the process without interrupting requests. It reports not
 // ready, tells callers to close their connections, keeps serving until the load balancer has
 // noticed, closes the listener and idle connections, and waits for running requests until the grace period
-// ends. It does not wait for a moment without requests before it closes the
+// ends. Requests that can't be served by then are rejected, and those that still run get a final response. It does not wait for a moment without requests before it closes the
 // listener: while other entries stop too, callers may keep arriving until the
 // end, and the last requests would be cut off.
 func (g *Gateway) Shutdown(ctx context.Context) error {
@@ -322,6 +323,7 @@
 	end := started.Add(g.settings.Grace - shutdownReserve)
 	klog.InfoS("Stopping", "active", g.active.Load(), "until", end)
 	g.stopping.Store(true)
+	g.stop.begin(end)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	left := g.leaveStore(ctx)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -148,13 +148,17 @@
 		j.discardUnread()
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+	ctx, cancel := g.stop.answerContext(r.Context(), j.deadline)
 	defer cancel()
 	j.ctx = ctx
 	defer j.settleSuspect()
 	defer j.endSend()
+	ready := time.Now()
 	j.run()
 	j.endResponse()
+	if j.succeeded {
+		g.stop.served(time.Now(), j.route.Name, time.Since(ready))
+	}
 	j.logOutcome()
 }
 
@@ -187,6 +191,9 @@
 		return j.respondClientError(http.StatusBadRequest, "the request has no ID")
 	}
 	j.setDeadline()
+	if j.isLateForStop() {
+		return j.respondUnavailable(errNoTimeLeft.Error(), spread(stopRetryAfter, j.head.ID))
+	}
 	if !j.admitUsage() || !j.readBody() {
 		return false
 	}
--- a/internal/gateway/tasks.go
+++ b/internal/gateway/tasks.go
@@ -69,6 +69,7 @@
 func (g *Gateway) tick(now time.Time) {
 	g.state.tick(now)
 	g.pool.CloseExpired(now)
+	g.stop.expire(now)
 	if g.peers.expire(now) {
 		g.applyRoster()
 	}
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -58,9 +58,9 @@
 func (j *job) bodyDeadline() time.Time {
 	shortest := j.arrived.Add(minBodyTimeout)
 	if !j.deadline.IsZero() {
-		return later(j.deadline, shortest)
+		return j.gateway.stop.earlier(later(j.deadline, shortest))
 	}
-	return later(j.arrived.Add(min(j.head.Timeout, defaultTimeout)), shortest)
+	return j.gateway.stop.earlier(later(j.arrived.Add(min(j.head.Timeout, defaultTimeout)), shortest))
 }
 
 func later(a, b time.Time) time.Time {
