Events wait for their memory, and count their smaller buffers

Streams with events beyond 4 KiB were broken off where bodies waited for memory; they wait now, as bodies do.

Tests of upstream.Response.Discard check its error.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -226,7 +226,7 @@
 
 // retryDelay is the time after which a refused request may be retried, spread
 // by request ID. It is not before a server that has named a limit takes another one, or
-// before the first rest ends if all servers rest.
+// before the first rest ends if all servers rest. While this entry stops, others serve it.
 func (j *job) retryDelay() time.Duration {
 	const base = 250 * time.Millisecond
 	if j.gateway.stopping.Load() {
--- a/internal/gateway/eventreader.go
+++ b/internal/gateway/eventreader.go
@@ -5,8 +5,11 @@
 	"bytes"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/jayproxy/jayproxy/internal/bodymemory"
 )
 
 const (
@@ -33,8 +36,8 @@
 
 // eventMemory is the memory for events that do not fit into eventReaderBytes.
 type eventMemory interface {
-	// tryClaim asks for more bytes, without waiting.
-	tryClaim(bytes int64) bool
+	// claimMore asks for more bytes and waits for them for a while.
+	claimMore(bytes int64) bool
 	// release returns all bytes.
 	release()
 }
@@ -44,13 +47,24 @@
 type eventReader struct {
 	reader *bufio.Reader
 	memory eventMemory
-	// buffer holds the text of the event that is read; claimed bytes of it are held in memory.
+	// buffer holds the text of the event that is read; claimed: its size is claimed in memory.
 	buffer  []byte
-	claimed int
+	claimed bool
 	// passed is the size of the comments returned since the last event.
 	passed int
 }
 
+// eventHold is the eventMemory of a request.
+type eventHold struct {
+	*memoryHold
+	// wait returns how long the request may wait for memory.
+	wait func() time.Duration
+}
+
+func (h eventHold) claimMore(bytes int64) bool {
+	return h.claim(h.wait(), bytes) == bodymemory.Granted
+}
+
 func newEventReader(from io.Reader, memory eventMemory) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(from, eventReaderBytes), memory: memory}
 }
@@ -91,8 +105,8 @@
 // reset drops the text of the event before.
 func (e *eventReader) reset() {
 	e.buffer = e.buffer[:0]
-	if e.claimed > 0 {
-		e.buffer, e.claimed = nil, 0
+	if e.claimed {
+		e.buffer, e.claimed = nil, false
 		e.memory.release()
 	}
 }
@@ -121,10 +135,10 @@
 		size = max(size, min(2*cap(e.buffer), eventReaderBytes))
 	} else {
 		size = max(size, 2*cap(e.buffer))
-		if !e.memory.tryClaim(int64(size - e.claimed)) {
+		if !e.memory.claimMore(int64(size)) { // The smaller buffers are not freed at once.
 			return eris.Wrapf(errNoEventMemory, "read event: got %d bytes", len(e.buffer)+more)
 		}
-		e.claimed = size
+		e.claimed = true
 	}
 	larger := make([]byte, len(e.buffer), size)
 	copy(larger, e.buffer)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,7 +43,7 @@
 
 // forwardStream forwards a stream event by event.
 func (j *job) forwardStream(choice *routing.DirectChoice, response *upstream.Response) sendOutcome {
-	memory := j.newMemoryHold()
+	memory := eventHold{j.newMemoryHold(), j.memoryWait}
 	defer memory.release()
 	reader := newEventReader(response.Body, memory)
 	j.stream.order.beginResponse(j.lastEventID())
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -37,7 +37,7 @@
 
 func memoryOf(bytes int64) *eventBytes { return &eventBytes{left: bytes} }
 
-func (m *eventBytes) tryClaim(bytes int64) bool {
+func (m *eventBytes) claimMore(bytes int64) bool {
 	if bytes > m.left {
 		return false
 	}
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -216,7 +216,8 @@
 			response, read, err := sendTo(t, 0, one.answer)
 			require.NoError(t, err)
 			started := time.Now()
-			response.Discard()
+			_, exceeded := responselimit.Exceeded(response.Discard())
+			assert.Equal(t, one.ended, !exceeded)
 			assert.Less(t, time.Since(started), 500*time.Millisecond)
 			assert.Equal(t, one.ended, response.ended.Load())
 			assert.LessOrEqual(t, read.Load(), int64(responselimit.MaxDiscardedBytes+maxHeadRead))
@@ -250,7 +251,7 @@
 		request := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, HeadTime: responselimit.HeadTime}
 		response, err := pool.Send(context.Background(), l.Addr().String(), request, ReusePolicy{MaxIdle: time.Second}, func(http.Header, bool) bool { return true })
 		require.NoError(t, err)
-		response.Discard()
+		require.NoError(t, response.Discard())
 		response.KeepFor(time.Second)
 		response.Close()
 	}
